Add the design page, the catalog fold and the platform interfaces

Cause: the repository was empty. Change: design page, tool set-up, record types, the config fold with optimistic concurrency, platform interfaces with HTTP clients, and in-memory stand-ins for the log, rating service, weight store and instance list.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Daily commands. `make check` is what CI runs.
+
+GO          ?= go
+TOOLS       := $(CURDIR)/.tools
+LINT        := $(TOOLS)/golangci-lint
+BUF         := $(TOOLS)/buf
+LINT_VER    := v2.15.0
+BUF_VER     := v1.75.0
+GENGO_VER   := v1.36.12
+GENGRPC_VER := v1.6.2
+
+.PHONY: build test format lint vet generate generated try soak bench tools check
+
+build:
+	$(GO) build -o bin/cassiaspoke ./cmd/cassiaspoke
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race -count=1 ./...
+
+tools: $(LINT) $(BUF)
+
+$(LINT):
+	GOBIN=$(TOOLS) $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VER)
+
+$(BUF):
+	GOBIN=$(TOOLS) $(GO) install github.com/bufbuild/buf/cmd/buf@$(BUF_VER)
+	GOBIN=$(TOOLS) $(GO) install google.golang.org/protobuf/cmd/protoc-gen-go@$(GENGO_VER)
+	GOBIN=$(TOOLS) $(GO) install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(GENGRPC_VER)
+
+format: $(LINT)
+	$(LINT) fmt ./...
+
+lint: $(LINT)
+	$(LINT) fmt --diff ./...
+	$(LINT) run ./...
+
+vet:
+	$(GO) vet ./...
+
+generate: $(BUF)
+	PATH=$(TOOLS):$$PATH $(BUF) generate
+
+# Fails when the committed generated code differs from what the pinned generators write.
+generated: generate
+	git diff --exit-code -- '*.pb.go'
+
+try:
+	$(GO) run ./cmd/cassiaspoke try
+
+check: lint vet generated race try
--- /dev/null
+++ b/internal/core/profile/version.go
@@ -0,0 +1,121 @@
+package profile
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// moves lists the states from which each kind of change is allowed.
+var moves = map[record.Kind][]State{
+	record.VersionRollOut:  {StateAdded, StateActive, StateHalted, StatePaused},
+	record.VersionAdvance:  {StateRollingOut},
+	record.VersionPause:    {StateRollingOut},
+	record.VersionResume:   {StatePaused, StateHalted},
+	record.VersionHalt:     {StateRollingOut, StatePaused, StateActive},
+	record.VersionWithdraw: {StateAdded, StateRollingOut, StatePaused, StateActive, StateHalted},
+}
+
+func (c *Catalog) changeVersion(ch record.Change) error {
+	op := string(ch.Kind)
+	v, known := c.Versions[ch.Name]
+	if ch.Kind == record.VersionAdd {
+		if known {
+			return refuse(op, ErrState, "version %s exists", ch.Name)
+		}
+		if err := validateVersion(ch); err != nil {
+			return err
+		}
+		c.putVersion(Version{Version: *ch.Version, State: StateAdded})
+		return nil
+	}
+	from, ok := moves[ch.Kind]
+	switch {
+	case !ok:
+		return refuse(op, ErrInvalid, "unknown kind")
+	case !known:
+		return refuse(op, ErrInvalid, "version %s is unknown", ch.Name)
+	case !slices.Contains(from, v.State):
+		return refuse(op, ErrState, "version %s is %s", ch.Name, v.State)
+	}
+	if err := c.move(&v, ch); err != nil {
+		return err
+	}
+	v.Reason = ch.Reason
+	c.putVersion(v)
+	return nil
+}
+
+func (c *Catalog) move(v *Version, ch record.Change) error {
+	switch ch.Kind {
+	case record.VersionRollOut:
+		return c.startRollOut(v, ch)
+	case record.VersionAdvance:
+		if ch.Stage != v.Stage+1 {
+			return refuse(string(ch.Kind), ErrState, "stage %d follows %d", ch.Stage, v.Stage)
+		}
+		v.Stage = ch.Stage
+		if v.Stage >= len(v.Stages) {
+			c.activate(v)
+		}
+	case record.VersionPause:
+		v.State, v.Resume = StatePaused, v.State
+	case record.VersionHalt:
+		if v.State != StatePaused {
+			v.Resume = v.State
+		}
+		v.State = StateHalted
+	case record.VersionResume:
+		v.State, v.Resume = v.Resume, ""
+	case record.VersionWithdraw:
+		v.State, v.Resume = StateWithdrawn, ""
+	}
+	return nil
+}
+
+func (c *Catalog) startRollOut(v *Version, ch record.Change) error {
+	if ch.RollOut == nil {
+		return refuse(string(ch.Kind), ErrInvalid, "no roll-out given")
+	}
+	if err := validateStages(ch.RollOut.Stages); err != nil {
+		return err
+	}
+	for _, o := range c.Versions {
+		rolling := o.State == StateRollingOut || (o.State == StatePaused && o.Resume == StateRollingOut)
+		if o.Name != v.Name && rolling && Model(o.Name) == Model(v.Name) {
+			return refuse(string(ch.Kind), ErrState, "roll-out of %s is under way", o.Name)
+		}
+	}
+	v.Stages, v.Stage, v.Resume = ch.RollOut.Stages, 0, ""
+	if len(v.Stages) == 0 {
+		c.activate(v)
+		return nil
+	}
+	v.State = StateRollingOut
+	return nil
+}
+
+func (c *Catalog) activate(v *Version) {
+	v.State, v.Activated = StateActive, c.Next
+	v.Stages, v.Stage = nil, 0
+}
+
+func (c *Catalog) putVersion(v Version) {
+	v.Revision = c.Next
+	c.Versions = maps.Clone(c.Versions)
+	c.Versions[v.Name] = v
+}
+
+// Runnable reports whether new work may be sent to the version.
+func (v Version) Runnable() bool {
+	return v.State == StateRollingOut || v.State == StateActive ||
+		(v.State == StatePaused && v.Resume == StateRollingOut)
+}
+
+// Model returns the model part of a version's name.
+func Model(version string) string {
+	m, _, _ := strings.Cut(version, "@")
+	return m
+}
--- /dev/null
+++ b/internal/measure/doc.go
@@ -0,0 +1,2 @@
+// Package measure compares policies and measures capacity with fixed seeds.
+package measure
