--- /dev/null
+++ b/internal/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the client of model engines and plain services, and holds the engines' wire format.
+package engine
