--- /dev/null
+++ b/internal/answer/doc.go
@@ -0,0 +1,2 @@
+// Package answer runs chat requests on engines until their answers are whole.
+package answer
--- /dev/null
+++ b/internal/answer/maker.go
@@ -0,0 +1,314 @@
+package answer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// maxPlans bounds how often a request is planned again because its version went out of service.
+const maxPlans = 4
+
+// Recorder writes events of the time line.
+type Recorder interface {
+	Event(name string, fields ...string)
+}
+
+// Pool chooses endpoints and learns how they did.
+type Pool interface {
+	View() *endpoint.View
+	Event(ev endpoint.Event)
+}
+
+// Settings tune the running of requests.
+type Settings struct {
+	Zone       string
+	QueueWait  time.Duration // for an endpoint
+	QueueStep  time.Duration // between two tries for an endpoint
+	RateWait   time.Duration // for a rating before the answer counts as unrated
+	MaxRetries int           // per request, over all steps
+	MaxOutput  int           // tokens when neither the request nor the profile bounds them
+}
+
+// DefaultSettings returns settings for an availability zone.
+func DefaultSettings(zone string) Settings {
+	return Settings{
+		Zone: zone, QueueWait: 5 * time.Second, QueueStep: 10 * time.Millisecond,
+		RateWait: 2 * time.Second, MaxRetries: 4, MaxOutput: 4096,
+	}
+}
+
+// Parts are what a maker works with.
+type Parts struct {
+	Catalog  func() *profile.Catalog
+	Pool     Pool
+	Planner  Planner
+	Suspects Suspects
+	Budget   Budget
+	Rater    Rater
+	Engines  *engine.Client
+	Events   Recorder
+}
+
+// Maker makes whole answers.
+type Maker struct {
+	s Settings
+	p Parts
+}
+
+// NewMaker returns a maker.
+func NewMaker(s Settings, p Parts) *Maker { return &Maker{s: s, p: p} }
+
+var (
+	errFellShort = errors.New("the rating falls short of the profile's quality")
+	errReplan    = errors.New("the version is out of service")
+)
+
+// run is the state of one request.
+type run struct {
+	*Request
+	sink      Sink
+	prompt    string
+	prefix    uint64
+	class     string
+	digest    uint64
+	input     int
+	maxOutput int
+	steps     []Step
+	pinned    bool
+	moved     string
+	sent      bool
+	started   bool
+	retries   int
+	delivered strings.Builder // text that the caller has
+	tokens    int             // of the delivered text
+	result    Result
+}
+
+// Bound returns the tokens that a request may use at most in each step.
+func (m *Maker) Bound(r *Request) (input, output int) {
+	output = r.Chat.MaxTokens
+	if l := r.Profile.MaxTokens; l > 0 && (output <= 0 || output > l) {
+		output = l
+	}
+	if output <= 0 {
+		output = m.s.MaxOutput
+	}
+	for _, c := range r.Chat.Messages {
+		input += len(c.Content) + len(c.Role)
+	}
+	return input, output
+}
+
+// Plan returns the steps for a request and their cost in the worst case.
+func (m *Maker) Plan(r *Request, digest uint64, class string) (*Plan, error) {
+	in, out := m.Bound(r)
+	n := &run{Request: r, class: class, digest: digest, input: in, maxOutput: out, prompt: r.Prompt()}
+	n.prefix = prefix(n.prompt)
+	if err := m.plan(n); err != nil {
+		return nil, err
+	}
+	return &Plan{m: m, r: n}, nil
+}
+
+// Plan is a request that is ready to run.
+type Plan struct {
+	m *Maker
+	r *run
+}
+
+// Worst returns the most that the plan can cost, and the most tokens that it can use.
+func (p *Plan) Worst() (record.Micros, int64) {
+	c := p.m.p.Catalog()
+	var cost record.Micros
+	for _, s := range p.r.steps {
+		cost += price(c.Versions[s.Version].Price, int64(p.r.input), int64(p.r.maxOutput))
+	}
+	return cost, int64(len(p.r.steps)) * int64(p.r.input+p.r.maxOutput)
+}
+
+// Run runs the plan; the sink gets the text. The answer is whole if the error is nil.
+func (p *Plan) Run(ctx context.Context, sink Sink) (Result, error) {
+	p.r.sink = sink
+	x, cancel := context.WithDeadline(ctx, p.r.Deadline)
+	defer cancel()
+	err := p.m.run(x, p.r)
+	if err == nil {
+		return p.r.result, nil
+	}
+	return p.r.result, p.r.fail(ctx, x, err)
+}
+
+// fail turns an error into one that says truly whether anything ran and whether a part was delivered.
+func (r *run) fail(caller, x context.Context, err error) error {
+	out := &Error{Op: "run", Kind: ErrCapacity, NotRun: !r.sent, Err: err}
+	var e *Error
+	if errors.As(err, &e) {
+		out.Kind = e.Kind
+	}
+	switch {
+	case caller.Err() != nil:
+		out.Kind = ErrCancelled
+	case x.Err() != nil:
+		out.Kind = ErrDeadline
+	}
+	if r.delivered.Len() > 0 && out.Kind != ErrCancelled {
+		out.Kind = ErrIncomplete
+	}
+	return out
+}
+
+func (m *Maker) plan(r *run) error {
+	c := m.p.Catalog()
+	pin := session.Resolve(c, r.Organisation.Name, r.Profile.Name, r.Token)
+	r.pinned = false
+	switch pin.Outcome {
+	case session.OutcomeRefused:
+		return &Error{Op: "plan", Kind: ErrNotAllowed, NotRun: !r.sent, Err: errors.New("the organisation may not use the profile")}
+	case session.OutcomeKept:
+		r.pinned = true
+		r.steps = []Step{{Version: pin.Version, Sample: true}}
+		return nil
+	case session.OutcomeMoved:
+		r.moved = string(pin.Reason)
+	}
+	l, err := m.p.Planner.Plan(PlanRequest{
+		Class: r.class, Profile: r.Profile, Catalog: c, Direct: r.NewSession || r.Token != nil || r.delivered.Len() > 0,
+		Input: r.input, MaxOutput: r.maxOutput,
+	})
+	if err != nil {
+		return &Error{Op: "plan", Kind: ErrNotAllowed, NotRun: !r.sent, Err: err}
+	}
+	r.steps = l
+	return nil
+}
+
+func (m *Maker) run(ctx context.Context, r *run) error {
+	m.p.Budget.First()
+	for range maxPlans {
+		err := m.runSteps(ctx, r)
+		if !errors.Is(err, errReplan) {
+			return err
+		}
+		m.p.Events.Event("plan-again", "request", r.ID, "organisation", r.Organisation.Name)
+		if err := m.plan(r); err != nil {
+			return err
+		}
+	}
+	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errReplan}
+}
+
+func (m *Maker) runSteps(ctx context.Context, r *run) error {
+	for _, s := range r.steps {
+		err := m.step(ctx, r, s)
+		if !errors.Is(err, errFellShort) {
+			return err
+		}
+		m.p.Events.Event("escalated", "request", r.ID, "version", s.Version)
+	}
+	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errFellShort}
+}
+
+// step asks one version. An unrated step streams to the caller; a rated one is buffered until its rating is known.
+func (m *Maker) step(ctx context.Context, r *run, s Step) error {
+	r.result.Steps++
+	start := time.Now()
+	a := &attempt{m: m, r: r, step: s}
+	err := a.untilWhole(ctx)
+	c := price(m.p.Catalog().Versions[s.Version].Price, a.usage.Input, a.usage.Output)
+	r.result.Cost += c
+	r.result.Usage.Input += a.usage.Input
+	r.result.Usage.Output += a.usage.Output
+	if err != nil {
+		return err
+	}
+	o := Outcome{Class: r.class, Profile: r.Profile, Version: s.Version, Cost: c, Latency: time.Since(start)}
+	if s.Rate {
+		return m.rated(ctx, r, a, o)
+	}
+	m.p.Planner.Observe(finished(o))
+	r.result.Version, r.result.Finish = s.Version, a.finish
+	if s.Sample {
+		m.sample(r, o, r.delivered.String())
+	}
+	return nil
+}
+
+// rated delivers a buffered answer if its rating meets the profile's quality.
+func (m *Maker) rated(ctx context.Context, r *run, a *attempt, o Outcome) error {
+	x, cancel := context.WithTimeout(ctx, m.s.RateWait)
+	defer cancel()
+	text := a.buffer.String()
+	score, err := m.p.Rater.Rate(x, RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text})
+	o.Rated, o.Score = err == nil, score
+	m.p.Planner.Observe(finished(o))
+	if err != nil || score < r.Profile.Quality.MinScore {
+		return errFellShort
+	}
+	r.result.Version, r.result.Finish = o.Version, a.finish
+	return r.deliver(text, o.Version)
+}
+
+// sample rates an answer after its delivery; the caller does not wait for it.
+func (m *Maker) sample(r *run, o Outcome, text string) {
+	q := RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text}
+	go func() {
+		x, cancel := context.WithTimeout(context.Background(), m.s.RateWait)
+		defer cancel()
+		score, err := m.p.Rater.Rate(x, q)
+		if err != nil {
+			return
+		}
+		o.Rated, o.Score = true, score
+		m.p.Planner.Observe(finished(o))
+	}()
+}
+
+func finished(o Outcome) Outcome {
+	o.Finished = time.Now()
+	return o
+}
+
+// deliver gives a piece of text to the caller.
+func (r *run) deliver(s, version string) error {
+	if !r.started {
+		t := session.Token{
+			Organisation: r.Organisation.Name, Profile: r.Profile.Name, Version: version,
+			Revision: r.Profile.Revision, Issued: time.Now(),
+		}
+		if r.pinned {
+			t.Revision = r.Token.Revision
+		}
+		st := Started{Version: version, Token: t, Session: r.NewSession || r.Token != nil, Moved: r.moved}
+		if err := r.sink.Start(st); err != nil {
+			return err
+		}
+		r.started = true
+	}
+	r.delivered.WriteString(s)
+	return r.sink.Text(s, version)
+}
+
+func price(p record.Price, input, output int64) record.Micros {
+	// Prices are per thousand tokens; rounding up keeps a bill from being 0 for a short answer.
+	return record.Micros((int64(p.Input)*input + int64(p.Output)*output + 999) / 1000)
+}
+
+func draws() [2]float64 { return [2]float64{rand.Float64(), rand.Float64()} }
+
+func (m *Maker) event(name string, r *run, version, endpoint string, err error) {
+	f := []string{"request", r.ID, "organisation", r.Organisation.Name, "version", version, "endpoint", endpoint}
+	if err != nil {
+		f = append(f, "error", fmt.Sprint(err))
+	}
+	m.p.Events.Event(name, f...)
+}
--- a/internal/core/profile/catalog.go
+++ b/internal/core/profile/catalog.go
@@ -11,7 +11,7 @@
 )
 
 // historyLength bounds the revisions remembered for each object.
-const historyLength = 50
+const historyLength = 20
 
 // State is where a version is in its life.
 type State string
@@ -69,6 +69,7 @@
 type Catalog struct {
 	Next          uint64                  `json:"next"`
 	SnapshotAt    uint64                  `json:"-"` // offset of the latest snapshot record, plus one
+	SnapshotTime  time.Time               `json:"-"` // log time of that record, or of the first record folded
 	Organisations map[string]Organisation `json:"organisations"`
 	Profiles      map[string]Profile      `json:"profiles"`
 	Versions      map[string]Version      `json:"versions"`
@@ -125,13 +126,20 @@
 	n := *c
 	n.Next = offset + 1
 	if ch.Kind == record.SnapshotWritten {
-		n.SnapshotAt = n.Next
+		n.SnapshotAt, n.SnapshotTime = n.Next, t
 		return &n, nil
 	}
+	if n.SnapshotTime.IsZero() {
+		n.SnapshotTime = t
+	}
 	object, err := n.change(ch)
 	if err != nil {
 		n = *c
 		n.Next = offset + 1
+		n.SnapshotTime = t
+		if !c.SnapshotTime.IsZero() {
+			n.SnapshotTime = c.SnapshotTime
+		}
 		return &n, err
 	}
 	n.History = maps.Clone(c.History)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -18,7 +18,7 @@
 )
 
 // maxRecord bounds the size of one record, in bytes.
-const maxRecord = 1 << 20
+const maxRecord = 4 << 20
 
 // maxWait bounds how long a read waits for a record.
 const maxWait = 30 * time.Second
