Add the endpoint table, its view and the choice

The running path needs endpoints chosen by version, availability zone, prefix and load. The table folds lists, answers, failures, probes and cache events; its view holds precomputed pools with live load counters.

--- /dev/null
+++ b/internal/core/endpoint/table.go
@@ -0,0 +1,257 @@
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+)
+
+// state is where an endpoint is in its health.
+type state int
+
+const (
+	stateLive state = iota
+	stateOut
+	stateReturning
+)
+
+// Table holds what one instance knows of all endpoints; the control goroutine owns it.
+type Table struct {
+	settings Settings
+	order    []*entry // by identifier
+	handles  map[Handle]*entry
+	last     Handle
+	hints    *hints
+	view     *View // nil when an event made it out of date
+	actions  []Action
+}
+
+// entry is one endpoint.
+type entry struct {
+	info
+	handle  Handle
+	seed    uint64
+	count   *counter
+	service string
+
+	versions   []string
+	adapters   []uint64
+	slots      int
+	statedAt   time.Time // of the endpoint's own versions
+	reportedAt time.Time
+	denied     map[string]time.Time // versions that answers contradicted, with the end of the denial
+
+	listLeaving  bool
+	ownLeaving   bool
+	leavingCheck time.Time // next probe of an endpoint that only its own answers call leaving
+	missing      time.Time // since when it is off the list; zero if it is on it
+	answered     time.Time
+
+	health
+}
+
+// NewTable returns an empty table.
+func NewTable(s Settings) *Table {
+	return &Table{settings: s, handles: map[Handle]*entry{}, hints: newHints(s.Hints)}
+}
+
+// View returns the current snapshot; it is built again only after an event changed an endpoint's place in it.
+func (t *Table) View() *View {
+	if t.view == nil {
+		t.view = t.build()
+	}
+	return t.view
+}
+
+// Step folds an event and returns the probes that the edge has to make. The slice is valid until the next Step.
+func (t *Table) Step(now time.Time, ev Event) []Action {
+	t.actions = t.actions[:0]
+	switch ev := ev.(type) {
+	case Listed:
+		t.list(now, ev.Instances)
+	case Resized:
+		t.settings.Fleet = ev.Fleet
+	case Tick:
+		t.tick(now)
+	case Answered:
+		if e := t.handles[ev.Endpoint]; e != nil {
+			t.answer(now, e, ev)
+		}
+	case Failed:
+		if e := t.handles[ev.Endpoint]; e != nil {
+			t.fail(now, e, ev)
+		}
+	case Probed:
+		if e := t.handles[ev.Endpoint]; e != nil {
+			t.probed(now, e, ev)
+		}
+	case CacheEvent:
+		if t.handles[ev.Endpoint] != nil {
+			t.cache(ev)
+		}
+	}
+	return t.actions
+}
+
+// Handle returns the handle of the endpoint with an identifier, or 0.
+func (t *Table) Handle(id string) Handle {
+	if i, ok := t.find(id); ok {
+		return t.order[i].handle
+	}
+	return 0
+}
+
+func (t *Table) find(id string) (int, bool) {
+	return slices.BinarySearchFunc(t.order, id, func(e *entry, id string) int { return cmp.Compare(e.id, id) })
+}
+
+func (t *Table) cache(ev CacheEvent) {
+	if ev.Evicted {
+		t.hints.remove(ev.Prefix, ev.Endpoint)
+		return
+	}
+	t.hints.add(ev.Prefix, ev.Endpoint)
+}
+
+// list takes over the platform's list. An empty list is a fault of the list service, not the end of all endpoints.
+func (t *Table) list(now time.Time, l []platform.Instance) {
+	if len(l) == 0 {
+		return
+	}
+	seen := make(map[string]bool, len(l))
+	for _, i := range l {
+		if i.Role == platform.RoleEngine || i.Role == platform.RoleService {
+			seen[i.ID] = true
+			t.listed(now, i)
+		}
+	}
+	for _, e := range t.order {
+		if !seen[e.id] && e.missing.IsZero() {
+			e.missing = now
+		}
+	}
+}
+
+// listed takes over one entry of the list. A new address, zone or role means another process: what was learned
+// about the old one does not hold for it.
+func (t *Table) listed(now time.Time, i platform.Instance) {
+	n, ok := t.find(i.ID)
+	if ok {
+		e := t.order[n]
+		if e.address != i.Address || e.zone != i.Zone || e.service != i.Service {
+			t.drop(n)
+			ok = false
+		}
+	}
+	if !ok {
+		t.order = slices.Insert(t.order, n, t.newEntry(i))
+	}
+	e := t.order[n]
+	e.missing = time.Time{}
+	if e.service == "" && now.Sub(e.statedAt) > t.settings.OwnReport {
+		t.setVersions(e, i.Versions)
+	}
+	e.listLeaving = i.Leaving
+	t.place(e)
+}
+
+func (t *Table) newEntry(i platform.Instance) *entry {
+	t.last++
+	e := &entry{
+		info:    info{i.ID, i.Zone, i.Address},
+		handle:  t.last,
+		seed:    hashText(i.ID),
+		count:   &counter{},
+		service: i.Service,
+	}
+	e.count.barred.Store(true)
+	t.handles[e.handle] = e
+	return e
+}
+
+func (t *Table) drop(n int) {
+	e := t.order[n]
+	e.count.barred.Store(true)
+	delete(t.handles, e.handle)
+	t.hints.forget(e.handle)
+	t.order = slices.Delete(t.order, n, n+1)
+	t.view = nil
+}
+
+func (t *Table) setVersions(e *entry, l []string) {
+	if slices.Equal(e.versions, l) {
+		return
+	}
+	e.versions = slices.Clone(l)
+	slices.Sort(e.versions)
+	e.versions = slices.Compact(e.versions)
+	t.view = nil
+}
+
+// place brings the bar that old views obey, and the current view, in line with the entry.
+func (t *Table) place(e *entry) {
+	if bar := !e.takes(); e.count.barred.Load() != bar || e.placed == bar {
+		e.count.barred.Store(bar)
+		e.placed = !bar
+		t.view = nil
+	}
+}
+
+// takes reports whether the endpoint may get new work.
+func (e *entry) takes() bool { return !e.leaving() && e.state != stateOut }
+
+// leaving reports whether the list or the endpoint itself says that it leaves.
+func (e *entry) leaving() bool { return e.listLeaving || e.ownLeaving }
+
+func (e *entry) member(slots int) member {
+	if e.slots > 0 {
+		slots = e.slots
+	}
+	return member{
+		seed: e.seed, count: e.count, slots: float64(max(1, slots)), handle: e.handle,
+		info: &info{e.id, e.zone, e.address}, adapters: e.adapters,
+	}
+}
+
+// report takes over what an endpoint says about itself. An older report than the last one changes nothing.
+func (t *Table) report(now time.Time, e *entry, r Report) {
+	if r.Time.IsZero() || !r.Time.After(e.reportedAt) {
+		return
+	}
+	e.reportedAt = r.Time
+	e.count.setReport(r.Load, r.Time)
+	if r.Slots != 0 && r.Slots != e.slots {
+		e.slots, t.view = r.Slots, nil
+	}
+	if r.Versions != nil && e.service == "" {
+		e.statedAt = now
+		t.setVersions(e, e.allowed(now, r.Versions))
+	}
+	t.setAdapters(e, r.Adapters)
+	e.ownLeaving = r.Leaving
+	t.place(e)
+}
+
+// allowed returns the stated versions without those that the endpoint's answers contradicted of late.
+func (e *entry) allowed(now time.Time, l []string) []string {
+	return slices.DeleteFunc(slices.Clone(l), func(v string) bool { return now.Before(e.denied[v]) })
+}
+
+func (t *Table) setAdapters(e *entry, l []string) {
+	if len(l) == len(e.adapters) {
+		same := true
+		for i, a := range l {
+			same = same && e.adapters[i] == HashAdapter(a)
+		}
+		if same {
+			return
+		}
+	}
+	e.adapters = make([]uint64, len(l))
+	for i, a := range l {
+		e.adapters[i] = HashAdapter(a)
+	}
+	t.view = nil
+}
