Read and check the settings file

An instance needs one file of settings whose faults an operator can find at once. encoding/json stops at the first fault and reports no line, so the syntax tree of hujson is decoded here and every fault is listed with line, column, path, what was found and what was expected.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,179 @@
+package settings_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/settings"
+)
+
+const good = `// One instance.
+{
+  "instance": {"id": "a1", "availability-zone": "north", "region": "dk"},
+  "callers": {"listen": "0.0.0.0:8080", "limits": {"body-bytes": "2MiB"}},
+  "operators": {"listen": "127.0.0.1:8081", "keys": [{"name": "ida", "hash": "HASH"}]},
+  "peers": {"listen": "127.0.0.1:8082"},
+  "platform": {"log": "http://10.0.0.1:9000/", "rating": "http://10.0.0.1:9001", "weights": "http://10.0.0.1:9002", "instances": "http://[::1]:9003"},
+  "sessions": {"keys": [{"id": "k1", "secret-file": "k1.secret"}]},
+  "services": [{"name": "booking", "honours-keys": true, "price": 1500}],
+  "claims": {"wait": "3s"},
+}
+`
+
+var hash = strings.Repeat("0f", 32)
+
+func text(old, replacement string) []byte {
+	return []byte(strings.ReplaceAll(strings.Replace(good, old, replacement, 1), "HASH", hash))
+}
+
+func TestParse(t *testing.T) {
+	s, err := settings.Parse("conf/a1.json", text("", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Callers.Limits.BodyBytes != 2*settings.MiB || s.Claims.Wait != 3*time.Second || s.Services[0].Price != 1500 {
+		t.Errorf("values of the file are not in %+v", s)
+	}
+	if s.Claims.Window != 15*time.Minute {
+		t.Errorf("window is %v, want the default", s.Claims.Window)
+	}
+	if s.Platform.Log != "http://10.0.0.1:9000" || s.Sessions.Keys[0].SecretFile != "conf/k1.secret" {
+		t.Errorf("log is %s, secret file is %s", s.Platform.Log, s.Sessions.Keys[0].SecretFile)
+	}
+}
+
+// A settings value that reaches a log must not carry the hash of a key.
+func TestPrintHidesHashes(t *testing.T) {
+	s, err := settings.Parse("a1.json", text("", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range []string{"%v", "%+v", "%#v", "%s"} {
+		if out := fmt.Sprintf(f, s) + fmt.Sprintf(f, s.Operators); strings.Contains(out, hash) {
+			t.Errorf("%s prints the hash: %s", f, out)
+		}
+	}
+}
+
+// Guards against a message that points at the wrong place or hides a second fault.
+func TestProblems(t *testing.T) {
+	tests := map[string]struct {
+		old, new string
+		want     []string
+	}{
+		"syntax": {`"callers": {`, `"callers" {`, []string{
+			"4:13: file: found a syntax error: invalid character '{' after object name, want JSON, with or without comments",
+		}},
+		"unknown field": {`"claims": {"wait": "3s"}`, `"claims": {"wiat": "3s"}`, []string{
+			`10:14: claims.wiat: found an unknown field, want one of window, wait, partitions, flush`,
+		}},
+		"wrong type": {`"honours-keys": true`, `"honours-keys": "yes"`, []string{
+			`9:52: services[0].honours-keys: found "yes", want true or false`,
+		}},
+		"section of wrong type": {`"services": [{"name": "booking", "honours-keys": true, "price": 1500}]`, `"services": {}`, []string{
+			`9:15: services: found an object, want an array`,
+		}},
+		"number for duration": {`"wait": "3s"`, `"wait": 3`, []string{
+			`10:22: claims.wait: found 3, want duration text such as "5s"`,
+		}},
+		"wrong unit of duration": {`"wait": "3s"`, `"wait": "3 parsecs"`, []string{
+			`10:22: claims.wait: found "3 parsecs", want duration text such as "5s"`,
+		}},
+		"wrong unit of size": {`"2MiB"`, `"2MB"`, []string{
+			`4:66: callers.limits.body-bytes: found "2MB", want size text such as "64KiB"`,
+		}},
+		"bad address": {`"0.0.0.0:8080"`, `"localhost:8080"`, []string{
+			`4:25: callers.listen: found "localhost:8080", want an IP address and port such as "10.0.0.1:8443"`,
+		}},
+		"URL with a name": {`"http://10.0.0.1:9000/"`, `"http://log.internal:9000"`, []string{
+			`7:23: platform.log: found "http://log.internal:9000", want a URL with an IP address such as "http://10.0.0.1:9000"`,
+		}},
+		"missing field": {`"id": "a1", `, ``, []string{
+			`3:15: instance.id: found nothing, want a value`,
+		}},
+		"missing section": {`  "peers": {"listen": "127.0.0.1:8082"},`, ``, []string{
+			`2:1: peers.listen: found nothing, want an IP address and port such as "10.0.0.1:8443"`,
+		}},
+		"duplicate field": {`"claims": {"wait": "3s"}`, `"claims": {"wait": "3s", "wait": "4s"}`, []string{
+			`10:28: claims.wait: found the field a second time, want each field once`,
+		}},
+		"duplicate name": {`"HASH"}]`, `"HASH"}, {"name": "ida", "hash": "HASH"}]`, []string{
+			`5:53: operators.keys: found an array, want elements that differ in name`,
+		}},
+		"out of range": {`"2MiB"`, `"2GiB"`, []string{
+			`4:66: callers.limits.body-bytes: found "2GiB", want "64MiB" or less`,
+		}},
+		"window too long": {`"wait": "3s"`, `"window": "20m"`, []string{
+			`10:24: claims.window: found "20m", want 15m or less`,
+		}},
+		"key in place of its hash": {`"HASH"`, `"my-api-key"`, []string{
+			`5:78: operators.keys[0].hash: found 12 bytes of JSON, want a SHA-256 of 64 hexadecimal digits in lower case`,
+		}},
+		"operators open to the network": {`"127.0.0.1:8081"`, `"0.0.0.0:8081"`, []string{
+			`5:16: operators.tls: found nothing, want tls, or a loopback address in listen`,
+		}},
+		"peers without an authority": {`"127.0.0.1:8082"`, `"0.0.0.0:8082", "tls": {"certificate": "c", "key": "k"}`, []string{
+			`6:46: peers.tls.client-ca: found nothing, want the authority of the peers' certificates`,
+		}},
+		"shared address": {`"127.0.0.1:8082"`, `"127.0.0.1:8081"`, []string{
+			`6:23: peers.listen: found "127.0.0.1:8081", want an address other than that of operators.listen`,
+		}},
+		"stop shorter than a request": {`"body-bytes": "2MiB"`, `"request-timeout": "30m"`, []string{
+			`2:1: stop.drain-timeout: found 15m0s by default, want callers.limits.request-timeout (30m0s) or more`,
+		}},
+		"several": {"\"wait\": \"3s\"},\n", "\"wait\": 3, \"partitions\": 99},\n  \"log\": {\"level\": \"loud\"},\n", []string{
+			`10:22: claims.wait: found 3, want duration text such as "5s"`,
+			`10:39: claims.partitions: found 99, want 16 or less`,
+			`11:20: log.level: found "loud", want one of debug, info, warn, error`,
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := settings.Parse("a1.json", text(test.old, test.new))
+			var e *settings.Error
+			if !errors.As(err, &e) {
+				t.Fatalf("got %v, want a *settings.Error", err)
+			}
+			var got []string
+			for _, p := range e.Problems {
+				got = append(got, strings.TrimPrefix(p.String(), "a1.json:"))
+			}
+			if d := cmp.Diff(test.want, got); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+func TestSecret(t *testing.T) {
+	tests := map[string]struct {
+		content string
+		kind    settings.ErrorKind
+	}{
+		"good":  {strings.Repeat("s", 32) + "\n", ""},
+		"short": {"s\n", settings.ErrInvalid},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "k1.secret")
+			if err := os.WriteFile(file, []byte(test.content), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			b, err := settings.SessionKey{ID: "k1", SecretFile: settings.Path(file)}.Secret()
+			var e *settings.Error
+			if errors.As(err, &e) != (test.kind != "") || (e != nil && e.Kind != test.kind) {
+				t.Errorf("got %v, want kind %q", err, test.kind)
+			}
+			if err == nil && len(b) != 32 {
+				t.Errorf("got %d bytes, want 32", len(b))
+			}
+		})
+	}
+}
