Add the callers' API and calls to plain services

Cause: callers need an entry point. Change: chat completions, plain and streamed, calls to plain services that are claimed before they are sent on a connection of their own, typed refusals with a not-run flag.

--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
@@ -20,7 +20,7 @@
 
 // Recorder writes events of the time line.
 type Recorder interface {
-	Event(name string, fields ...string)
+	Write(e timeline.Event)
 }
 
 // Pool chooses endpoints and learns how they did.
@@ -199,7 +199,7 @@
 		if !errors.Is(err, errReplan) {
 			return err
 		}
-		m.p.Events.Event("plan-again", "request", r.ID, "organisation", r.Organisation.Name)
+		m.event("plan-again", r, "", "", nil)
 		if err := m.plan(r); err != nil {
 			return err
 		}
@@ -213,7 +213,7 @@
 		if !errors.Is(err, errFellShort) {
 			return err
 		}
-		m.p.Events.Event("escalated", "request", r.ID, "version", s.Version)
+		m.event("escalated", r, s.Version, "", nil)
 	}
 	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errFellShort}
 }
@@ -306,9 +306,11 @@
 func draws() [2]float64 { return [2]float64{rand.Float64(), rand.Float64()} }
 
 func (m *Maker) event(name string, r *run, version, endpoint string, err error) {
-	f := []string{"request", r.ID, "organisation", r.Organisation.Name, "version", version, "endpoint", endpoint}
+	e := timeline.Event{
+		Part: "answer", Name: name, Request: r.ID, Organisation: r.Organisation.Name, Version: version, Endpoint: endpoint,
+	}
 	if err != nil {
-		f = append(f, "error", fmt.Sprint(err))
+		e.Fields = map[string]string{"error": err.Error()}
 	}
-	m.p.Events.Event(name, f...)
+	m.p.Events.Write(e)
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -35,15 +35,13 @@
 type Client struct {
 	s      Settings
 	pooled *http.Client // for work that may be repeated
-	fresh  *http.Client // one new connection for each call
+	fresh  *http.Client // one new connection for each call, so that a silent one is noticed
 }
 
 // NewClient returns a client with its own connections.
 func NewClient(s Settings) *Client {
 	d := &net.Dialer{Timeout: s.Dial}
 	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
-	// net/http repeats a request that carries an Idempotency-Key when a pooled connection fails,
-	// so a call that must run at most once always gets a connection of its own.
 	fresh := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return &Client{s: s, pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
 }
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -5,12 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
 )
 
-// ServiceCall is a call to a plain service; Once makes it use a connection of its own and never repeats it.
+// ServiceCall is a call to a plain service.
 type ServiceCall struct {
 	Method string
 	Path   string // with the query
@@ -19,7 +20,6 @@
 	Key    string
 	ID     string
 	Fence  string
-	Once   bool
 }
 
 // ServiceReply is a plain service's reply.
@@ -30,30 +30,65 @@
 	Report Report
 }
 
-// Service calls a plain service; ErrRefused means that nothing was sent.
+// Service makes a call that may be repeated; ErrRefused means that nothing was sent.
 func (c *Client) Service(ctx context.Context, a netip.AddrPort, q ServiceCall, timeout time.Duration) (ServiceReply, error) {
-	x, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(x, q.Method, "http://"+a.String()+q.Path, bytes.NewReader(q.Body))
+	return c.service(ctx, c.pooled.Transport, a, q, timeout)
+}
+
+// Line is a connection for one call that must not be repeated.
+type Line struct {
+	c       *Client
+	address netip.AddrPort
+	conn    net.Conn
+}
+
+// Connect opens a connection without sending anything on it; its error is always ErrRefused.
+func (c *Client) Connect(ctx context.Context, a netip.AddrPort) (*Line, error) {
+	d := net.Dialer{Timeout: c.s.Dial}
+	conn, err := d.DialContext(ctx, "tcp", a.String())
 	if err != nil {
-		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
+		return nil, &Error{Op: "connect", Kind: ErrRefused, Err: err}
 	}
-	for _, h := range []string{"Content-Type", "Accept"} {
-		if v := q.Header.Get(h); v != "" {
-			req.Header.Set(h, v)
+	return &Line{c: c, address: a, conn: conn}, nil
+}
+
+// Close ends a connection on which no call was made.
+func (l *Line) Close() { _ = l.conn.Close() }
+
+// Service makes the line's only call. After an error the call may have run.
+func (l *Line) Service(ctx context.Context, q ServiceCall, timeout time.Duration) (ServiceReply, error) {
+	first := make(chan net.Conn, 1)
+	first <- l.conn
+	// net/http repeats a request that carries an Idempotency-Key when a connection fails;
+	// with a single connection there is nothing to repeat it on.
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+		select {
+		case c := <-first:
+			return c, nil
+		default:
+			return nil, errUsed
 		}
+	}}
+	defer t.CloseIdleConnections()
+	r, err := l.c.service(ctx, t, l.address, q, timeout)
+	var e *Error
+	if errors.As(err, &e) && e.Kind == ErrRefused {
+		e.Kind = ErrDied
 	}
-	req.Header.Set(HeaderRequest, q.ID)
-	client := c.pooled
-	if q.Once {
-		client = c.fresh
-		req.Header.Set(HeaderKey, q.Key)
-		if q.Fence != "" {
-			req.Header.Set(HeaderFence, q.Fence)
-		}
+	return r, err
+}
+
+var errUsed = errors.New("the connection was used")
+
+func (c *Client) service(ctx context.Context, t http.RoundTripper, a netip.AddrPort, q ServiceCall, timeout time.Duration) (ServiceReply, error) {
+	x, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := serviceRequest(x, a, q)
+	if err != nil {
+		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
 	}
-	client = &http.Client{Transport: client.Transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-	res, err := client.Do(req)
+	h := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	res, err := h.Do(req)
 	if err != nil {
 		return ServiceReply{}, serviceError(ctx, x, err)
 	}
@@ -68,6 +103,26 @@
 	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: b, Report: report(res.Header)}, nil
 }
 
+func serviceRequest(ctx context.Context, a netip.AddrPort, q ServiceCall) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, q.Method, "http://"+a.String()+q.Path, bytes.NewReader(q.Body))
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range []string{"Content-Type", "Accept"} {
+		if v := q.Header.Get(h); v != "" {
+			req.Header.Set(h, v)
+		}
+	}
+	req.Header.Set(HeaderRequest, q.ID)
+	if q.Key != "" {
+		req.Header.Set(HeaderKey, q.Key)
+	}
+	if q.Fence != "" {
+		req.Header.Set(HeaderFence, q.Fence)
+	}
+	return req, nil
+}
+
 func serviceError(caller, call context.Context, err error) error {
 	k := dialKind(err, ErrDied)
 	switch {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,234 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/answer"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
+	"github.com/cassiaspoke/cassiaspoke/internal/order"
+	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
+	"github.com/cassiaspoke/cassiaspoke/pkg/client"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+var errTooLong = errors.New("the answer exceeds the size limit")
+
+// Settings bounds the callers' API.
+type Settings struct {
+	Instance       string
+	BodyBytes      int64
+	StreamBytes    int64
+	RequestTimeout time.Duration
+	Services       map[string]Service
+}
+
+// Service is a plain service that callers may call by name.
+type Service struct {
+	HonoursKeys   bool
+	ChecksFencing bool
+	Price         record.Micros
+}
+
+// Amounts are what a request uses of an organisation's limits.
+type Amounts struct {
+	Cost     record.Micros
+	Tokens   int64
+	Requests int64
+}
+
+// Reservation holds an organisation's entitlement for one request.
+type Reservation interface {
+	Settle(used Amounts)
+}
+
+// Wallet reserves entitlement before work is sent.
+type Wallet interface {
+	Reserve(ctx context.Context, o profile.Organisation, worst Amounts) (Reservation, error)
+}
+
+// Biller takes the bill of a request; the last byte of an answer may be released once Bill returns.
+type Biller interface {
+	Accepts() bool
+	Bill(ctx context.Context, b record.Bill) error
+}
+
+// Admission refuses work early under overload. The returned function ends the request.
+type Admission interface {
+	Admit(o profile.Organisation, priority int) (func(), error)
+}
+
+// Verifier checks and signs session tokens.
+type Verifier interface {
+	Verify(text, organisation string, now time.Time) (session.Token, error)
+	Sign(t session.Token) string
+}
+
+// Recorder writes events of the time line.
+type Recorder interface {
+	Write(e timeline.Event)
+}
+
+// Parts are what the gateway works with.
+type Parts struct {
+	Catalog   func() *profile.Catalog
+	Ready     func() error // nil if the instance takes new work
+	Sessions  Verifier
+	Maker     *answer.Maker
+	Orders    *order.Desk
+	Wallet    Wallet
+	Biller    Biller
+	Admission Admission
+	Digest    func(r *answer.Request) uint64
+	Events    Recorder
+	Metrics   http.Handler
+	Scope     tally.Scope
+	Logger    *zap.Logger
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	s    Settings
+	p    Parts
+	echo *echo.Echo
+
+	mu      sync.Mutex
+	closed  bool
+	running sync.WaitGroup
+}
+
+// New returns a gateway; serve its Handler.
+func New(s Settings, p Parts) *Gateway {
+	g := &Gateway{s: s, p: p, echo: echo.New()}
+	g.echo.HTTPErrorHandler = func(c *echo.Context, err error) {
+		refuse("route", client.CodeBadRequest, "%w", err).write(c.Response())
+	}
+	g.echo.POST("/v1/chat/completions", g.work(g.chat))
+	g.echo.Any("/v1/services/:service/*", g.work(g.service))
+	g.echo.Any("/v1/services/:service", g.work(g.service))
+	g.echo.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	g.echo.GET("/readyz", g.ready)
+	g.echo.GET("/metrics", func(c *echo.Context) error {
+		p.Metrics.ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+	return g
+}
+
+// Handler returns the HTTP handler of the callers' API.
+func (g *Gateway) Handler() http.Handler { return g.echo }
+
+// Drain refuses new work, and waits until the work under way has ended or the context ends.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		g.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "drain", Kind: client.CodeDeadlineExceeded, Err: ctx.Err()}
+	}
+}
+
+// begin counts a request in unless the gateway drains.
+func (g *Gateway) begin() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	g.running.Add(1)
+	return true
+}
+
+func (g *Gateway) ready(c *echo.Context) error {
+	if err := g.p.Ready(); err != nil {
+		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// task is one authenticated request.
+type task struct {
+	id    string
+	org   profile.Organisation
+	start time.Time
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, t *task, c *echo.Context) error
+
+// work wraps the handlers of billable work.
+func (g *Gateway) work(h handler) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		w, r := c.Response(), c.Request()
+		t := &task{start: time.Now()}
+		err := g.serve(h, w, r, t, c)
+		if err == nil {
+			g.count("answered", t)
+			return nil
+		}
+		e := seen(err)
+		g.p.Events.Write(timeline.Event{
+			Part: "gateway", Name: "refused", Request: t.id, Organisation: t.org.Name,
+			Fields: map[string]string{"code": string(e.Kind), "error": e.Error()},
+		})
+		g.p.Scope.Tagged(map[string]string{"code": string(e.Kind)}).Counter("refusals").Inc(1)
+		if !errors.Is(err, errStarted) {
+			e.write(w)
+		}
+		return nil
+	}
+}
+
+// errStarted marks an error that was already reported inside a stream.
+var errStarted = errors.New("the reply has started")
+
+func (g *Gateway) serve(h handler, w http.ResponseWriter, r *http.Request, t *task, c *echo.Context) error {
+	if err := g.authenticate(r, t); err != nil {
+		return err
+	}
+	if !g.begin() {
+		return refuse("serve", client.CodeNotReady, "the instance is stopping")
+	}
+	defer g.running.Done()
+	if err := g.p.Ready(); err != nil {
+		return refuse("serve", client.CodeNotReady, "%w", err)
+	}
+	if !g.p.Biller.Accepts() {
+		return refuse("serve", client.CodeLogUnavailable, "the buffer of unconfirmed bills is full")
+	}
+	return h(w, r, t, c)
+}
+
+func (g *Gateway) authenticate(r *http.Request, t *task) error {
+	const scheme = "Bearer "
+	a := r.Header.Get("Authorization")
+	if len(a) <= len(scheme) || a[:len(scheme)] != scheme {
+		return refuse("authenticate", client.CodeUnauthorised, "no API key")
+	}
+	o, ok := g.p.Catalog().Organisation(profile.HashKey(a[len(scheme):]))
+	if !ok {
+		return refuse("authenticate", client.CodeUnauthorised, "the API key is unknown")
+	}
+	t.org = o
+	return nil
+}
+
+func (g *Gateway) count(name string, t *task) {
+	g.p.Scope.Counter(name).Inc(1)
+	g.p.Scope.Timer("latency").Record(time.Since(t.start))
+}
--- /dev/null
+++ b/internal/order/desk.go
@@ -0,0 +1,290 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
+)
+
+// Call is one call of an organisation to a plain service.
+type Call struct {
+	ID           string
+	Organisation string
+	Service      string
+	Method       string
+	Path         string // with the query
+	Header       http.Header
+	Body         []byte
+	Key          string // UUIDv7, for an order
+	HonoursKeys  bool
+	Deadline     time.Time
+}
+
+// Reply is a service's reply; Replayed marks the stored reply of an earlier call with the same key.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Replayed    bool
+}
+
+// Ticket is the right to run an order once.
+type Ticket interface {
+	// Send is called last before the order is sent, at most once; an error means that it must not be sent.
+	Send() error
+	// Finish records the outcome of a sent order.
+	Finish(r Reply)
+	// Lose records that the outcome of a sent order is unknown.
+	Lose()
+	// Void gives the key back; the order was not and will not be sent.
+	Void()
+}
+
+// Claims grants tickets; a key that already has an outcome returns it instead.
+type Claims interface {
+	Claim(ctx context.Context, c Call) (Ticket, *Reply, error)
+}
+
+// Pool chooses endpoints and learns how they did.
+type Pool interface {
+	View() *endpoint.View
+	Event(ev endpoint.Event)
+}
+
+// Budget bounds the retries of the whole instance.
+type Budget interface {
+	First()
+	Retry() bool
+}
+
+// Recorder writes events of the time line.
+type Recorder interface {
+	Write(e timeline.Event)
+}
+
+// Settings tune calls to services.
+type Settings struct {
+	Zone       string
+	QueueWait  time.Duration // for an endpoint
+	QueueStep  time.Duration // between two tries for an endpoint
+	Lookup     time.Duration // of one attempt of a lookup
+	Order      time.Duration // of an order, from sending it to its reply
+	MaxRetries int
+}
+
+// DefaultSettings returns settings for an availability zone.
+func DefaultSettings(zone string) Settings {
+	return Settings{
+		Zone: zone, QueueWait: 2 * time.Second, QueueStep: 10 * time.Millisecond,
+		Lookup: 2 * time.Second, Order: 10 * time.Second, MaxRetries: 3,
+	}
+}
+
+// Desk makes calls to plain services.
+type Desk struct {
+	s       Settings
+	pool    Pool
+	claims  Claims
+	budget  Budget
+	engines *engine.Client
+	events  Recorder
+}
+
+// NewDesk returns a desk.
+func NewDesk(s Settings, p Pool, c Claims, b Budget, e *engine.Client, r Recorder) *Desk {
+	return &Desk{s: s, pool: p, claims: c, budget: b, engines: e, events: r}
+}
+
+// tries are the endpoints that a call has used up.
+type tries struct {
+	exclude [6]endpoint.Handle
+	n       int
+}
+
+func (t *tries) add(h endpoint.Handle) {
+	t.exclude[t.n%len(t.exclude)] = h
+	t.n++
+}
+
+// Lookup makes an idempotent call, on another endpoint after a failure.
+func (d *Desk) Lookup(ctx context.Context, c Call) (Reply, error) {
+	x, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	d.budget.First()
+	var t tries
+	for {
+		e, err := d.choose(x, c.Service, &t)
+		if err != nil {
+			return Reply{}, &Error{Op: "lookup", Kind: ErrCapacity, NotRun: t.n == 0, Err: err}
+		}
+		started := time.Now()
+		r, err := d.engines.Service(x, e.Address, d.wire(c), d.s.Lookup)
+		e.End()
+		d.report(e, c, started, r, err)
+		if err == nil && r.Status < http.StatusInternalServerError {
+			return reply(r), nil
+		}
+		if err == nil {
+			err = fmt.Errorf("status %d", r.Status)
+		}
+		t.add(e.Endpoint)
+		switch {
+		case x.Err() != nil:
+			return Reply{}, &Error{Op: "lookup", Kind: ErrDeadline, Err: err}
+		case t.n > d.s.MaxRetries || !d.budget.Retry():
+			return Reply{}, &Error{Op: "lookup", Kind: ErrCapacity, Err: err}
+		}
+	}
+}
+
+// Place makes a call that runs at most once: it is claimed first, and sent only by the claim's winner.
+func (d *Desk) Place(ctx context.Context, c Call) (Reply, error) {
+	x, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	ticket, prior, err := d.claims.Claim(x, c)
+	if err != nil {
+		return Reply{}, err
+	}
+	if prior != nil {
+		prior.Replayed = true
+		return *prior, nil
+	}
+	d.budget.First()
+	r, err := d.place(x, c, ticket)
+	if err != nil {
+		return Reply{}, err
+	}
+	ticket.Finish(r)
+	return r, nil
+}
+
+func (d *Desk) place(ctx context.Context, c Call, ticket Ticket) (Reply, error) {
+	var t tries
+	e, line, err := d.connect(ctx, c, &t)
+	if err != nil {
+		ticket.Void()
+		return Reply{}, &Error{Op: "place", Kind: ErrCapacity, NotRun: true, Err: err}
+	}
+	if err := ticket.Send(); err != nil {
+		line.Close()
+		e.End()
+		ticket.Void()
+		return Reply{}, &Error{Op: "place", Kind: ErrDeadline, NotRun: true, Err: err}
+	}
+	for {
+		d.event("order-sent", c, e.ID, nil)
+		started := time.Now()
+		// The order is under way: the caller's departure must not turn its outcome into an unknown one.
+		r, err := line.Service(context.WithoutCancel(ctx), d.wire(c), d.s.Order)
+		e.End()
+		d.report(e, c, started, r, err)
+		if err == nil {
+			return reply(r), nil
+		}
+		d.event("order-lost", c, e.ID, err)
+		t.add(e.Endpoint)
+		if !c.HonoursKeys || t.n > d.s.MaxRetries || !d.budget.Retry() {
+			ticket.Lose()
+			return Reply{}, &Error{Op: "place", Kind: ErrUnknown, Err: err}
+		}
+		if e, line, err = d.connect(ctx, c, &t); err != nil {
+			ticket.Lose()
+			return Reply{}, &Error{Op: "place", Kind: ErrUnknown, Err: err}
+		}
+	}
+}
+
+// connect opens a connection to an endpoint; nothing is sent on it.
+func (d *Desk) connect(ctx context.Context, c Call, t *tries) (endpoint.Choice, *engine.Line, error) {
+	limit := time.Now().Add(d.s.QueueWait)
+	for {
+		e, err := d.choose(ctx, c.Service, t)
+		if err != nil {
+			return e, nil, err
+		}
+		started := time.Now()
+		line, err := d.engines.Connect(ctx, e.Address)
+		if err == nil {
+			return e, line, nil
+		}
+		e.End()
+		d.report(e, c, started, engine.ServiceReply{}, err)
+		t.add(e.Endpoint)
+		if time.Now().After(limit) {
+			return e, nil, err
+		}
+	}
+}
+
+// choose waits for an endpoint of the service.
+func (d *Desk) choose(ctx context.Context, service string, t *tries) (endpoint.Choice, error) {
+	limit := time.Now().Add(d.s.QueueWait)
+	for {
+		now := time.Now()
+		c, ok := d.pool.View().Choose(endpoint.Query{
+			Service: service, Zone: d.s.Zone, Exclude: t.exclude, Draws: [2]float64{rand.Float64(), rand.Float64()}, Now: now,
+		})
+		if ok {
+			c.Begin(now)
+			if !c.Barred() {
+				return c, nil
+			}
+			c.End()
+		}
+		if now.After(limit) {
+			return endpoint.Choice{}, fmt.Errorf("no endpoint of service %s", service)
+		}
+		select {
+		case <-ctx.Done():
+			return endpoint.Choice{}, ctx.Err()
+		case <-time.After(d.s.QueueStep):
+		}
+	}
+}
+
+func (d *Desk) wire(c Call) engine.ServiceCall {
+	return engine.ServiceCall{Method: c.Method, Path: c.Path, Header: c.Header, Body: c.Body, Key: c.Key, ID: c.ID}
+}
+
+// failKinds maps what the client saw to what the endpoint table learns.
+var failKinds = map[engine.ErrorKind]endpoint.FailKind{
+	engine.ErrRefused: endpoint.FailRefused,
+	engine.ErrDied:    endpoint.FailDied,
+	engine.ErrSilent:  endpoint.FailSilent,
+}
+
+func (d *Desk) report(e endpoint.Choice, c Call, started time.Time, r engine.ServiceReply, err error) {
+	var x *engine.Error
+	switch {
+	case errors.As(err, &x):
+		if k, ok := failKinds[x.Kind]; ok {
+			d.pool.Event(endpoint.Failed{Endpoint: e.Endpoint, Started: started, Kind: k})
+		}
+	case r.Status >= http.StatusInternalServerError:
+		d.pool.Event(endpoint.Failed{Endpoint: e.Endpoint, Started: started, Kind: endpoint.FailStatus})
+	default:
+		d.pool.Event(endpoint.Answered{Endpoint: e.Endpoint, Started: started, Report: endpoint.Report{Leaving: r.Report.Leaving}})
+	}
+	if err != nil {
+		d.event("call-failed", c, e.ID, err)
+	}
+}
+
+func (d *Desk) event(name string, c Call, endpoint string, err error) {
+	e := timeline.Event{Part: "order", Name: name, Request: c.ID, Organisation: c.Organisation, Endpoint: endpoint}
+	if err != nil {
+		e.Fields = map[string]string{"error": err.Error()}
+	}
+	d.events.Write(e)
+}
+
+func reply(r engine.ServiceReply) Reply {
+	return Reply{Status: r.Status, ContentType: r.Header.Get("Content-Type"), Body: r.Body}
+}
