--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -12,11 +12,15 @@
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
 	"github.com/cassiaspoke/cassiaspoke/internal/order"
 	"github.com/cassiaspoke/cassiaspoke/pkg/client"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
+// headerReplayed marks the stored reply of an earlier call with the same key.
+const headerReplayed = "Cassiaspoke-Replayed"
+
 // service passes a call on to a plain service; any method but GET and HEAD is an order that runs at most once.
 func (g *Gateway) service(w http.ResponseWriter, r *http.Request, t *task, c *echo.Context) error {
 	q, s, err := g.call(w, r, t, c)
@@ -46,18 +50,22 @@
 		}
 		return err
 	}
-	if rep.Status < http.StatusMultipleChoices && !rep.Replayed {
+	if rep.Status < http.StatusMultipleChoices {
+		// A replayed reply is billed again under the same id, because the instance that ran the order may have
+		// ended before it billed; readers keep the first bill.
 		if err := g.billCall(r.Context(), q, s); err != nil {
 			return err
 		}
-		used = Amounts{Cost: s.Price, Requests: 1}
+		if !rep.Replayed {
+			used = Amounts{Cost: s.Price, Requests: 1}
+		}
 	}
 	if rep.ContentType != "" {
 		w.Header().Set("Content-Type", rep.ContentType)
 	}
-	w.Header().Set(client.HeaderRequest, q.ID)
+	w.Header().Set(engine.HeaderRequest, q.ID)
 	if rep.Replayed {
-		w.Header().Set(client.HeaderReplayed, "true")
+		w.Header().Set(headerReplayed, "true")
 	}
 	w.WriteHeader(rep.Status)
 	if _, err := w.Write(rep.Body); err != nil {
