--- /dev/null
+++ b/internal/core/cascade/trial.go
@@ -0,0 +1,93 @@
+package cascade
+
+import "math"
+
+// Uses of a request's random draw; each gets an independent part of it.
+const (
+	drawTrial = iota
+	drawPick
+	drawSample
+	drawCanary // plus the candidate's index
+)
+
+// part derives an independent number in [0, 1) from a draw with the SplitMix64 finalizer.
+func part(draw float64, use int) float64 {
+	x := math.Float64bits(draw) + uint64(use+1)*0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	x ^= x >> 31
+	return float64(x>>11) / (1 << 53)
+}
+
+// tryCanary puts the canary that this request drew in front of the plan, rated, unless it ends the plan already.
+func (p *planner) tryCanary() bool {
+	if p.canary < 0 {
+		return false
+	}
+	if o := &p.options[p.canary]; o.end {
+		c := chain{at: [maxSteps]int8{int8(p.canary)}, length: 1}
+		if p.value(&c) {
+			p.best = c
+			return true
+		}
+	}
+	return p.prepend(p.canary)
+}
+
+// explore puts a version that may turn out better in front of the plan, rated, in a small share of the requests.
+func (p *planner) explore(draw float64) bool {
+	if part(draw, drawTrial) >= p.v.settings.TrialShare {
+		return false
+	}
+	var l [maxCandidates]int8
+	n := 0
+	for i := range p.options[:p.count] {
+		if p.promising(i) {
+			l[n] = int8(i)
+			n++
+		}
+	}
+	if n == 0 {
+		return false
+	}
+	return p.prepend(int(l[int(part(draw, drawPick)*float64(n))]))
+}
+
+// promising reports whether an option could beat the best plan if it were as good as ratings leave possible.
+func (p *planner) promising(i int) bool {
+	o := &p.options[i]
+	if i == int(p.best.at[0]) {
+		return false
+	}
+	rated, direct := o.rated, o.direct
+	if !o.timed {
+		rated, direct = p.weight(o.cost, 0), p.weight(o.cost, 0)
+	}
+	if !o.end && o.optimum >= p.r.Quality.Share && direct < p.best.objective {
+		return true
+	}
+	end := &p.options[p.best.at[p.best.length-1]]
+	return rated+(1-o.optimum)*end.direct < p.best.objective
+}
+
+// prepend puts a rated step in front of the best plan; the end stays, so the delivered quality does not fall.
+func (p *planner) prepend(i int) bool {
+	if !p.r.RaterUp || p.r.Session || int(p.best.at[p.best.length-1]) == i {
+		return false
+	}
+	model := p.r.Candidates[p.options[i].at].Model
+	c := chain{at: [maxSteps]int8{int8(i)}, length: 1}
+	for n, at := range p.best.at[:p.best.length] {
+		same := int(at) == i || (i == p.canary && p.r.Candidates[p.options[at].at].Model == model)
+		if n < p.best.length-1 && same {
+			continue // a second version of the canary's model would add cost but little quality
+		}
+		c.at[c.length] = at
+		c.length++
+	}
+	if !p.value(&c) {
+		return false
+	}
+	p.best = c
+	return true
+}
