Add the peer table and the peer service

Cause: instances need each other's word about the log, witnesses for bills in another availability zone and shared appends.

The membership core has no tests of its own yet.

--- /dev/null
+++ b/internal/core/membership/doc.go
@@ -0,0 +1,2 @@
+// Package membership keeps the table of peers, chooses whom to probe and judges whether the configuration is fresh.
+package membership
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/membership"
+	"github.com/cassiaspoke/cassiaspoke/internal/peer/peerpb"
+)
+
+// version counts the additions to the messages; receivers accept every version.
+const version = 1
+
+func encodeMember(m membership.Member) *peerpb.Member {
+	a := m.Address.Addr().Unmap().AsSlice()
+	return &peerpb.Member{
+		Id: m.ID, Zone: m.Zone, Leaving: m.Leaving,
+		Address: binary.BigEndian.AppendUint16(a, m.Address.Port()),
+	}
+}
+
+func decodeMember(p *peerpb.Member) membership.Member {
+	m := membership.Member{ID: p.GetId(), Zone: p.GetZone(), Leaving: p.GetLeaving()}
+	if b := p.GetAddress(); len(b) > 2 {
+		n := len(b) - 2
+		if a, ok := netip.AddrFromSlice(b[:n]); ok {
+			m.Address = netip.AddrPortFrom(a, binary.BigEndian.Uint16(b[n:]))
+		}
+	}
+	return m
+}
+
+func encodeState(m membership.Message) *peerpb.State {
+	s := &peerpb.State{
+		From: encodeMember(m.From), Incarnation: m.Incarnation, Left: m.Left,
+		Next: m.Next, Read: m.Read, ReadAgeMs: uint64(m.ReadAge.Milliseconds()), ReadNext: m.ReadNext,
+	}
+	for _, d := range m.Deltas {
+		s.Deltas = append(s.Deltas, &peerpb.Delta{
+			Member: encodeMember(d.Member), State: uint32(d.State), Incarnation: d.Incarnation, Reporter: d.Reporter,
+		})
+	}
+	return s
+}
+
+func decodeState(s *peerpb.State) membership.Message {
+	m := membership.Message{
+		From: decodeMember(s.GetFrom()), Incarnation: s.GetIncarnation(), Left: s.GetLeft(),
+		Next: s.GetNext(), Read: s.GetRead(), ReadNext: s.GetReadNext(),
+		// The age is rounded up, so that a read never looks younger than it is.
+		ReadAge: time.Duration(s.GetReadAgeMs()+1) * time.Millisecond,
+	}
+	for _, d := range s.GetDeltas() {
+		m.Deltas = append(m.Deltas, membership.Delta{
+			Member: decodeMember(d.GetMember()), State: membership.State(min(d.GetState(), 255)),
+			Incarnation: d.GetIncarnation(), Reporter: d.GetReporter(),
+		})
+	}
+	return m
+}
--- /dev/null
+++ b/internal/peer/pool_test.go
@@ -0,0 +1,242 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/membership"
+	"github.com/cassiaspoke/cassiaspoke/internal/peer/peerpb"
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+)
+
+func newTestPool(t *testing.T, c *tls.Config) *pool {
+	t.Helper()
+	p := newPool(newBudget(10_000_000), newMeter(tally.NoopScope), c, connectionLimit)
+	t.Cleanup(p.close)
+	return p
+}
+
+func probe(p *pool, to netip.AddrPort, timeout time.Duration, r *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	var reply *peerpb.ProbeReply
+	err := p.call(context.Background(), "probe", to, timeout, func(ctx context.Context, c peerpb.PeerClient) (err error) {
+		reply, err = c.Probe(ctx, r)
+		return err
+	})
+	return reply, err
+}
+
+func message(id string) *peerpb.ProbeRequest {
+	return &peerpb.ProbeRequest{Version: version, State: &peerpb.State{From: &peerpb.Member{Id: id}}}
+}
+
+func probeOnce(t *testing.T, to netip.AddrPort, c *tls.Config) error {
+	t.Helper()
+	_, err := probe(newTestPool(t, c), to, patience, message("x"))
+	return err
+}
+
+// forwarder passes connections on to a peer until they are muted; muted connections stay open.
+type forwarder struct {
+	net.Listener
+	to    netip.AddrPort
+	count atomic.Int64
+	work  sync.WaitGroup
+	lock  sync.Mutex
+	links []*link
+}
+
+type link struct {
+	a, b  net.Conn
+	muted atomic.Bool
+}
+
+func newForwarder(t *testing.T, to netip.AddrPort) *forwarder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &forwarder{Listener: l, to: to}
+	f.work.Go(f.run)
+	t.Cleanup(f.stop)
+	return f
+}
+
+func (f *forwarder) address() netip.AddrPort { return f.Addr().(*net.TCPAddr).AddrPort() }
+
+func (f *forwarder) run() {
+	for {
+		a, err := f.Accept()
+		if err != nil {
+			return
+		}
+		b, err := net.Dial("tcp", f.to.String())
+		if err != nil {
+			a.Close()
+			continue
+		}
+		f.count.Add(1)
+		k := &link{a: a, b: b}
+		f.lock.Lock()
+		f.links = append(f.links, k)
+		f.lock.Unlock()
+		f.work.Go(func() { k.pass(a, b) })
+		f.work.Go(func() { k.pass(b, a) })
+	}
+}
+
+// pass copies bytes; those of a muted link disappear.
+func (k *link) pass(from, to net.Conn) {
+	b := make([]byte, 4096)
+	for {
+		n, err := from.Read(b)
+		if err != nil {
+			to.Close()
+			return
+		}
+		if !k.muted.Load() {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (f *forwarder) mute() {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	for _, k := range f.links {
+		k.muted.Store(true)
+	}
+}
+
+func (f *forwarder) stop() {
+	f.Close()
+	f.lock.Lock()
+	for _, k := range f.links {
+		k.a.Close()
+		k.b.Close()
+	}
+	f.lock.Unlock()
+	f.work.Wait()
+}
+
+// Guards against a connection that goes silent for good being taken for a dead peer.
+func TestSilentConnectionIsRedialled(t *testing.T) {
+	list := standin.NewList()
+	b := start(t, 2, list, Hooks{}, nil)
+	f := newForwarder(t, b.Address())
+	p := newTestPool(t, nil)
+	if _, err := probe(p, f.address(), patience, message("x")); err != nil {
+		t.Fatal(err)
+	}
+	f.mute()
+	if _, err := probe(p, f.address(), 2*time.Second, message("x")); err != nil {
+		t.Fatalf("probe over a silent connection: %v", err)
+	}
+	if n := f.count.Load(); n != 2 {
+		t.Errorf("%d connections were made, want the silent one and a new one", n)
+	}
+}
+
+// Guards against a refused connection being taken for silence, and the reverse.
+func TestRefusedIsNotSilent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().(*net.TCPAddr).AddrPort()
+	l.Close()
+	p := newTestPool(t, nil)
+	if _, err := probe(p, closed, patience, message("x")); !isKind(err, ErrRefused) {
+		t.Errorf("closed port: %v, want %s", err, ErrRefused)
+	}
+	mute, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, answers nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	if _, err := probe(p, mute.Addr().(*net.TCPAddr).AddrPort(), 200*time.Millisecond, message("x")); !isKind(err, ErrUnreachable) {
+		t.Errorf("mute port: %v, want %s", err, ErrUnreachable)
+	}
+}
+
+// Guards against a dead peer being kept, and against a planned stop being taken for a death.
+func TestServiceTellsGoneFromLeft(t *testing.T) {
+	list := standin.NewList()
+	a, b := start(t, 1, list, Hooks{}, nil), start(t, 2, list, Hooks{}, nil)
+	eventually(t, "a and b know each other", func() bool {
+		return state(a, "i2") == membership.Alive && state(b, "i1") == membership.Alive
+	})
+	list.Put(platform.Instance{ID: "i3", Role: platform.RoleRouter, Zone: "z0", Address: netip.MustParseAddrPort("127.0.0.1:1")})
+	eventually(t, "a port that refuses counts as gone", func() bool { return state(a, "i3") == membership.Gone })
+	if err := b.Leave(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a knows that b leaves", func() bool { return state(a, "i2") == membership.Left })
+}
+
+// Guards against a release that can't talk to the next one: unknown fields and a higher version must not matter.
+func TestTwoMessageVersions(t *testing.T) {
+	list := standin.NewList()
+	b := start(t, 2, list, Hooks{}, nil)
+	r := message("x")
+	r.Version = 2
+	unknown := []byte{0xfa, 0x01, 0x03, 'n', 'e', 'w'} // field 31, length-delimited
+	r.ProtoReflect().SetUnknown(unknown)
+	r.State.ProtoReflect().SetUnknown(unknown)
+	reply, err := probe(newTestPool(t, nil), b.Address(), patience, r)
+	if err != nil || reply.GetState().GetFrom().GetId() != "i2" {
+		t.Errorf("reply is %v, %v", reply, err)
+	}
+	old := message("y")
+	old.Version = 0
+	if _, err := probe(newTestPool(t, nil), b.Address(), patience, old); err != nil {
+		t.Errorf("message without a version: %v", err)
+	}
+}
+
+// Guards against messages that peers must not be able to send.
+func TestServerRefusesMalformedMessages(t *testing.T) {
+	list := standin.NewList()
+	b := start(t, 2, list, Hooks{Bills: &vault{bills: nil}}, nil)
+	p := newTestPool(t, nil)
+	calls := map[string]func(context.Context, peerpb.PeerClient) error{
+		"probe without a sender": func(ctx context.Context, c peerpb.PeerClient) error {
+			_, err := c.Probe(ctx, &peerpb.ProbeRequest{})
+			return err
+		},
+		"bill with an unknown name": func(ctx context.Context, c peerpb.PeerClient) error {
+			_, err := c.HoldBills(ctx, &peerpb.HoldBillsRequest{Hold: []*peerpb.Bill{{Organisation: 7, Text: "k"}}})
+			return err
+		},
+		"bill with a short key": func(ctx context.Context, c peerpb.PeerClient) error {
+			_, err := c.HoldBills(ctx, &peerpb.HoldBillsRequest{Names: []string{"o"}, Hold: []*peerpb.Bill{{Organisation: 1, Key: []byte("k")}}})
+			return err
+		},
+		"too large": func(ctx context.Context, c peerpb.PeerClient) error {
+			_, err := c.AppendBatch(ctx, &peerpb.AppendBatchRequest{Records: [][]byte{make([]byte, maxMessage)}})
+			return err
+		},
+		"no appender": func(ctx context.Context, c peerpb.PeerClient) error {
+			_, err := c.AppendBatch(ctx, &peerpb.AppendBatchRequest{})
+			return err
+		},
+	}
+	for name, f := range calls {
+		t.Run(name, func(t *testing.T) {
+			if err := p.call(context.Background(), "test", b.Address(), patience, f); !isKind(err, ErrRejected) {
+				t.Errorf("error is %v, want %s", err, ErrRejected)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/service_test.go
@@ -0,0 +1,238 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"math/big"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/membership"
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// patience bounds waits for conditions that must become true; no verdict depends on how long they take.
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never became true: %s", what)
+}
+
+// vault is a bill holder that keeps everything in memory.
+type vault struct {
+	lock  sync.Mutex
+	bills map[BillID]record.Bill
+}
+
+func (v *vault) HoldBills(_ context.Context, _ string, bills []record.Bill) error {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	for _, b := range bills {
+		v.bills[BillID{b.Organisation, b.Key}] = b
+	}
+	return nil
+}
+
+func (v *vault) ReleaseBills(_ string, ids []BillID) {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	for _, id := range ids {
+		delete(v.bills, id)
+	}
+}
+
+func (v *vault) get(id BillID) (record.Bill, bool) {
+	v.lock.Lock()
+	defer v.lock.Unlock()
+	b, ok := v.bills[id]
+	return b, ok
+}
+
+// start runs a service that probes fast and stops it at the end of the test.
+func start(t *testing.T, i int, list *standin.List, h Hooks, change func(*Settings)) *Service {
+	t.Helper()
+	s := DefaultSettings(fmt.Sprintf("i%d", i), fmt.Sprintf("z%d", i%3), loopback)
+	s.Period, s.Timeout, s.ListEvery = 50*time.Millisecond, 2*time.Second, 20*time.Millisecond
+	s.Budget, s.Seed = 10_000_000, uint64(i)
+	if change != nil {
+		change(&s)
+	}
+	h.List = list
+	p := New(s, h, zap.NewNop(), tally.NoopScope)
+	if err := p.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Stop)
+	list.Put(platform.Instance{ID: s.ID, Role: platform.RoleRouter, Zone: s.Zone, Address: p.Address()})
+	return p
+}
+
+func state(s *Service, id string) membership.State {
+	for _, p := range s.View().Peers {
+		if p.ID == id {
+			return p.State
+		}
+	}
+	return 0
+}
+
+// Guards against a fleet that doesn't spread the end of the config stream, and against reads that confirm nothing.
+func TestServiceConfirmsThroughPeers(t *testing.T) {
+	list := standin.NewList()
+	a, b := start(t, 1, list, Hooks{}, nil), start(t, 2, list, Hooks{}, nil)
+	b.Applied(4)
+	eventually(t, "b is confirmed by a's read of the log", func() bool {
+		a.LogRead(time.Now(), 4)
+		return b.Fresh().Ready && b.Fresh().Ground == membership.ByPeers
+	})
+	a.LogRead(time.Now(), 5)
+	eventually(t, "b hears of the record at offset 4", func() bool {
+		n, err := b.Known(context.Background())
+		return err == nil && n == 5
+	})
+}
+
+// Guards against copies that go to the holder's own zone, that lose fields, or that are kept after a release.
+func TestWitnessHoldsAndReleases(t *testing.T) {
+	list := standin.NewList()
+	va, vb := &vault{bills: map[BillID]record.Bill{}}, &vault{bills: map[BillID]record.Bill{}}
+	a := start(t, 1, list, Hooks{}, nil)
+	start(t, 4, list, Hooks{Bills: va}, nil) // same zone as a
+	start(t, 2, list, Hooks{Bills: vb}, nil)
+	eventually(t, "a has a witness", func() bool { return len(a.View().Witnesses(1)) == 1 })
+	b := record.Bill{
+		Organisation: "lysror", Key: "0197a1b2-c3d4-7e5f-8a9b-0c1d2e3f4a5b", Profile: "p", Version: "m@1",
+		Input: 9, Output: 7, Cost: 12, Issued: time.Unix(5, 6).UTC(), Instance: "i1",
+	}
+	plain := record.Bill{Organisation: "kallisto", Key: "not a uuid", Instance: "i1"}
+	var wg sync.WaitGroup
+	for _, x := range []record.Bill{b, plain} {
+		wg.Go(func() {
+			if err := a.Witness().Hold(context.Background(), x); err != nil {
+				t.Errorf("hold: %v", err)
+			}
+		})
+	}
+	wg.Wait()
+	for _, want := range []record.Bill{b, plain} {
+		if got, ok := vb.get(BillID{want.Organisation, want.Key}); !ok || got != want {
+			t.Errorf("witness holds %+v, want %+v", got, want)
+		}
+	}
+	if len(va.bills) != 0 {
+		t.Errorf("a peer in the holder's zone holds %v", va.bills)
+	}
+	a.Witness().Release([]BillID{{b.Organisation, b.Key}})
+	eventually(t, "the witness drops the confirmed bill", func() bool {
+		_, ok := vb.get(BillID{b.Organisation, b.Key})
+		return !ok
+	})
+	if _, ok := vb.get(BillID{plain.Organisation, plain.Key}); !ok {
+		t.Error("the witness dropped a bill that was not released")
+	}
+}
+
+// authority signs certificates for loopback.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pool *x509.CertPool
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{pool: x509.NewCertPool()}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.cert, a.key = a.sign(t, tmpl, nil, nil)
+	a.pool.AddCert(a.cert)
+	return a
+}
+
+func (a *authority) sign(t *testing.T, tmpl, parent *x509.Certificate, by *ecdsa.PrivateKey) (*x509.Certificate, *ecdsa.PrivateKey) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if parent == nil {
+		parent, by = tmpl, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, parent, &key.PublicKey, by)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cert, key
+}
+
+func (a *authority) config(t *testing.T) *tls.Config {
+	t.Helper()
+	cert, key := a.sign(t, &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}, a.cert, a.key)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{cert.Raw}, PrivateKey: key}},
+		RootCAs:      a.pool, ClientCAs: a.pool, MinVersion: tls.VersionTLS13,
+	}
+}
+
+// Guards against a server that serves a caller without a certificate, or one of another authority.
+func TestMutualTLS(t *testing.T) {
+	list := standin.NewList()
+	ca := newAuthority(t)
+	a := start(t, 1, list, Hooks{}, func(s *Settings) { s.TLS = ca.config(t) })
+	callers := map[string]struct {
+		config *tls.Config
+		served bool
+	}{
+		"certificate":          {ca.config(t), true},
+		"no certificate":       {&tls.Config{RootCAs: ca.pool, MinVersion: tls.VersionTLS13}, false},
+		"other authority":      {mixed(newAuthority(t).config(t), ca.pool), false},
+		"no TLS at all":        {nil, false},
+		"doesn't trust server": {mixed(ca.config(t), x509.NewCertPool()), false},
+	}
+	for name, c := range callers {
+		t.Run(name, func(t *testing.T) {
+			err := probeOnce(t, a.Address(), c.config)
+			if (err == nil) != c.served {
+				t.Errorf("served is %v, want %v (%v)", err == nil, c.served, err)
+			}
+		})
+	}
+}
+
+func mixed(c *tls.Config, roots *x509.CertPool) *tls.Config {
+	c.RootCAs = roots
+	return c
+}
