--- /dev/null
+++ b/pkg/client/doc.go
@@ -0,0 +1,2 @@
+// Package client calls the callers' and the operators' API, and defines the types that both APIs exchange.
+package client
--- /dev/null
+++ b/pkg/client/error.go
@@ -0,0 +1,47 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// Error is the error type of this package; its kind is the Code of the reply.
+type Error struct {
+	Op     string
+	Status int // of HTTP; 0 without a reply
+	ErrorDetail
+	Winner *Winner // of a conflict
+	Err    error
+}
+
+// Error returns the operation, the code and the message.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("client: %s: %s: %s", e.Op, e.Code, e.Message)
+	if e.Winner != nil {
+		s += fmt.Sprintf(" (%s published revision %d at %s)", e.Winner.Operator, e.Winner.Revision, e.Winner.Time)
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// unknown describes a call without a usable reply, of which nobody can tell whether it ran.
+func unknown(op string, status int, err error) *Error {
+	d := ErrorDetail{Code: CodeTransport, Message: err.Error(), Retry: RetryUnsafe}
+	return &Error{Op: op, Status: status, ErrorDetail: d, Err: err}
+}
+
+// refusal reads the error of a reply that is not a success.
+func refusal(op string, status int, body []byte) *Error {
+	var c ConflictReply
+	if err := json.Unmarshal(body, &c); err != nil || c.Error.Code == "" {
+		return unknown(op, status, fmt.Errorf("status %d: %.200s", status, body))
+	}
+	e := &Error{Op: op, Status: status, ErrorDetail: c.Error}
+	if status == http.StatusConflict && c.Error.Code == CodeConflict {
+		e.Winner = &c.Winner
+	}
+	return e
+}
