Plan answers with the cascade's beliefs

Cause: the making of answers had its own plan types. Change: it uses cascade.View directly, and falls back to the next step when a rated step fails.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
 )
@@ -15,7 +16,7 @@
 type attempt struct {
 	m       *Maker
 	r       *run
-	step    Step
+	step    cascade.Step
 	exclude [6]endpoint.Handle
 	failed  int
 	buffer  strings.Builder // text of a rated step
--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
@@ -83,7 +85,7 @@
 	digest    uint64
 	input     int
 	maxOutput int
-	steps     []Step
+	steps     []cascade.Step
 	pinned    bool
 	moved     string
 	sent      bool
@@ -176,19 +178,33 @@
 		return &Error{Op: "plan", Kind: ErrNotAllowed, NotRun: !r.sent, Err: errors.New("the organisation may not use the profile")}
 	case session.OutcomeKept:
 		r.pinned = true
-		r.steps = []Step{{Version: pin.Version, Sample: true}}
-		return nil
+		return m.choosePlan(c, r, pin.Version)
 	case session.OutcomeMoved:
 		r.moved = string(pin.Reason)
 	}
-	l, err := m.p.Planner.Plan(PlanRequest{
-		Class: r.class, Profile: r.Profile, Catalog: c, Direct: r.NewSession || r.Token != nil || r.delivered.Len() > 0,
-		Input: r.input, MaxOutput: r.maxOutput,
-	})
-	if err != nil {
-		return &Error{Op: "plan", Kind: ErrNotAllowed, NotRun: !r.sent, Err: err}
+	return m.choosePlan(c, r, "")
+}
+
+// choosePlan asks for the cheapest plan. A session, and an answer that was delivered in part, take one direct step.
+func (m *Maker) choosePlan(c *profile.Catalog, r *run, pinned string) error {
+	q := &cascade.Request{
+		Class: r.class, Candidates: m.p.Planner.Candidates(r.Profile.Name), Quality: r.Profile.Quality, Weights: r.Profile.Weights,
+		RaterUp: m.p.Planner.RaterUp(), MaxCost: r.Profile.MaxCost, Deadline: time.Until(r.Deadline),
+		Input: r.input, MaxOutput: r.maxOutput, Pinned: pinned,
+		Session: r.NewSession || r.Token != nil || r.delivered.Len() > 0,
+	}
+	if pinned != "" {
+		q.Candidates = cascade.Pinned(c, r.Profile.Name, pinned)
+	}
+	p := m.p.Planner.Beliefs().Plan(q, rand.Float64())
+	if p.Problem != "" {
+		k := ErrNotAllowed
+		if p.Problem == cascade.ProblemMaxCost {
+			k = ErrCost
+		}
+		return &Error{Op: "plan", Kind: k, NotRun: !r.sent, Err: fmt.Errorf("no plan: %s", p.Problem)}
 	}
-	r.steps = l
+	r.steps = p.Steps
 	return nil
 }
 
@@ -208,18 +224,24 @@
 }
 
 func (m *Maker) runSteps(ctx context.Context, r *run) error {
-	for _, s := range r.steps {
-		err := m.step(ctx, r, s)
-		if !errors.Is(err, errFellShort) {
+	later := false
+	for i, s := range r.steps {
+		err := m.step(ctx, r, s, later)
+		short := errors.Is(err, errFellShort)
+		if err == nil || errors.Is(err, errReplan) || (!short && !s.Rate) || ctx.Err() != nil {
 			return err
 		}
-		m.event("escalated", r, s.Version, "", nil)
+		if i == len(r.steps)-1 {
+			return &Error{Op: "run", Kind: ErrCapacity, Err: err}
+		}
+		later = later || short
+		m.event("escalated", r, s.Version, "", err)
 	}
-	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errFellShort}
+	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errors.New("the plan has no steps")}
 }
 
 // step asks one version. An unrated step streams to the caller; a rated one is buffered until its rating is known.
-func (m *Maker) step(ctx context.Context, r *run, s Step) error {
+func (m *Maker) step(ctx context.Context, r *run, s cascade.Step, later bool) error {
 	r.result.Steps++
 	start := time.Now()
 	a := &attempt{m: m, r: r, step: s}
@@ -228,14 +250,21 @@
 	r.result.Cost += c
 	r.result.Usage.Input += a.usage.Input
 	r.result.Usage.Output += a.usage.Output
+	v := m.p.Catalog().Versions[s.Version]
+	o := cascade.Outcome{
+		Class: r.class, Version: s.Version, Prior: v.Prior, Later: later, MinScore: r.Profile.Quality.MinScore,
+		Done: err == nil, Failed: err != nil, Cost: c, Latency: time.Since(start),
+	}
 	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, errReplan) {
+			m.p.Planner.Observe(o)
+		}
 		return err
 	}
-	o := Outcome{Class: r.class, Profile: r.Profile, Version: s.Version, Cost: c, Latency: time.Since(start)}
 	if s.Rate {
 		return m.rated(ctx, r, a, o)
 	}
-	m.p.Planner.Observe(finished(o))
+	m.p.Planner.Observe(o)
 	r.result.Version, r.result.Finish = s.Version, a.finish
 	if s.Sample {
 		m.sample(r, o, r.delivered.String())
@@ -244,13 +273,13 @@
 }
 
 // rated delivers a buffered answer if its rating meets the profile's quality.
-func (m *Maker) rated(ctx context.Context, r *run, a *attempt, o Outcome) error {
+func (m *Maker) rated(ctx context.Context, r *run, a *attempt, o cascade.Outcome) error {
 	x, cancel := context.WithTimeout(ctx, m.s.RateWait)
 	defer cancel()
-	text := a.buffer.String()
+	text, start := a.buffer.String(), time.Now()
 	score, err := m.p.Rater.Rate(x, RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text})
-	o.Rated, o.Score = err == nil, score
-	m.p.Planner.Observe(finished(o))
+	o.Rated, o.Score, o.Rating = err == nil, score, time.Since(start)
+	m.p.Planner.Observe(o)
 	if err != nil || score < r.Profile.Quality.MinScore {
 		return errFellShort
 	}
@@ -259,8 +288,9 @@
 }
 
 // sample rates an answer after its delivery; the caller does not wait for it.
-func (m *Maker) sample(r *run, o Outcome, text string) {
+func (m *Maker) sample(r *run, o cascade.Outcome, text string) {
 	q := RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text}
+	at := time.Now()
 	go func() {
 		x, cancel := context.WithTimeout(context.Background(), m.s.RateWait)
 		defer cancel()
@@ -268,16 +298,12 @@
 		if err != nil {
 			return
 		}
-		o.Rated, o.Score = true, score
-		m.p.Planner.Observe(finished(o))
+		m.p.Planner.Observe(cascade.Outcome{
+			Class: o.Class, Version: o.Version, Prior: o.Prior, Later: o.Later, MinScore: o.MinScore, At: at, Rated: true, Score: score,
+		})
 	}()
 }
 
-func finished(o Outcome) Outcome {
-	o.Finished = time.Now()
-	return o
-}
-
 // deliver gives a piece of text to the caller.
 func (r *run) deliver(s, version string) error {
 	if !r.started {
--- a/internal/answer/request.go
+++ b/internal/answer/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
@@ -27,41 +28,12 @@
 	Deadline     time.Time
 }
 
-// Step is one version to ask; a rated step is buffered and followed by the next one when its rating falls short.
-type Step struct {
-	Version string
-	Rate    bool
-	Sample  bool // rate after delivery, to learn
-}
-
-// PlanRequest asks for the versions to try.
-type PlanRequest struct {
-	Class     string
-	Profile   profile.Profile
-	Catalog   *profile.Catalog
-	Direct    bool // only a version that meets the quality unrated
-	Input     int  // tokens
-	MaxOutput int  // tokens
-}
-
-// Outcome is what a step taught about a version.
-type Outcome struct {
-	Class    string
-	Profile  profile.Profile
-	Version  string
-	Score    float64
-	Rated    bool
-	Failed   bool
-	Cost     record.Micros
-	Latency  time.Duration
-	Canary   bool
-	Finished time.Time
-}
-
-// Planner chooses versions and learns from outcomes.
+// Planner holds what is believed about versions.
 type Planner interface {
-	Plan(q PlanRequest) ([]Step, error)
-	Observe(o Outcome)
+	Beliefs() *cascade.View
+	Candidates(profile string) []cascade.Candidate
+	RaterUp() bool
+	Observe(o cascade.Outcome)
 }
 
 // Treatment is how a request that may crash endpoints is run.
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -169,4 +169,3 @@
 	u.Total = u.Input + u.Output
 	return &u
 }
-
