--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -37,15 +37,19 @@
 
 func (a *attempt) untilWhole(ctx context.Context) error {
 	for {
+		before := a.tokens + a.r.tokens
 		err := a.once(ctx)
 		var e *engine.Error
 		if err == nil || !errors.As(err, &e) || e.Kind == engine.ErrCancelled {
 			return err
 		}
-		if a.r.retries >= a.m.s.MaxRetries || !a.m.p.Budget.Retry() {
+		// An attempt that got text is continued, not repeated, so it takes nothing from the retry budget.
+		if a.tokens+a.r.tokens > before {
+			continue
+		}
+		if !a.m.p.Retries.Take(time.Now(), &a.r.attempts, a.r.Deadline, 0) {
 			return &Error{Op: "retry", Kind: ErrCapacity, Err: err}
 		}
-		a.r.retries++
 	}
 }
 
@@ -56,7 +60,8 @@
 		return err
 	}
 	defer c.End()
-	defer a.m.p.Suspects.End(a.r.digest, c.ID)
+	whole := false
+	defer func() { a.m.p.Suspects.End(a.r.digest, c.ID, whole) }()
 	// Checked last before sending: the version may have been withdrawn while the request waited.
 	if !a.m.p.Catalog().Allows(a.r.Profile.Name, a.step.Version) {
 		return errReplan
@@ -76,6 +81,7 @@
 	})
 	a.usage.Input = max(a.usage.Input, res.Usage.Input)
 	if err == nil {
+		whole = true
 		a.usage.Output += res.Usage.Output
 		a.finish = res.Finish
 		a.m.p.Pool.Event(endpoint.Answered{Endpoint: c.Endpoint, Started: started, Report: tableReport(res.Report, time.Now())})
@@ -93,7 +99,7 @@
 	if e.Kind == engine.ErrRefused {
 		a.r.sent = sent
 	}
-	if e.Kind == engine.ErrDied || e.Kind == engine.ErrTruncated {
+	if e.Kind == engine.ErrDied {
 		a.m.p.Suspects.Died(c.ID)
 	}
 	a.m.event("attempt-failed", a.r, a.step.Version, c.ID, err)
@@ -125,7 +131,7 @@
 			if !c.Barred() {
 				return c, nil
 			}
-			a.m.p.Suspects.End(a.r.digest, c.ID)
+			a.m.p.Suspects.End(a.r.digest, c.ID, false)
 			c.End()
 		}
 		if now.After(limit) {
--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
@@ -37,7 +38,6 @@
 	QueueWait  time.Duration // for an endpoint
 	QueueStep  time.Duration // between two tries for an endpoint
 	RateWait   time.Duration // for a rating before the answer counts as unrated
-	MaxRetries int           // per request, over all steps
 	MaxOutput  int           // tokens when neither the request nor the profile bounds them
 }
 
@@ -45,7 +45,7 @@
 func DefaultSettings(zone string) Settings {
 	return Settings{
 		Zone: zone, QueueWait: 5 * time.Second, QueueStep: 10 * time.Millisecond,
-		RateWait: 2 * time.Second, MaxRetries: 4, MaxOutput: 4096,
+		RateWait: 2 * time.Second, MaxOutput: 4096,
 	}
 }
 
@@ -55,7 +55,7 @@
 	Pool     Pool
 	Planner  Planner
 	Suspects Suspects
-	Budget   Budget
+	Retries  *endpoint.Retries
 	Rater    Rater
 	Engines  *engine.Client
 	Events   Recorder
@@ -63,8 +63,9 @@
 
 // Maker makes whole answers.
 type Maker struct {
-	s Settings
-	p Parts
+	s       Settings
+	p       Parts
+	samples sync.WaitGroup
 }
 
 // NewMaker returns a maker.
@@ -90,7 +91,7 @@
 	moved     string
 	sent      bool
 	started   bool
-	retries   int
+	attempts  endpoint.Attempts
 	delivered strings.Builder // text that the caller has
 	tokens    int             // of the delivered text
 	result    Result
@@ -128,6 +129,9 @@
 	r *run
 }
 
+// First returns the version that is asked first.
+func (p *Plan) First() string { return p.r.steps[0].Version }
+
 // Worst returns the most that the plan can cost, and the most tokens that it can use.
 func (p *Plan) Worst() (record.Micros, int64) {
 	c := p.m.p.Catalog()
@@ -209,7 +213,7 @@
 }
 
 func (m *Maker) run(ctx context.Context, r *run) error {
-	m.p.Budget.First()
+	r.attempts = m.p.Retries.First()
 	for range maxPlans {
 		err := m.runSteps(ctx, r)
 		if !errors.Is(err, errReplan) {
@@ -291,7 +295,7 @@
 func (m *Maker) sample(r *run, o cascade.Outcome, text string) {
 	q := RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text}
 	at := time.Now()
-	go func() {
+	m.samples.Go(func() {
 		x, cancel := context.WithTimeout(context.Background(), m.s.RateWait)
 		defer cancel()
 		score, err := m.p.Rater.Rate(x, q)
@@ -301,9 +305,12 @@
 		m.p.Planner.Observe(cascade.Outcome{
 			Class: o.Class, Version: o.Version, Prior: o.Prior, Later: o.Later, MinScore: o.MinScore, At: at, Rated: true, Score: score,
 		})
-	}()
+	})
 }
 
+// Wait returns when all ratings after delivery have ended.
+func (m *Maker) Wait() { m.samples.Wait() }
+
 // deliver gives a piece of text to the caller.
 func (r *run) deliver(s, version string) error {
 	if !r.started {
--- a/internal/answer/request.go
+++ b/internal/answer/request.go
@@ -51,16 +51,11 @@
 	Judge(digest uint64) Treatment
 	// Start notes a request on an endpoint and returns false if a suspect must wait for another endpoint.
 	Start(digest uint64, endpoint string) bool
-	End(digest uint64, endpoint string)
+	// End notes that the request left the endpoint; finished means that it got its whole answer.
+	End(digest uint64, endpoint string, finished bool)
 	Died(endpoint string)
 }
 
-// Budget bounds the retries of the whole instance.
-type Budget interface {
-	First()
-	Retry() bool
-}
-
 // Sink takes the answer's text as it arrives; Start is called once before the first piece.
 type Sink interface {
 	Start(r Started) error
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -42,6 +42,7 @@
 	log    platform.Log
 	logger *zap.Logger
 	notify func(*profile.Catalog)
+	onRead func(sent time.Time, next platform.Offset)
 	state  atomic.Pointer[profile.Catalog]
 	read   atomic.Int64 // start of the last successful read that reached the end, in Unix nanoseconds
 	down   atomic.Bool
@@ -56,10 +57,11 @@
 	err      error
 }
 
-// NewFollower returns a follower; notify is called from Run with each new catalog.
-func NewFollower(s Settings, l platform.Log, logger *zap.Logger, notify func(*profile.Catalog)) *Follower {
+// NewFollower returns a follower. From Run it calls notify with each new catalog, and onRead with the start and the
+// end of the stream of each successful read; both may be nil.
+func NewFollower(s Settings, l platform.Log, logger *zap.Logger, notify func(*profile.Catalog), onRead func(time.Time, platform.Offset)) *Follower {
 	f := &Follower{
-		s: s, log: l, logger: logger, notify: notify, waits: map[string]chan verdict{},
+		s: s, log: l, logger: logger, notify: notify, onRead: onRead, waits: map[string]chan verdict{},
 		jitter: 1 + rand.Float64()/2, // so that instances don't write the same snapshot at once
 	}
 	f.state.Store(profile.New())
@@ -116,6 +118,9 @@
 	for _, x := range p.Entries {
 		f.fold(x)
 	}
+	if f.onRead != nil {
+		f.onRead(start, p.Next)
+	}
 	if f.Catalog().Next >= uint64(p.Next) {
 		f.read.Store(start.UnixNano())
 	}
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -29,7 +29,7 @@
 // follow runs a follower until the test ends.
 func follow(t *testing.T, s Settings, l platform.Log) *Follower {
 	t.Helper()
-	f := NewFollower(s, l, zap.NewNop(), nil)
+	f := NewFollower(s, l, zap.NewNop(), nil, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -31,16 +31,16 @@
 	if err != nil {
 		return err
 	}
-	end, err := g.p.Admission.Admit(t.org, q.Profile.Priority)
-	if err != nil {
-		return refuse("admit", client.CodeOverloaded, "%w", err)
-	}
-	defer end()
 	in, _ := g.p.Maker.Bound(q)
 	plan, err := g.p.Maker.Plan(q, g.p.Digest(q), cascade.Class(q.Profile.Name, in))
 	if err != nil {
 		return err
 	}
+	end, err := g.p.Admission.Admit(Arrival{plan.First(), t.org, q.Profile.Priority, q.Deadline})
+	if err != nil {
+		return refuse("admit", client.CodeOverloaded, "%w", err)
+	}
+	defer end()
 	cost, tokens := plan.Worst()
 	if cost > q.Profile.MaxCost {
 		return refuse("plan", client.CodeVersionNotAllowed, "the worst case costs %d, the profile allows %d", cost, q.Profile.MaxCost)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,13 +57,22 @@
 
 // Biller takes the bill of a request; the last byte of an answer may be released once Bill returns.
 type Biller interface {
-	Accepts() bool
+	// Admit keeps room for the bill of a request; the returned function gives it back at the request's end.
+	Admit() (func(), error)
 	Bill(ctx context.Context, b record.Bill) error
 }
 
+// Arrival is work that asks for admission; Pool is the version or the service that it goes to first.
+type Arrival struct {
+	Pool         string
+	Organisation profile.Organisation
+	Priority     int
+	Deadline     time.Time
+}
+
 // Admission refuses work early under overload. The returned function ends the request.
 type Admission interface {
-	Admit(o profile.Organisation, priority int) (func(), error)
+	Admit(a Arrival) (func(), error)
 }
 
 // Verifier checks and signs session tokens.
@@ -80,7 +89,8 @@
 // Parts are what the gateway works with.
 type Parts struct {
 	Catalog   func() *profile.Catalog
-	Ready     func() error // nil if the instance takes new work
+	Ready     func() error // nil if the load balancer may send work
+	Serving   func() error // nil if new work may start
 	Sessions  Verifier
 	Maker     *answer.Maker
 	Orders    *order.Desk
@@ -205,12 +215,14 @@
 		return refuse("serve", client.CodeNotReady, "the instance is stopping")
 	}
 	defer g.running.Done()
-	if err := g.p.Ready(); err != nil {
+	if err := g.p.Serving(); err != nil {
 		return refuse("serve", client.CodeNotReady, "%w", err)
 	}
-	if !g.p.Biller.Accepts() {
-		return refuse("serve", client.CodeLogUnavailable, "the buffer of unconfirmed bills is full")
+	release, err := g.p.Biller.Admit()
+	if err != nil {
+		return refuse("serve", client.CodeLogUnavailable, "%w", err)
 	}
+	defer release()
 	return h(w, r, t, c)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	end, err := g.p.Admission.Admit(t.org, t.org.Priority)
+	end, err := g.p.Admission.Admit(Arrival{q.Service, t.org, t.org.Priority, q.Deadline})
 	if err != nil {
 		return refuse("admit", client.CodeOverloaded, "%w", err)
 	}
--- /dev/null
+++ b/internal/instance/suspects.go
@@ -0,0 +1,104 @@
+package instance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/answer"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
+)
+
+// suspects notes which contents run on which endpoint. Requests of many goroutines meet here, so the register is
+// guarded by a lock; requests that are no suspects only read its view.
+type suspects struct {
+	view atomic.Pointer[suspect.View]
+
+	mu       sync.Mutex
+	register *suspect.Register
+	running  map[string]map[suspect.Content]int // requests by endpoint and content
+}
+
+func newSuspects(s suspect.Settings) *suspects {
+	u := &suspects{register: suspect.New(s), running: map[string]map[suspect.Content]int{}}
+	u.view.Store(u.register.View())
+	return u
+}
+
+// treatments maps verdicts to treatments.
+var treatments = map[suspect.Verdict]answer.Treatment{
+	suspect.Run: answer.Run, suspect.Alone: answer.Alone, suspect.Refuse: answer.Refuse,
+}
+
+// Judge says how a request may run.
+func (u *suspects) Judge(digest uint64) answer.Treatment {
+	return treatments[u.view.Load().Judge(time.Now(), suspect.Content(digest))]
+}
+
+// Start notes a request on an endpoint. It returns false if the request is a suspect that can't run there alone.
+func (u *suspects) Start(digest uint64, endpoint string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now, c := time.Now(), suspect.Content(digest)
+	if u.register.Judge(now, c) == suspect.Alone && !u.register.Acquire(now, c, endpoint) {
+		return false
+	}
+	m := u.running[endpoint]
+	if m == nil {
+		m = map[suspect.Content]int{}
+		u.running[endpoint] = m
+	}
+	m[c]++
+	return true
+}
+
+// End notes that a request left an endpoint.
+func (u *suspects) End(digest uint64, endpoint string, finished bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	c := suspect.Content(digest)
+	m := u.running[endpoint]
+	if m[c]--; m[c] <= 0 {
+		delete(m, c)
+	}
+	if len(m) == 0 {
+		delete(u.running, endpoint)
+	}
+	u.register.Release(time.Now(), c, finished)
+	u.view.Store(u.register.View())
+}
+
+// Died marks the contents that run on an endpoint.
+func (u *suspects) Died(endpoint string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	l := make([]suspect.Content, 0, len(u.running[endpoint]))
+	for c := range u.running[endpoint] {
+		l = append(l, c)
+	}
+	u.register.Death(time.Now(), endpoint, l...)
+	u.view.Store(u.register.View())
+}
+
+// expire drops what no longer counts.
+func (u *suspects) expire() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.register.Expire(time.Now())
+	u.view.Store(u.register.View())
+}
+
+// report returns what peers need to know.
+func (u *suspects) report() suspect.Report {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.register.Digest()
+}
+
+// merge takes over a peer's report.
+func (u *suspects) merge(r suspect.Report) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.register.Merge(time.Now(), r)
+	u.view.Store(u.register.View())
+}
--- a/internal/order/desk.go
+++ b/internal/order/desk.go
@@ -58,12 +58,6 @@
 	Event(ev endpoint.Event)
 }
 
-// Budget bounds the retries of the whole instance.
-type Budget interface {
-	First()
-	Retry() bool
-}
-
 // Recorder writes events of the time line.
 type Recorder interface {
 	Write(e timeline.Event)
@@ -76,14 +70,13 @@
 	QueueStep  time.Duration // between two tries for an endpoint
 	Lookup     time.Duration // of one attempt of a lookup
 	Order      time.Duration // of an order, from sending it to its reply
-	MaxRetries int
 }
 
 // DefaultSettings returns settings for an availability zone.
 func DefaultSettings(zone string) Settings {
 	return Settings{
 		Zone: zone, QueueWait: 2 * time.Second, QueueStep: 10 * time.Millisecond,
-		Lookup: 2 * time.Second, Order: 10 * time.Second, MaxRetries: 3,
+		Lookup: 2 * time.Second, Order: 10 * time.Second,
 	}
 }
 
@@ -92,14 +85,14 @@
 	s       Settings
 	pool    Pool
 	claims  Claims
-	budget  Budget
+	retries *endpoint.Retries
 	engines *engine.Client
 	events  Recorder
 }
 
 // NewDesk returns a desk.
-func NewDesk(s Settings, p Pool, c Claims, b Budget, e *engine.Client, r Recorder) *Desk {
-	return &Desk{s: s, pool: p, claims: c, budget: b, engines: e, events: r}
+func NewDesk(s Settings, p Pool, c Claims, b *endpoint.Retries, e *engine.Client, r Recorder) *Desk {
+	return &Desk{s: s, pool: p, claims: c, retries: b, engines: e, events: r}
 }
 
 // tries are the endpoints that a call has used up.
@@ -117,7 +110,7 @@
 func (d *Desk) Lookup(ctx context.Context, c Call) (Reply, error) {
 	x, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	d.budget.First()
+	a := d.retries.First()
 	var t tries
 	for {
 		e, err := d.choose(x, c.Service, &t)
@@ -138,7 +131,7 @@
 		switch {
 		case x.Err() != nil:
 			return Reply{}, &Error{Op: "lookup", Kind: ErrDeadline, Err: err}
-		case t.n > d.s.MaxRetries || !d.budget.Retry():
+		case !d.retries.Take(time.Now(), &a, c.Deadline, 0):
 			return Reply{}, &Error{Op: "lookup", Kind: ErrCapacity, Err: err}
 		}
 	}
@@ -156,7 +149,6 @@
 		prior.Replayed = true
 		return *prior, nil
 	}
-	d.budget.First()
 	r, err := d.place(x, c, ticket)
 	if err != nil {
 		return Reply{}, err
@@ -167,6 +159,7 @@
 
 func (d *Desk) place(ctx context.Context, c Call, ticket Ticket) (Reply, error) {
 	var t tries
+	a := d.retries.First()
 	e, line, err := d.connect(ctx, c, &t)
 	if err != nil {
 		ticket.Void()
@@ -190,7 +183,7 @@
 		}
 		d.event("order-lost", c, e.ID, err)
 		t.add(e.Endpoint)
-		if !c.HonoursKeys || t.n > d.s.MaxRetries || !d.budget.Retry() {
+		if !c.HonoursKeys || !d.retries.Take(time.Now(), &a, c.Deadline, 0) {
 			ticket.Lose()
 			return Reply{}, &Error{Op: "place", Kind: ErrUnknown, Err: err}
 		}
