Add the register of crash suspects and the choice of a lone endpoint

One request whose content crashes its endpoint was retried on the next one without limit. The register marks contents seen at a death, lets them rerun alone and refuses them after the second; peers merge its reports.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -11,14 +11,17 @@
 // maxExclude bounds the endpoints that one query leaves out; it covers the attempts of one request.
 const maxExclude = 6
 
-// ranked is how many endpoints of a prefix's ranking are tried before the load alone decides.
-const ranked = 4
+// kept is how many loads of one zone a search keeps between its two passes; it reads further ones again.
+const kept = 128
+
+// unusable marks a member that takes no request; it lies below every load.
+const unusable = -1.0
 
 // Bonuses lift endpoints above the rendezvous ranks, which use the lower 62 bits.
 const (
 	rankMask     = 1<<62 - 1
-	bonusCached  = 1 << 62 // the session ran there, or a cache event or loaded adapter says so
-	minimumSlots = 1
+	bonusCached  = 1 << 62
+	bonusSession = 1 << 63
 )
 
 // Query asks for an endpoint for one attempt.
@@ -40,7 +43,7 @@
 	ID       string
 	Zone     string
 	Address  netip.AddrPort
-	Affine   bool // the endpoint was chosen for its prefix, session or adapter
+	Affine   bool // the request had a prefix, session or adapter to go by
 	Full     bool // all slots of the pool seem taken; the request will wait at the endpoint
 
 	count *counter
@@ -49,7 +52,7 @@
 // Begin counts the request as outstanding; call it at once after Choose.
 func (c Choice) Begin(now time.Time) {
 	c.count.outstanding.Add(1)
-	if g := c.count.gap.Load(); g != 0 {
+	if g := c.count.gate.Load(); g > 0 {
 		c.count.nextAt.Store(now.UnixNano() + g)
 	}
 }
@@ -58,10 +61,10 @@
 func (c Choice) End() { c.count.outstanding.Add(-1) }
 
 // Bar stops new work to the endpoint at once in all views, before the table handles the event that states why.
-func (c Choice) Bar() { c.count.barred.Store(true) }
+func (c Choice) Bar() { c.count.gate.Store(gateBarred) }
 
 // Barred reports whether the endpoint turned away from new work since the choice; check it just before sending.
-func (c Choice) Barred() bool { return c.count.barred.Load() }
+func (c Choice) Barred() bool { return c.count.barred() }
 
 // HashAdapter returns the form of an adapter's name that a query carries.
 func HashAdapter(name string) uint64 { return xxhash.Sum64String(name) }
@@ -73,54 +76,73 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	r := search{view: v, query: &q, now: q.Now.UnixNano()}
+	r := search{view: v, query: &q, now: q.Now.UnixNano(), affine: q.Prefix != 0 || q.Session != 0 || q.Adapter != 0}
+	r.exclude = q.Exclude != [maxExclude]Handle{}
 	if q.Prefix != 0 {
 		r.cached = v.hints.get(q.Prefix)
+		r.hinted = r.cached != [hintWays]Handle{}
 	}
-	var first pick
-	var tried uint64
+	first, tried := -1, uint64(0)
 	for range p.zones {
 		z := r.nextZone(p, tried)
 		tried |= 1 << z
-		c := r.inZone(&p.zones[z])
-		if c.member == nil {
-			continue
+		m, usable := r.inZone(&p.zones[z], false)
+		if m != nil {
+			return r.choice(m, false), true
 		}
-		if !c.full {
-			return c.choice(), true
+		if usable && first < 0 {
+			first = z
 		}
-		if first.member == nil {
-			first = c
+	}
+	if first < 0 {
+		return Choice{}, false
+	}
+	m, _ := r.inZone(&p.zones[first], true)
+	if m == nil {
+		return Choice{}, false // the last usable endpoint was barred meanwhile
+	}
+	return r.choice(m, true), true
+}
+
+// ChooseAlone returns the least used endpoint for a crash suspect, which other suspects do not run on. It walks
+// all endpoints of the pool; the few suspects can wait for that.
+func (v *View) ChooseAlone(q Query, occupied func(id string) bool) (Choice, bool) {
+	p := v.pool(q.Version, q.Service)
+	if p == nil {
+		return Choice{}, false
+	}
+	r := search{view: v, query: &q, now: q.Now.UnixNano(), exclude: true}
+	var best *member
+	for _, z := range p.zones {
+		for i := range z.members {
+			m := &z.members[i]
+			if r.usable(m) && !occupied(m.info.id) && (best == nil || r.utilisation(m) < r.utilisation(best)) {
+				best = m
+			}
 		}
 	}
-	if first.member == nil {
+	if best == nil {
 		return Choice{}, false
 	}
-	return first.choice(), true
+	return r.choice(best, !r.free(best)), true
 }
 
 // search is the working state of one Choose.
 type search struct {
-	view   *View
-	query  *Query
-	now    int64
-	cached [hintWays]Handle
-}
-
-// pick is a member with its judgement.
-type pick struct {
-	member *member
-	load   float64
-	score  uint64
-	affine bool
-	full   bool
+	view    *View
+	query   *Query
+	now     int64
+	cached  [hintWays]Handle
+	affine  bool // the request prefers certain endpoints
+	hinted  bool
+	exclude bool
+	loads   [kept]float64
 }
 
-func (c pick) choice() Choice {
-	m := c.member
+func (r *search) choice(m *member, full bool) Choice {
 	return Choice{
 		Endpoint: m.handle, ID: m.info.id, Zone: m.info.zone, Address: m.info.address,
-		Affine: c.affine, Full: c.full, count: m.count,
+		Affine: r.affine, Full: full, count: m.count,
 	}
 }
 
@@ -131,7 +153,7 @@
 	if key == 0 {
 		key = uint64(r.query.Draws[0] * (1 << 53))
 	}
-	best, score := -1, uint64(0)
+	best, score := 0, uint64(0)
 	for i := range p.zones {
 		if tried&(1<<i) != 0 {
 			continue
@@ -139,124 +161,162 @@
 		if p.zones[i].name == r.query.Zone {
 			return i
 		}
-		if s := mix(key ^ p.zones[i].hash); best < 0 || s > score {
+		if s := mix(key ^ p.zones[i].hash); s >= score {
 			best, score = i, s
 		}
 	}
 	return best
 }
 
-func (r *search) inZone(z *zone) pick {
-	if r.query.Prefix == 0 && r.query.Session == 0 && r.query.Adapter == 0 {
-		if c := r.byLoad(z); c.member == nil || !c.full {
-			return c
-		}
-		return r.leastLoaded(z)
+// inZone returns an endpoint with a free slot, or with full any one, and whether the zone has usable endpoints.
+func (r *search) inZone(z *zone, full bool) (*member, bool) {
+	if r.affine {
+		return r.byPrefix(z, full)
+	}
+	m := r.byLoad(z)
+	if m == nil || full || r.free(m) {
+		return m, m != nil
 	}
-	return r.byPrefix(z)
+	return r.anyFree(z), true
 }
 
 // byPrefix returns the first endpoint in the prefix's ranking whose load is within the bound. The ranking is the
 // same on all instances, so a prefix stays on few endpoints.
-func (r *search) byPrefix(z *zone) pick {
-	var top [ranked]pick
-	var load, slots float64
+func (r *search) byPrefix(z *zone, full bool) (*member, bool) {
+	load, slots, free := r.survey(z)
+	if slots == 0 || (!free && !full) {
+		return nil, slots != 0
+	}
+	bound := max(r.view.bound*load/slots, r.view.floor)
+	if !full {
+		bound = min(bound, 1)
+	}
+	if m := r.ranked(z, bound); m != nil {
+		return m, true
+	}
+	if full {
+		return r.byLoad(z), true
+	}
+	return r.anyFree(z), true
+}
+
+// survey sums the load and the slots of a zone's usable members and reports whether one has a free slot. It is
+// kept apart from byPrefix because the compiler then holds the sums in registers.
+func (r *search) survey(z *zone) (load, slots float64, free bool) {
+	now, fade, exclude := r.now, r.view.fade, r.exclude
 	for i := range z.members {
 		m := &z.members[i]
-		if !r.usable(m) {
-			continue
+		l := unusable
+		if m.count.open(now) && (!exclude || !r.excluded(m.handle)) {
+			l = m.count.load(now, fade)
+			load += l
+			slots += m.slots
+			if l+1 <= m.slots {
+				free = true
+			}
+		}
+		if i < kept {
+			r.loads[i] = l
 		}
-		c := pick{member: m, load: m.count.load(r.now, r.view.half), score: r.score(m)}
-		load += c.load
-		slots += m.slots
-		insert(&top, c)
-	}
-	if slots == 0 {
-		return pick{}
 	}
-	bound := max(r.view.bound*(load+1)/slots, r.view.floor)
-	for _, c := range top {
-		if c.member != nil && c.load+1 <= max(minimumSlots, min(bound, 1)*c.member.slots) {
-			c.affine = true
-			return c
+	return load, slots, free
+}
+
+// ranked returns the usable member with the highest score whose utilisation with one more request is within the
+// bound, or that has a single free slot.
+func (r *search) ranked(z *zone, bound float64) *member {
+	best, top := -1, uint64(0)
+	for i := range z.members {
+		m := &z.members[i]
+		var l float64
+		if i < kept {
+			l = r.loads[i]
+		} else if l = unusable; r.usable(m) {
+			l = m.count.load(r.now, r.view.fade)
+		}
+		if l+1 > max(1, bound*m.slots) || l == unusable {
+			continue
+		}
+		if s := r.score(m); best < 0 || s > top {
+			best, top = i, s
 		}
 	}
-	if c := r.byLoad(z); !c.full {
-		return c
+	if best < 0 {
+		return nil
 	}
-	return r.leastLoaded(z)
+	return &z.members[best]
 }
 
+// score ranks a member for the request: first the session's endpoint, then those known to hold the prefix or
+// adapter, then by rendezvous hashing.
 func (r *search) score(m *member) uint64 {
 	s := mix(r.query.Prefix^m.seed) & rankMask
 	if m.handle == r.query.Session {
-		return s | bonusCached<<1
+		return s | bonusSession
 	}
-	if slices.Contains(r.cached[:], m.handle) || (r.query.Adapter != 0 && slices.Contains(m.adapters, r.query.Adapter)) {
+	if r.hinted && slices.Contains(r.cached[:], m.handle) {
 		return s | bonusCached
 	}
-	return s
-}
-
-func insert(top *[ranked]pick, c pick) {
-	if l := &top[ranked-1]; l.member != nil && l.score >= c.score {
-		return
-	}
-	i := ranked - 1
-	for ; i > 0 && (top[i-1].member == nil || top[i-1].score < c.score); i-- {
-		top[i] = top[i-1]
+	if r.query.Adapter != 0 && slices.Contains(m.info.adapters, r.query.Adapter) {
+		return s | bonusCached
 	}
-	top[i] = c
+	return s
 }
 
 // byLoad returns the less used one of two endpoints drawn at random.
-func (r *search) byLoad(z *zone) pick {
+func (r *search) byLoad(z *zone) *member {
 	a := r.drawn(z, r.query.Draws[0], nil)
-	if a.member == nil {
-		return a
+	if a == nil {
+		return nil
 	}
-	b := r.drawn(z, r.query.Draws[1], a.member)
-	if b.member != nil && b.load/b.member.slots < a.load/a.member.slots {
+	b := r.drawn(z, r.query.Draws[1], a)
+	if b != nil && r.utilisation(b) < r.utilisation(a) {
 		return b
 	}
 	return a
 }
 
 // drawn returns the first usable member at or after the drawn position, other than not.
-func (r *search) drawn(z *zone, draw float64, not *member) pick {
+func (r *search) drawn(z *zone, draw float64, not *member) *member {
 	n := len(z.members)
-	for i := range n {
-		m := &z.members[(int(draw*float64(n))+i)%n]
-		if m != not && r.usable(m) {
-			return r.judged(m)
+	at := int(draw * float64(n))
+	for range n {
+		if m := &z.members[at]; m != not && r.usable(m) {
+			return m
+		}
+		if at++; at == n {
+			at = 0
 		}
 	}
-	return pick{}
+	return nil
 }
 
-func (r *search) judged(m *member) pick {
-	l := m.count.load(r.now, r.view.half)
-	return pick{member: m, load: l, full: l+1 > m.slots}
-}
-
-func (r *search) leastLoaded(z *zone) pick {
-	var best pick
+// anyFree returns the least used member that has a free slot.
+func (r *search) anyFree(z *zone) *member {
+	var best *member
+	var least float64
 	for i := range z.members {
 		m := &z.members[i]
-		if !r.usable(m) {
+		if !r.usable(m) || !r.free(m) {
 			continue
 		}
-		if c := r.judged(m); best.member == nil || c.load/m.slots < best.load/best.member.slots {
-			best = c
+		if u := r.utilisation(m); best == nil || u < least {
+			best, least = m, u
 		}
 	}
 	return best
 }
 
+func (r *search) free(m *member) bool { return m.count.load(r.now, r.view.fade)+1 <= m.slots }
+
+func (r *search) utilisation(m *member) float64 { return m.count.load(r.now, r.view.fade) / m.slots }
+
 func (r *search) usable(m *member) bool {
-	return m.count.open(r.now) && !slices.Contains(r.query.Exclude[:], m.handle)
+	return m.count.open(r.now) && (!r.exclude || !r.excluded(m.handle))
 }
 
+func (r *search) excluded(h Handle) bool { return slices.Contains(r.query.Exclude[:], h) }
+
 // mix is the finaliser of splitmix64; it spreads the bits of a prefix and an endpoint's seed.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/core/endpoint/counter.go
+++ b/internal/core/endpoint/counter.go
@@ -6,27 +6,32 @@
 	"time"
 )
 
+// Values of a counter's gate; a positive one is the gap in nanoseconds between requests to a returning endpoint.
+const (
+	gateOpen   int64 = 0
+	gateBarred int64 = -1 // leaving or ejected: also views that are older than the event send nothing
+)
+
 // counter is the part of an endpoint's state that all views share and that traffic goroutines read and write.
-// It fills cache lines of its own so that requests to different endpoints do not contend.
+// It fills a cache line of its own so that requests to different endpoints do not contend.
 type counter struct {
 	outstanding atomic.Int64  // requests of this instance
+	gate        atomic.Int64  // gateOpen, gateBarred or a gap
+	nextAt      atomic.Int64  // earliest next request while returning, nanoseconds since the epoch
 	report      atomic.Uint64 // reported load of other instances, float64 bits
 	reportedAt  atomic.Int64  // nanoseconds since the epoch
-	barred      atomic.Bool   // leaving or ejected: also views that are older than the event send nothing
-	gap         atomic.Int64  // nanoseconds between requests while returning; 0 means no limit
-	nextAt      atomic.Int64  // earliest next request while returning, nanoseconds since the epoch
-	_           [16]byte
+	_           [24]byte
 }
 
-// load returns own outstanding requests plus the reported load, which counts half at age half.
-func (c *counter) load(now, half int64) float64 {
+// load returns own outstanding requests plus the reported load, which fades linearly with its age: fade is the
+// share lost for each nanosecond.
+func (c *counter) load(now int64, fade float64) float64 {
+	weight := min(1, 1-float64(now-c.reportedAt.Load())*fade)
 	own := float64(c.outstanding.Load())
-	at := c.reportedAt.Load()
-	if at == 0 {
+	if weight <= 0 {
 		return own
 	}
-	age := max(0, now-at)
-	return own + math.Float64frombits(c.report.Load())*float64(half)/float64(half+age)
+	return own + math.Float64frombits(c.report.Load())*weight
 }
 
 // setReport stores a reported load without the share of this instance, which outstanding counts already.
@@ -36,10 +41,10 @@
 	c.reportedAt.Store(at.UnixNano())
 }
 
-// open reports whether the endpoint takes a request now.
+// open reports whether the endpoint takes a request now. A returning one takes one at a time, with a gap.
 func (c *counter) open(now int64) bool {
-	if c.barred.Load() {
-		return false
-	}
-	return c.gap.Load() == 0 || (now >= c.nextAt.Load() && c.outstanding.Load() == 0)
+	g := c.gate.Load()
+	return g == gateOpen || (g > 0 && now >= c.nextAt.Load() && c.outstanding.Load() == 0)
 }
+
+func (c *counter) barred() bool { return c.gate.Load() == gateBarred }
--- a/internal/core/endpoint/health.go
+++ b/internal/core/endpoint/health.go
@@ -12,6 +12,7 @@
 // health is an endpoint's place between live, out and returning.
 type health struct {
 	state    state
+	gap      int64     // nanoseconds between requests while returning
 	placed   bool      // counted in the current view
 	errors   int       // consecutive error statuses
 	goods    int       // consecutive answers since the return
@@ -27,16 +28,20 @@
 	e.answered = now
 	e.errors = 0
 	t.report(now, e, ev.Report)
+	t.recover(now, e, ev)
 	t.place(e)
+}
+
+// recover counts an answer towards the end of the return; each one halves the gap.
+func (t *Table) recover(now time.Time, e *entry, ev Answered) {
 	// An answer to a request from before the ejection says nothing about new connections.
 	if e.state != stateReturning || ev.Started.Before(e.returned) {
 		return
 	}
 	e.goods++
-	e.count.gap.Store(e.count.gap.Load() / 2)
+	e.gap = max(1, e.gap/2)
 	if e.goods >= t.settings.ReturnAnswers {
 		e.state, e.since = stateLive, now
-		e.count.gap.Store(0)
 	}
 }
 
@@ -144,7 +149,7 @@
 		return
 	}
 	e.state, e.since, e.returned, e.byError = stateReturning, now, now, false
-	e.count.gap.Store(int64(t.settings.TrickleGap) * int64(max(1, t.settings.Fleet)))
+	e.gap = max(1, int64(t.settings.TrickleGap)*int64(t.settings.Fleet))
 	e.count.nextAt.Store(0)
 	t.place(e)
 }
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -30,14 +30,13 @@
 
 // entry is one endpoint.
 type entry struct {
-	info
+	*info
 	handle  Handle
 	seed    uint64
 	count   *counter
 	service string
 
 	versions   []string
-	adapters   []uint64
 	slots      int
 	statedAt   time.Time // of the endpoint's own versions
 	reportedAt time.Time
@@ -160,20 +159,20 @@
 func (t *Table) newEntry(i platform.Instance) *entry {
 	t.last++
 	e := &entry{
-		info:    info{i.ID, i.Zone, i.Address},
+		info:    &info{id: i.ID, zone: i.Zone, address: i.Address},
 		handle:  t.last,
 		seed:    hashText(i.ID),
 		count:   &counter{},
 		service: i.Service,
 	}
-	e.count.barred.Store(true)
+	e.count.gate.Store(gateBarred)
 	t.handles[e.handle] = e
 	return e
 }
 
 func (t *Table) drop(n int) {
 	e := t.order[n]
-	e.count.barred.Store(true)
+	e.count.gate.Store(gateBarred)
 	delete(t.handles, e.handle)
 	t.hints.forget(e.handle)
 	t.order = slices.Delete(t.order, n, n+1)
@@ -190,15 +189,27 @@
 	t.view = nil
 }
 
-// place brings the bar that old views obey, and the current view, in line with the entry.
+// place brings the gate that old views obey, and the current view, in line with the entry.
 func (t *Table) place(e *entry) {
-	if bar := !e.takes(); e.count.barred.Load() != bar || e.placed == bar {
-		e.count.barred.Store(bar)
-		e.placed = !bar
+	gate := e.gate()
+	e.count.gate.Store(gate)
+	if in := gate != gateBarred; e.placed != in {
+		e.placed = in
 		t.view = nil
 	}
 }
 
+func (e *entry) gate() int64 {
+	switch {
+	case !e.takes():
+		return gateBarred
+	case e.state == stateReturning:
+		return e.gap
+	default:
+		return gateOpen
+	}
+}
+
 // takes reports whether the endpoint may get new work.
 func (e *entry) takes() bool { return !e.leaving() && e.state != stateOut }
 
@@ -211,7 +222,7 @@
 	}
 	return member{
 		seed: e.seed, count: e.count, slots: float64(max(1, slots)), handle: e.handle,
-		info: &info{e.id, e.zone, e.address}, adapters: e.adapters,
+		info: e.info,
 	}
 }
 
@@ -249,9 +260,11 @@
 			return
 		}
 	}
-	e.adapters = make([]uint64, len(l))
+	n := *e.info
+	n.adapters = make([]uint64, len(l))
 	for i, a := range l {
-		e.adapters[i] = HashAdapter(a)
+		n.adapters[i] = HashAdapter(a)
 	}
+	e.info = &n
 	t.view = nil
 }
--- a/internal/core/endpoint/view.go
+++ b/internal/core/endpoint/view.go
@@ -13,7 +13,7 @@
 	hints    *hints
 	bound    float64
 	floor    float64
-	half     int64
+	fade     float64
 }
 
 // pool holds the endpoints of one version or service.
@@ -31,19 +31,19 @@
 
 // member is an endpoint in a pool.
 type member struct {
-	seed     uint64
-	count    *counter
-	slots    float64
-	handle   Handle
-	info     *info
-	adapters []uint64
+	seed   uint64
+	count  *counter
+	slots  float64
+	info   *info
+	handle Handle
 }
 
-// info names an endpoint; it never changes.
+// info is what a search reads of the chosen endpoint only; it is replaced and never modified.
 type info struct {
-	id      string
-	zone    string
-	address netip.AddrPort
+	id       string
+	zone     string
+	address  netip.AddrPort
+	adapters []uint64
 }
 
 // Size returns the number of endpoints that take new work on a version.
@@ -71,9 +71,9 @@
 	n := now.UnixNano()
 	for _, z := range p.zones {
 		for i := range z.members {
-			if m := &z.members[i]; !m.count.barred.Load() {
+			if m := &z.members[i]; !m.count.barred() {
 				slots += m.slots
-				load += m.count.load(n, v.half)
+				load += m.count.load(n, v.fade)
 			}
 		}
 	}
@@ -90,7 +90,7 @@
 func (t *Table) build() *View {
 	v := &View{
 		versions: map[string]*pool{}, services: map[string]*pool{}, hints: t.hints,
-		bound: t.settings.LoadBound, floor: t.settings.LoadFloor, half: int64(t.settings.ReportHalf),
+		bound: t.settings.LoadBound, floor: t.settings.LoadFloor, fade: 0.5 / float64(t.settings.ReportHalf),
 	}
 	for _, e := range t.order {
 		if !e.takes() {
--- /dev/null
+++ b/internal/core/suspect/exchange.go
@@ -0,0 +1,81 @@
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Report is what an instance tells its peers about suspects.
+type Report struct {
+	Marks []Mark   `json:"marks,omitempty"`
+	Alone []uint64 `json:"alone,omitempty"` // hashes of endpoints on which its suspects run
+}
+
+// Digest returns what peers need to know. It is sorted, so equal registers give equal reports.
+func (r *Register) Digest() Report {
+	p := Report{Alone: slices.Sorted(maps.Values(r.running))}
+	for _, m := range r.marks {
+		c := *m
+		c.Deaths = slices.Clone(m.Deaths)
+		slices.SortFunc(c.Deaths, func(a, b Death) int {
+			return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Endpoint, b.Endpoint))
+		})
+		p.Marks = append(p.Marks, c)
+	}
+	slices.SortFunc(p.Marks, func(a, b Mark) int { return cmp.Compare(a.Content, b.Content) })
+	return p
+}
+
+// Merge takes over a peer's report; merging it again changes nothing. Times ahead of now are cut to now, so that a
+// peer with a fast clock cannot extend a refusal.
+func (r *Register) Merge(now time.Time, p Report) {
+	for _, m := range p.Marks {
+		for _, d := range m.Deaths {
+			if d.At.After(now) {
+				d.At = now
+			}
+			r.mark(now, m.Content, d)
+		}
+		if o := r.marks[m.Content]; o != nil && m.Cleared.After(o.Cleared) && !m.Cleared.After(now) {
+			o.Cleared = m.Cleared
+			r.view = nil
+		}
+	}
+	for _, e := range p.Alone {
+		r.leased[e] = now.Add(r.settings.LeaseFor)
+	}
+}
+
+// View is an immutable snapshot of the suspects for traffic goroutines.
+type View struct {
+	settings Settings
+	marks    map[Content]Mark
+}
+
+// View returns the current snapshot.
+func (r *Register) View() *View {
+	if r.view == nil {
+		v := &View{settings: r.settings, marks: make(map[Content]Mark, len(r.marks))}
+		for c, m := range r.marks {
+			n := *m
+			n.Deaths = slices.Clone(m.Deaths)
+			v.marks[c] = n
+		}
+		r.view = v
+	}
+	return r.view
+}
+
+// Judge says how a request with the content may run.
+func (v *View) Judge(now time.Time, c Content) Verdict {
+	if len(v.marks) == 0 {
+		return Run
+	}
+	m, ok := v.marks[c]
+	if !ok {
+		return Run
+	}
+	return m.judge(now, v.settings)
+}
