--- /dev/null
+++ b/internal/core/endpoint/admission.go
@@ -0,0 +1,233 @@
+package endpoint
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Reason says why a request was shed.
+type Reason string
+
+// Reasons for shedding; each is given before any work is sent, so "not run" is true.
+const (
+	Admitted     Reason = ""
+	ShedPriority Reason = "priority" // higher priorities take the capacity
+	ShedShare    Reason = "share"    // the organisation uses its share
+	ShedWait     Reason = "wait"     // the answer would come after the deadline
+	ShedCapacity Reason = "capacity" // no endpoint takes new work
+)
+
+// AdmissionSettings tune admission under overload.
+type AdmissionSettings struct {
+	Fleet    int           // instances that share the endpoints
+	Target   float64       // utilisation to hold a pool at; above 1 it keeps a short queue at the engines
+	Release  float64       // share of Target below which nothing is limited
+	Recent   time.Duration // half-life of the demand that was shed
+	Headroom float64       // share above its demand that an organisation within its share may grow between updates
+}
+
+// DefaultAdmission returns the settings for a fleet of the given number of instances.
+func DefaultAdmission(fleet int) AdmissionSettings {
+	return AdmissionSettings{Fleet: fleet, Target: 1, Release: 0.9, Recent: time.Second, Headroom: 0.1}
+}
+
+// Admission decides which requests run under overload. Its caller serialises the calls.
+type Admission struct {
+	settings AdmissionSettings
+	pools    map[string]*pressure
+}
+
+// pressure is the state of one pool, a version or a service.
+type pressure struct {
+	slots, load float64
+	limited     bool
+	known       bool
+	service     float64 // mean time of a request, in seconds
+	users       map[string]*usage
+	updated     time.Time
+}
+
+// usage is what one organisation has in a pool on this instance.
+type usage struct {
+	name     string
+	share    float64
+	priority int
+	running  int
+	peak     int     // most running since the last update
+	shed     float64 // requests shed of late, halved each Recent
+	limit    float64 // concurrent requests allowed while the pool is limited
+	reason   Reason  // given when the limit is reached
+}
+
+// Arrival is a request that asks for admission.
+type Arrival struct {
+	Pool         string // version or service
+	Organisation string
+	Share        int // weight; 0 counts as 1
+	Priority     int // higher is served first
+	Deadline     time.Time
+}
+
+// NewAdmission returns an admission control that limits nothing before the first Update.
+func NewAdmission(s AdmissionSettings) *Admission {
+	return &Admission{settings: s, pools: map[string]*pressure{}}
+}
+
+// Update takes over a pool's slots and estimated load (View.Capacity) and divides this instance's part among the
+// organisations; call it for each pool about every 100 ms.
+func (a *Admission) Update(now time.Time, pool string, slots, load float64) {
+	p := a.pool(pool)
+	fade := 0.5
+	if p.known {
+		fade = halved(now.Sub(p.updated), a.settings.Recent)
+	}
+	p.slots, p.load, p.known, p.updated = slots, load, true, now
+	p.limited = load > a.settings.Target*a.settings.Release*slots
+	own := 0
+	for n, u := range p.users {
+		u.shed *= fade
+		own += u.running
+		if u.running == 0 && u.shed < 0.1 {
+			delete(p.users, n)
+		}
+	}
+	if p.limited {
+		p.divide(a.budget(p, own), a.settings)
+	}
+	for _, u := range p.users {
+		u.peak = u.running
+	}
+}
+
+// budget returns how many requests this instance may run in the pool: its part of the present load, scaled to the
+// target. All instances scale alike, so the whole load goes to the target; an instance with little load gets at
+// least half of an even part.
+func (a *Admission) budget(p *pressure, own int) float64 {
+	even := a.settings.Target * p.slots / float64(max(1, a.settings.Fleet))
+	return max(1, even/2, float64(own)*a.settings.Target*p.slots/max(1, p.load))
+}
+
+// divide gives the budget to the priorities from the highest down, and within one to the organisations by weighted
+// max-min fairness.
+func (p *pressure) divide(budget float64, s AdmissionSettings) {
+	l := make([]*usage, 0, len(p.users))
+	for _, u := range p.users {
+		l = append(l, u)
+	}
+	slices.SortFunc(l, func(a, b *usage) int {
+		return cmp.Or(cmp.Compare(b.priority, a.priority), cmp.Compare(p.demand(a)/a.share, p.demand(b)/b.share),
+			cmp.Compare(a.name, b.name))
+	})
+	for len(l) > 0 {
+		n := slices.IndexFunc(l, func(u *usage) bool { return u.priority != l[0].priority })
+		if n < 0 {
+			n = len(l)
+		}
+		budget -= p.fill(l[:n], max(0, budget), s.Headroom)
+		l = l[n:]
+	}
+}
+
+// fill divides a budget within one priority; l is sorted by demand per share. It returns what the demand takes.
+func (p *pressure) fill(l []*usage, budget, headroom float64) float64 {
+	shares, taken := 0.0, 0.0
+	for _, u := range l {
+		shares += u.share
+	}
+	for _, u := range l {
+		level := (budget - taken) * u.share / shares
+		shares -= u.share
+		d := p.demand(u)
+		u.reason = ShedShare
+		if budget == 0 {
+			u.reason = ShedPriority
+		}
+		if d <= level {
+			u.limit = min(level, d*(1+headroom)+1)
+			taken += d
+			continue
+		}
+		u.limit = level
+		taken += level
+	}
+	return taken
+}
+
+// demand is what an organisation would run: what it runs and what was shed of late.
+func (p *pressure) demand(u *usage) float64 {
+	return float64(max(u.running, u.peak)) + u.shed
+}
+
+// Admit decides about a request before any work is sent. Call Done for each admitted one.
+func (a *Admission) Admit(now time.Time, r Arrival) Reason {
+	p := a.pool(r.Pool)
+	u := p.user(r)
+	reason := a.judge(now, p, u, r)
+	if reason != Admitted {
+		u.shed++
+		return reason
+	}
+	u.running++
+	u.peak = max(u.peak, u.running)
+	return Admitted
+}
+
+func (a *Admission) judge(now time.Time, p *pressure, u *usage, r Arrival) Reason {
+	if !p.known {
+		return Admitted
+	}
+	if p.slots == 0 {
+		return ShedCapacity
+	}
+	if wait := p.wait(); !r.Deadline.IsZero() && now.Add(wait).After(r.Deadline) {
+		return ShedWait
+	}
+	if p.limited && float64(u.running)+1 > max(u.limit, 0) {
+		return u.reason
+	}
+	return Admitted
+}
+
+// wait estimates the time in the engines' queues.
+func (p *pressure) wait() time.Duration {
+	if p.load <= p.slots {
+		return 0
+	}
+	return time.Duration((p.load - p.slots) / p.slots * p.service * float64(time.Second))
+}
+
+// Done ends an admitted request; took is its time on the endpoint, 0 if it did not run.
+func (a *Admission) Done(pool, organisation string, took time.Duration) {
+	p := a.pools[pool]
+	if p == nil {
+		return
+	}
+	if u := p.users[organisation]; u != nil && u.running > 0 {
+		u.running--
+	}
+	if took > 0 {
+		// A mean over about 20 requests follows a change of the load within seconds.
+		p.service += (took.Seconds() - p.service) / 20
+	}
+}
+
+func (a *Admission) pool(name string) *pressure {
+	p := a.pools[name]
+	if p == nil {
+		p = &pressure{users: map[string]*usage{}}
+		a.pools[name] = p
+	}
+	return p
+}
+
+// user returns the organisation's usage. A new one gets one request at a time until the next update divides anew.
+func (p *pressure) user(r Arrival) *usage {
+	u := p.users[r.Organisation]
+	if u == nil {
+		u = &usage{name: r.Organisation, limit: 1, reason: ShedShare}
+		p.users[r.Organisation] = u
+	}
+	u.share, u.priority = float64(max(1, r.Share)), r.Priority
+	return u
+}
--- /dev/null
+++ b/internal/core/endpoint/naive_test.go
@@ -0,0 +1,219 @@
+package endpoint
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+)
+
+// naiveMember is an endpoint as the slow reference sees it.
+type naiveMember struct {
+	e    *entry
+	load float64
+	free bool
+}
+
+// naiveChoose states the rules of Choose with lists and sorting, straight from the table's entries.
+func naiveChoose(t *Table, q Query) (Handle, bool) {
+	zones := map[string][]naiveMember{}
+	for _, e := range t.order {
+		if e.leaving() || e.state == stateOut || slices.Contains(q.Exclude[:], e.handle) || !serves(e, q) {
+			continue
+		}
+		own := float64(e.count.outstanding.Load())
+		if e.state == stateReturning && (own > 0 || q.Now.UnixNano() < e.count.nextAt.Load()) {
+			continue
+		}
+		load := e.count.load(q.Now.UnixNano(), 0.5/float64(t.settings.ReportHalf))
+		zones[e.zone] = append(zones[e.zone], naiveMember{e, load, load+1 <= slotsOf(t, e)})
+	}
+	names := make([]string, 0, len(zones))
+	for n := range zones {
+		names = append(names, n)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		switch {
+		case a == q.Zone:
+			return -1
+		case b == q.Zone:
+			return 1
+		case mix(q.Prefix^hashText(a)) > mix(q.Prefix^hashText(b)):
+			return -1
+		}
+		return 1
+	})
+	for _, n := range names {
+		if slices.ContainsFunc(zones[n], func(m naiveMember) bool { return m.free }) {
+			return naiveRank(t, q, zones[n], 1)
+		}
+	}
+	if len(names) == 0 {
+		return 0, false
+	}
+	return naiveRank(t, q, zones[names[0]], 1e9)
+}
+
+func serves(e *entry, q Query) bool {
+	if q.Service != "" {
+		return e.service == q.Service
+	}
+	return slices.Contains(e.versions, q.Version)
+}
+
+func slotsOf(t *Table, e *entry) float64 {
+	if e.slots > 0 {
+		return float64(e.slots)
+	}
+	return float64(t.settings.Slots)
+}
+
+// naiveRank sorts a zone's members by rank and returns the first within the bound.
+func naiveRank(t *Table, q Query, l []naiveMember, ceiling float64) (Handle, bool) {
+	var load, slots float64
+	for _, m := range l {
+		load += m.load
+		slots += slotsOf(t, m.e)
+	}
+	bound := min(ceiling, max(t.settings.LoadBound*load/slots, t.settings.LoadFloor))
+	cached := t.hints.get(q.Prefix)
+	class := func(m naiveMember) int {
+		switch {
+		case m.e.handle == q.Session:
+			return 2
+		case slices.Contains(cached[:], m.e.handle):
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(l, func(a, b naiveMember) int {
+		if c := class(b) - class(a); c != 0 {
+			return c
+		}
+		if mix(q.Prefix^a.e.seed)&rankMask > mix(q.Prefix^b.e.seed)&rankMask {
+			return -1
+		}
+		return 1
+	})
+	for _, m := range l {
+		if m.load+1 <= max(1, bound*slotsOf(t, m.e)) {
+			return m.e.handle, true
+		}
+	}
+	return 0, true // no member is within the bound: any one may be chosen
+}
+
+// TestChooseAgreesWithNaive guards the two-pass search with its precomputed pools against the plain statement of
+// the rules, over tables with leaving, ejected, returning and loaded endpoints.
+func TestChooseAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := drawTable(t)
+		q := Query{
+			Version: rapid.SampledFrom([]string{"m@0", "m@1", "m@2"}).Draw(t, "version"),
+			Zone:    rapid.SampledFrom([]string{"zone-0", "zone-3", "elsewhere"}).Draw(t, "zone"),
+			Prefix:  rapid.Uint64Min(1).Draw(t, "prefix"),
+			Session: Handle(rapid.IntRange(0, 40).Draw(t, "session")),
+			Draws:   [2]float64{rapid.Float64Range(0, 0.999).Draw(t, "draw"), rapid.Float64Range(0, 0.999).Draw(t, "draw")},
+			Now:     epoch.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "now")) * time.Millisecond),
+		}
+		for i := range rapid.IntRange(0, 3).Draw(t, "excluded") {
+			q.Exclude[i] = Handle(rapid.IntRange(1, 40).Draw(t, "exclude"))
+		}
+		if rapid.Bool().Draw(t, "hint") {
+			tab.Step(epoch, CacheEvent{Endpoint: Handle(rapid.IntRange(1, 40).Draw(t, "cached")), Prefix: q.Prefix})
+		}
+		want, ok := naiveChoose(tab, q)
+		got, found := tab.View().Choose(q)
+		if ok != found {
+			t.Fatalf("found %v, naive %v", found, ok)
+		}
+		if ok && want != 0 && got.Endpoint != want {
+			t.Fatalf("chose %d, naive %d", got.Endpoint, want)
+		}
+	})
+}
+
+// drawTable returns a table of up to 40 engines after random loads, reports and failures.
+func drawTable(t *rapid.T) *Table {
+	tab := tableOf(fleetOf(rapid.IntRange(1, 40).Draw(t, "size"), rapid.IntRange(1, 3).Draw(t, "versions")))
+	for _, e := range tab.order {
+		e.count.outstanding.Store(int64(rapid.IntRange(0, 6).Draw(t, "own")))
+		switch rapid.IntRange(0, 6).Draw(t, "case") {
+		case 0:
+			tab.Step(epoch, Failed{Endpoint: e.handle, Kind: FailDied})
+		case 1:
+			tab.Step(epoch, Failed{Endpoint: e.handle, Kind: FailRefused})
+			tab.Step(epoch, Probed{Endpoint: e.handle, OK: true})
+		case 2:
+			tab.Step(epoch, Answered{Endpoint: e.handle, Report: Report{Time: epoch, Leaving: true}})
+		default:
+			tab.Step(epoch, Answered{Endpoint: e.handle, Report: Report{
+				Time: epoch, Load: rapid.IntRange(0, 12).Draw(t, "load"), Slots: rapid.IntRange(0, 8).Draw(t, "slots"),
+			}})
+		}
+	}
+	return tab
+}
+
+// TestChooseRules guards the rules one by one on a small fleet.
+func TestChooseRules(t *testing.T) {
+	engine := func(id, zone string, versions ...string) platform.Instance {
+		return platform.Instance{ID: id, Role: platform.RoleEngine, Zone: zone, Versions: versions}
+	}
+	list := []platform.Instance{
+		engine("a", "north", "m@1"), engine("b", "south", "m@1"), engine("c", "south", "m@2"),
+		{ID: "s", Role: platform.RoleService, Service: "booking", Zone: "south"},
+		{ID: "r", Role: platform.RoleRouter, Zone: "north"},
+	}
+	full := func(id string) func(*Table) {
+		return func(t *Table) {
+			t.Step(epoch, Answered{Endpoint: t.Handle(id), Report: Report{Time: epoch, Load: 32, Slots: 32}})
+		}
+	}
+	for name, c := range map[string]struct {
+		do    func(*Table)
+		query Query
+		want  string // identifier, "" for no choice
+	}{
+		"own zone":          {nil, Query{Version: "m@1", Zone: "south"}, "b"},
+		"other zone":        {nil, Query{Version: "m@2", Zone: "north"}, "c"},
+		"full zone":         {full("a"), Query{Version: "m@1", Zone: "north"}, "b"},
+		"full zone, prefix": {full("a"), Query{Version: "m@1", Zone: "north", Prefix: 5}, "b"},
+		"unknown version":   {nil, Query{Version: "m@3", Zone: "north"}, ""},
+		"service":           {nil, Query{Service: "booking", Zone: "north"}, "s"},
+		"routers never":     {nil, Query{Service: "", Zone: "north"}, ""},
+		"all full": {
+			func(t *Table) { full("a")(t); full("b")(t) }, Query{Version: "m@1", Zone: "south", Prefix: 9}, "b",
+		},
+		"excluded": {nil, Query{Version: "m@1", Zone: "south", Exclude: [maxExclude]Handle{2}}, "a"},
+		"own report outranks the list": {func(t *Table) {
+			t.Step(epoch, Answered{Endpoint: t.Handle("c"), Report: Report{Time: epoch, Versions: []string{"m@3"}}})
+			t.Step(epoch.Add(time.Second), Listed{list})
+		}, Query{Version: "m@2", Zone: "south"}, ""},
+		"wrong version in an answer": {func(t *Table) {
+			t.Step(epoch, Failed{Endpoint: t.Handle("c"), Kind: FailVersion, Version: "m@2"})
+			t.Step(epoch, Answered{Endpoint: t.Handle("c"), Report: Report{Time: epoch, Versions: []string{"m@2"}}})
+		}, Query{Version: "m@2", Zone: "south"}, ""},
+		"role change": {func(t *Table) {
+			l := slices.Clone(list)
+			l[2] = platform.Instance{ID: "c", Role: platform.RoleService, Service: "stock", Zone: "south"}
+			t.Step(epoch, Listed{l})
+		}, Query{Version: "m@2", Zone: "south"}, ""},
+		"empty list": {func(t *Table) { t.Step(epoch.Add(time.Hour), Listed{}) }, Query{Version: "m@2"}, "c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tab := tableOf(list)
+			if c.do != nil {
+				c.do(tab)
+			}
+			c.query.Now = epoch
+			got, _ := tab.View().Choose(c.query)
+			if got.ID != c.want {
+				t.Errorf("chose %q, want %q", got.ID, c.want)
+			}
+		})
+	}
+}
