--- /dev/null
+++ b/internal/ledger/claimer_test.go
@@ -0,0 +1,127 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/goleak"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fixture runs a test in virtual time; goroutines that outlive their context make it fail.
+func fixture(t *testing.T, f func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() }))) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		log := standin.NewLog(time.Now)
+		var parts []interface{ Wait() }
+		f(ctx, Options{Log: log, Instance: "i1"}, log, func(p interface{ Wait() }) { parts = append(parts, p) })
+		cancel()
+		for _, p := range parts {
+			p.Wait()
+		}
+	})
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	u, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := u
+	ms := time.Now().UnixMilli() // the library's clock is not the test's virtual one
+	for i := range 6 {
+		b[i] = byte(ms >> (40 - 8*i))
+	}
+	return b.String()
+}
+
+func kind(err error) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// Guards against a second instance running a key, and against a duplicate that doesn't get the first outcome.
+func TestClaimerDuplicate(t *testing.T) {
+	fixture(t, func(ctx context.Context, o Options, _ *standin.Log, wait func(interface{ Wait() })) {
+		a := NewClaimer(ctx, o, ClaimSettings{})
+		b := NewClaimer(ctx, o, ClaimSettings{})
+		wait(a)
+		wait(b)
+		k := Key{Organisation: "lys", Key: newKey(t), Deadline: time.Now().Add(time.Minute)}
+		first, err := a.Claim(ctx, k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := first.Send(); err != nil {
+			t.Fatal(err)
+		}
+		if err := first.Send(); kind(err) != ErrState {
+			t.Errorf("second send: %v", err)
+		}
+		if _, err := b.Claim(ctx, k); kind(err) != ErrInProgress {
+			t.Errorf("duplicate: %v", err)
+		}
+		first.Finish(record.Outcome{Status: 201, Body: []byte("ok"), Kept: true})
+		if err := a.Flush(ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		second, err := b.Claim(ctx, k)
+		if err != nil || second.Outcome() == nil || second.Outcome().Status != 201 {
+			t.Fatalf("second ticket %+v, %v", second, err)
+		}
+		if second.Send() == nil {
+			t.Error("a ticket with an outcome may not send")
+		}
+	})
+}
+
+// Guards against a "not run" that is followed by a run, and against a key that stays blocked after a void.
+func TestClaimerOutage(t *testing.T) {
+	fixture(t, func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() })) {
+		a := NewClaimer(ctx, o, ClaimSettings{})
+		wait(a)
+		k := Key{Organisation: "lys", Key: newKey(t), Deadline: time.Now().Add(time.Minute)}
+		log.Set(standin.Faults{Down: true})
+		_, err := a.Claim(ctx, k)
+		var e *Error
+		if !errors.As(err, &e) || e.Kind != ErrLogUnavailable || !e.NotRun() {
+			t.Fatalf("claim in an outage: %v", err)
+		}
+		log.Set(standin.Faults{LoseReplies: 3})
+		if err := a.Flush(ctx); err != nil {
+			t.Fatal(err)
+		}
+		again, err := a.Claim(ctx, k)
+		if err != nil || again.Send() != nil {
+			t.Fatalf("claim after the outage: %v", err)
+		}
+	})
+}
+
+// Guards against running a key after its window, at an instance that starts late.
+func TestClaimerExpired(t *testing.T) {
+	fixture(t, func(ctx context.Context, o Options, _ *standin.Log, wait func(interface{ Wait() })) {
+		k := Key{Organisation: "lys", Key: newKey(t)}
+		time.Sleep(16 * time.Minute)
+		k.Deadline = time.Now().Add(time.Minute)
+		a := NewClaimer(ctx, o, ClaimSettings{})
+		wait(a)
+		if _, err := a.Claim(ctx, k); kind(err) != ErrOutcomeExpired {
+			t.Errorf("claim of an old key: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger drives claims, bills and grants over the platform's log.
+package ledger
--- /dev/null
+++ b/internal/ledger/options.go
@@ -0,0 +1,46 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+)
+
+// Recorder takes events of the timeline; fields are names and values in turn.
+type Recorder interface {
+	Event(name string, fields ...string)
+}
+
+// Options holds what all parts of the ledger share; Log and Instance are needed.
+type Options struct {
+	Log      platform.Log
+	Instance string
+	Now      func() time.Time
+	Logger   *zap.Logger
+	Scope    tally.Scope
+	Recorder Recorder
+}
+
+type noRecorder struct{}
+
+func (noRecorder) Event(string, ...string) {}
+
+func (o Options) filled() Options {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	if o.Recorder == nil {
+		o.Recorder = noRecorder{}
+	}
+	o.Scope = o.Scope.SubScope("ledger")
+	return o
+}
