Reload certificates without a restart and check operators' keys

Certificates are replaced while requests run. Calls to peers verify the peer's address and chain against the authorities of the moment.

--- /dev/null
+++ b/internal/certificate/source_test.go
@@ -0,0 +1,168 @@
+package certificate_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/certificate"
+	"github.com/cassiaspoke/cassiaspoke/internal/settings"
+)
+
+// authority issues certificates into a directory.
+type authority struct {
+	t    *testing.T
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key, a.cert = a.issue("ca", 1, nil)
+	return a
+}
+
+// issue writes NAME.crt and NAME.key for 127.0.0.1, with a modification time that grows with the serial number.
+func (a *authority) issue(name string, serial int64, parent *x509.Certificate) (*ecdsa.PrivateKey, *x509.Certificate) {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	check(a.t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), IsCA: parent == nil, BasicConstraintsValid: true,
+		NotBefore: time.Unix(0, 0), NotAfter: time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	signer := a.key
+	if parent == nil {
+		parent, signer = c, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, c, parent, &key.PublicKey, signer)
+	check(a.t, err)
+	secret, err := x509.MarshalECPrivateKey(key)
+	check(a.t, err)
+	a.write(name+".crt", "CERTIFICATE", der, serial)
+	a.write(name+".key", "EC PRIVATE KEY", secret, serial)
+	c, err = x509.ParseCertificate(der)
+	check(a.t, err)
+	return key, c
+}
+
+func (a *authority) write(name, kind string, b []byte, serial int64) {
+	a.t.Helper()
+	f := filepath.Join(a.dir, name)
+	check(a.t, os.WriteFile(f, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600))
+	check(a.t, os.Chtimes(f, time.Unix(serial, 0), time.Unix(serial, 0)))
+}
+
+func (a *authority) files(name string) settings.TLS {
+	p := func(f string) settings.Path { return settings.Path(filepath.Join(a.dir, f)) }
+	return settings.TLS{Certificate: p(name + ".crt"), Key: p(name + ".key"), ClientCA: p("ca.crt")}
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// handshake connects a client to a server and returns the serial number of the server's certificate.
+func handshake(t *testing.T, server, client *tls.Config) (int64, error) {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	check(t, err)
+	defer l.Close()
+	done := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			done <- err
+			return
+		}
+		done <- c.(*tls.Conn).Handshake()
+		c.Close()
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), client)
+	served := <-done
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), served
+}
+
+// Guards against a new certificate that needs a restart, and against a half-written one that stops service.
+func TestReload(t *testing.T) {
+	a := newAuthority(t)
+	now := time.Unix(100, 0)
+	clock := func() time.Time { return now }
+	a.issue("peer", 2, a.cert)
+	var reports []error
+	s, err := certificate.New(a.files("peer"), clock, func(err error) { reports = append(reports, err) })
+	check(t, err)
+	steps := []struct {
+		name    string
+		change  func()
+		advance time.Duration
+		serial  int64
+		reports int
+	}{
+		{"unchanged", func() {}, time.Hour, 2, 0},
+		{"changed, not yet checked", func() { a.issue("peer", 3, a.cert) }, time.Second, 2, 0},
+		{"checked", func() {}, certificate.CheckInterval, 3, 0},
+		{"half-written", func() { a.write("peer.key", "EC PRIVATE KEY", []byte("x"), 4) }, certificate.CheckInterval, 3, 1},
+		{"written whole", func() { a.issue("peer", 5, a.cert) }, certificate.CheckInterval, 5, 1},
+		{"removed", func() { check(t, os.Remove(filepath.Join(a.dir, "peer.key"))) }, certificate.CheckInterval, 5, 2},
+	}
+	for _, step := range steps {
+		step.change()
+		now = now.Add(step.advance)
+		n, err := handshake(t, s.Server(), s.Client("127.0.0.1"))
+		if err != nil || n != step.serial || len(reports) != step.reports {
+			t.Errorf("%s: serial number %d, error %v, reports %v", step.name, n, err, reports)
+		}
+	}
+}
+
+// Guards against a peer that is accepted without a certificate of the fleet's authority.
+func TestMutualVerification(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	ours.issue("peer", 2, ours.cert)
+	theirs.issue("peer", 3, theirs.cert)
+	load := func(f settings.TLS) *certificate.Source {
+		s, err := certificate.New(f, func() time.Time { return time.Unix(100, 0) }, func(err error) { t.Error(err) })
+		check(t, err)
+		return s
+	}
+	s, foreign := load(ours.files("peer")), load(theirs.files("peer"))
+	mixed := ours.files("peer")
+	mixed.Certificate, mixed.Key = theirs.files("peer").Certificate, theirs.files("peer").Key
+	tests := map[string]struct {
+		server, client *tls.Config
+		ok             bool
+	}{
+		"same authority":     {s.Server(), s.Client("127.0.0.1"), true},
+		"foreign server":     {foreign.Server(), s.Client("127.0.0.1"), false},
+		"foreign client":     {s.Server(), load(mixed).Client("127.0.0.1"), false},
+		"client without":     {s.Server(), &tls.Config{InsecureSkipVerify: true}, false},
+		"other peer's place": {s.Server(), s.Client("127.0.0.2"), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := handshake(t, test.server, test.client); (err == nil) != test.ok {
+				t.Errorf("got error %v", err)
+			}
+		})
+	}
+}
