--- a/internal/instance/admission.go
+++ b/internal/instance/admission.go
@@ -23,9 +23,13 @@
 	v := c.endpoints.Load()
 	c.admitting.Lock()
 	defer c.admitting.Unlock()
-	for _, p := range v.Pools() {
-		slots, load := v.Capacity(p, now)
-		c.admission.Update(now, p, slots, load)
+	for n := range c.catalog.Load().Versions {
+		slots, load := v.Capacity(n, "", now)
+		c.admission.Update(now, n, slots, load)
+	}
+	for _, n := range c.services {
+		slots, load := v.Capacity("", n, now)
+		c.admission.Update(now, n, slots, load)
 	}
 }
 
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +46,8 @@
 	estimates  atomic.Pointer[cascade.View]
 	candidates atomic.Pointer[map[string][]cascade.Candidate]
 	listed     atomic.Pointer[[]platform.Instance]
+	catalog    atomic.Pointer[profile.Catalog]
+	services   []string
 	rater      raterState
 
 	admitting sync.Mutex
@@ -62,11 +66,13 @@
 	c := &control{
 		table: endpoint.NewTable(s), beliefs: cascade.New(o.Cascade), engines: engines, list: o.List, every: o.ListEvery,
 		events: o.Events, logger: o.Logger, scope: o.Scope.SubScope("endpoints"),
-		queue: make(chan any, controlQueue), ctx: ctx, admission: endpoint.NewAdmission(o.Admission),
+		services: slices.Sorted(maps.Keys(o.Gateway.Services)),
+		queue:    make(chan any, controlQueue), ctx: ctx, admission: endpoint.NewAdmission(o.Admission),
 	}
 	c.endpoints.Store(c.table.View())
 	c.estimates.Store(c.beliefs.View(time.Now()))
 	c.candidates.Store(&map[string][]cascade.Candidate{})
+	c.catalog.Store(profile.New())
 	c.listed.Store(&[]platform.Instance{})
 	return c
 }
@@ -163,6 +169,7 @@
 		m[n] = cascade.Candidates(k, n)
 	}
 	c.candidates.Store(&m)
+	c.catalog.Store(k)
 }
 
 // View returns the endpoints.
@@ -180,7 +187,9 @@
 func (c *control) Beliefs() *cascade.View { return c.estimates.Load() }
 
 // Candidates returns the versions that a profile allows now.
-func (c *control) Candidates(profile string) []cascade.Candidate { return (*c.candidates.Load())[profile] }
+func (c *control) Candidates(profile string) []cascade.Candidate {
+	return (*c.candidates.Load())[profile]
+}
 
 // Observe learns from an outcome.
 func (c *control) Observe(o cascade.Outcome) { c.post(o) }
--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -55,4 +55,3 @@
 	}
 	return ch, nil
 }
-
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,7 +26,6 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/peer"
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
-	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
 // expireEvery is the time between two removals of suspects that no longer count.
@@ -278,4 +277,3 @@
 	}
 	return encodeSnapshot(ch)
 }
-
--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/claim"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/entitlement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
 	"github.com/cassiaspoke/cassiaspoke/internal/gateway"
@@ -17,9 +20,6 @@
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
-// maxBills bounds the bills of one reply to an operator.
-const maxBills = 10_000
-
 // Ledger holds the settings of claims, bills and grants.
 type Ledger struct {
 	Claims  ledger.ClaimSettings
@@ -144,7 +144,14 @@
 }
 
 // Finish records the outcome of a sent order.
-func (t ticket) Finish(r order.Reply) { t.t.Finish(ledger.NewOutcome(r.Status, r.ContentType, r.Body)) }
+func (t ticket) Finish(r order.Reply) {
+	h := sha256.Sum256(r.Body)
+	o := record.Outcome{Status: r.Status, Type: r.ContentType, Digest: hex.EncodeToString(h[:])}
+	if len(r.Body) <= claim.MaxBody {
+		o.Body, o.Kept = r.Body, true
+	}
+	t.t.Finish(o)
+}
 
 // Lose records that the outcome of a sent order is unknown.
 func (t ticket) Lose() { t.t.Lose() }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -12,6 +12,9 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
 )
 
+// serviceSlots is the number of calls that a service says it runs at once.
+const serviceSlots = 64
+
 // maxOrder bounds the size of an order, in bytes.
 const maxOrder = 1 << 20
 
@@ -56,7 +59,7 @@
 // ServeHTTP looks up or places an order.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/v1/load" {
-		reply(w, engine.Load{ID: s.name, Slots: 1}, nil)
+		reply(w, engine.Load{ID: s.name, Slots: serviceSlots}, nil)
 		return
 	}
 	if !s.before(r.Context()) {
--- /dev/null
+++ b/internal/trial/publish.go
@@ -0,0 +1,111 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
+	"github.com/cassiaspoke/cassiaspoke/pkg/client"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// prices of the sample versions.
+var prices = map[string]record.Price{
+	"small@1": {Input: 100, Output: 400},
+	"small@2": {Input: 90, Output: 360},
+	"large@1": {Input: 1000, Output: 4000},
+}
+
+// shares are the true pass shares of the sample versions.
+var shares = map[string]float64{"small@1": 0.8, "small@2": 0.85, "large@1": 0.99}
+
+// organisations are the sample organisations by name; the API key of each is "key-" and its name.
+var organisations = map[string]record.Organisation{
+	"lysror-1":   {Profiles: []string{"lysror-reports", "lysror-depot"}, Services: []string{"booking"}, Share: 4},
+	"lysror-2":   {Profiles: []string{"lysror-reports", "lysror-depot"}, Services: []string{"booking"}, Share: 1},
+	"kallisto-1": {Profiles: []string{"kallisto-proofs"}, Services: []string{"print"}, Share: 2},
+	"kallisto-2": {Profiles: []string{"kallisto-proofs"}, Services: []string{"print"}, Share: 1},
+	"kallisto-unpaid": {
+		Profiles: []string{"kallisto-proofs"}, Services: []string{"print"}, Share: 1,
+		Limits: []record.Limit{{Unit: record.UnitRequests, Amount: 5, Period: record.Duration(time.Hour)}},
+	},
+}
+
+// profiles are the sample profiles by name.
+var profiles = map[string]record.Profile{
+	"lysror-reports": {
+		Allow: []string{"small@*", "large@*"}, Safe: "large@*", Quality: record.Quality{MinScore: 0.7, Share: 0.95},
+		MaxCost: 60_000_000, Weights: record.Weights{Cost: 1}, Deadline: record.Duration(30 * time.Second), MaxTokens: 2000,
+	},
+	"lysror-depot": {
+		Allow: []string{"small@*", "large@*"}, Safe: "large@*", Quality: record.Quality{MinScore: 0.7, Share: 0.9},
+		MaxCost: 60_000_000, Weights: record.Weights{Cost: 1, Latency: 10}, Deadline: record.Duration(10 * time.Second), MaxTokens: 500,
+	},
+	"kallisto-proofs": {
+		Allow: []string{"small@*", "large@*"}, Safe: "large@*", Quality: record.Quality{MinScore: 0.7, Share: 0.95},
+		MaxCost: 60_000_000, Weights: record.Weights{Cost: 1, Latency: 5000}, Deadline: record.Duration(10 * time.Second), MaxTokens: 800,
+	},
+}
+
+// Publish publishes the sample versions, profiles and organisations of both deployments.
+func Publish(ctx context.Context, w *World) error {
+	for v, s := range shares {
+		w.Platform.Rater.SetShare(v, s)
+	}
+	o := w.Operator("instance-" + w.s.Zones[0])
+	for _, n := range []string{"small@1", "large@1"} {
+		if err := RollOut(ctx, o, n, nil); err != nil {
+			return err
+		}
+	}
+	for n, p := range profiles {
+		p.Name = n
+		if _, err := o.PublishProfile(ctx, client.ProfileChange{Profile: p}); err != nil {
+			return fmt.Errorf("publish profile %s: %w", n, err)
+		}
+	}
+	for n, g := range organisations {
+		g.Name, g.KeyHashes = n, []string{profile.HashKey("key-" + n)}
+		if _, err := o.PublishOrganisation(ctx, client.OrganisationChange{Organisation: g}); err != nil {
+			return fmt.Errorf("publish organisation %s: %w", n, err)
+		}
+	}
+	return w.inForce(ctx, o)
+}
+
+// RollOut adds a version and starts its roll-out; without stages it becomes active at once.
+func RollOut(ctx context.Context, o *client.Operator, name string, l []record.Stage) error {
+	r, err := o.ChangeVersion(ctx, name, client.ActionAdd, client.VersionChange{Version: &record.Version{Name: name, Price: prices[name], Prior: shares[name]}})
+	if err != nil {
+		return fmt.Errorf("add version %s: %w", name, err)
+	}
+	_, err = o.ChangeVersion(ctx, name, client.ActionRollOut, client.VersionChange{Base: r.Revision, RollOut: &record.RollOut{Stages: l}})
+	if err != nil {
+		return fmt.Errorf("roll out version %s: %w", name, err)
+	}
+	return nil
+}
+
+// inForce waits until every instance has what one instance has now.
+func (w *World) inForce(ctx context.Context, o *client.Operator) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	want, err := o.Status(ctx)
+	if err != nil {
+		return fmt.Errorf("status: %w", err)
+	}
+	for id := range w.Members {
+		for {
+			s, err := w.Operator(id).Status(ctx)
+			if err != nil {
+				return fmt.Errorf("status of %s: %w", id, err)
+			}
+			if s.Config.Next >= want.Config.Next {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
