--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -162,6 +162,8 @@
 		if string(data) == DataDone {
 			return s.ended(io.EOF)
 		}
+		// Decoding into used elements would keep the text of the chunk before.
+		clear(chunk.Choices)
 		chunk = Completion{Choices: chunk.Choices[:0]}
 		if err := json.Unmarshal(data, &chunk); err != nil {
 			return &Error{Op: "stream", Kind: ErrTruncated, Err: err}
--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,150 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const prompt = "Summarise the intake log tokens=20 today"
+
+func newClient(t *testing.T) *engine.Client {
+	t.Helper()
+	c := engine.NewClient(engine.Settings{Dial: time.Second, FirstToken: 5 * time.Second, Progress: 100 * time.Millisecond, MaxBody: 1 << 20})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// start runs an engine until the test ends.
+func start(t *testing.T, f standin.EngineFaults) netip.AddrPort {
+	t.Helper()
+	e := standin.NewEngine(standin.EngineOptions{ID: "e", Versions: []string{"m@1"}, Slots: 4, Prefixes: 4})
+	e.Set(f)
+	l, a := listen(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Serve(l)
+	}()
+	t.Cleanup(func() {
+		e.Close()
+		<-done
+	})
+	return a
+}
+
+// Guards whole-answer and the check of the version: a fault must never look like the end of an answer.
+func TestStreamFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults standin.EngineFaults
+		kind   engine.ErrorKind
+		tokens int
+	}{
+		"died":          {standin.EngineFaults{DieAfter: 7}, engine.ErrDied, 7},
+		"silent":        {standin.EngineFaults{SilentAfter: 7}, engine.ErrSilent, 7},
+		"truncated":     {standin.EngineFaults{Truncate: 7}, engine.ErrDied, 7},
+		"wrong version": {standin.EngineFaults{Model: "m@2"}, engine.ErrVersion, 0},
+		"error status":  {standin.EngineFaults{ErrorShare: 1}, engine.ErrStatus, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b strings.Builder
+			q := engine.ChatRequest{Model: "m@1", Messages: []engine.Message{{Role: "user", Content: prompt}}}
+			_, err := newClient(t).Stream(t.Context(), start(t, c.faults), "r", q, func(s string) error {
+				b.WriteString(s)
+				return nil
+			})
+			var e *engine.Error
+			if !errors.As(err, &e) || e.Kind != c.kind {
+				t.Errorf("got %v, want %s", err, c.kind)
+			}
+			if want := standin.AnswerText("m@1", prompt, c.tokens); b.String() != want {
+				t.Errorf("got %q, want %q", b.String(), want)
+			}
+		})
+	}
+}
+
+// Guards against a gap or a duplicate: an answer that is continued elsewhere is the same text as one in a piece.
+// A chunk without text once repeated the text of the chunk before.
+func TestStreamContinues(t *testing.T) {
+	a, c := start(t, standin.EngineFaults{}), newClient(t)
+	whole := standin.AnswerText("m@1", prompt, 20)
+	for have := range 20 {
+		q := engine.ChatRequest{Model: "m@1", Messages: []engine.Message{{Role: "user", Content: prompt}}}
+		text := standin.AnswerText("m@1", prompt, have)
+		if have > 0 {
+			q.Messages = append(q.Messages, engine.Message{Role: "assistant", Content: text})
+			q.ContinueFinal = true
+		}
+		r, err := c.Stream(t.Context(), a, "r", q, func(s string) error {
+			text += s
+			return nil
+		})
+		if err != nil || text != whole || r.Finish != engine.FinishStop {
+			t.Fatalf("after %d tokens: got %q, %v", have, text, err)
+		}
+	}
+}
+
+// Guards at-most-once: net/http repeats a request with an Idempotency-Key on another connection when a pooled one
+// fails, so an order must be sent on a connection of its own.
+func TestLineSendsOnce(t *testing.T) {
+	l, a := listen(t)
+	var seen atomic.Int64
+	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		seen.Add(1)
+		panic(http.ErrAbortHandler)
+	})}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	line, err := newClient(t).Connect(t.Context(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = line.Service(t.Context(), engine.ServiceCall{Method: http.MethodPost, Path: "/orders", Key: "k", Body: []byte("{}")}, time.Second)
+	var e *engine.Error
+	if !errors.As(err, &e) || e.Kind != engine.ErrDied {
+		t.Errorf("got %v, want %s", err, engine.ErrDied)
+	}
+	_ = s.Close()
+	<-done
+	if n := seen.Load(); n != 1 {
+		t.Errorf("the order was sent %d times", n)
+	}
+}
+
+// Guards not-run-is-true: only a failed connection may be reported as refused.
+func TestConnectRefused(t *testing.T) {
+	l, a := listen(t)
+	_ = l.Close()
+	_, err := newClient(t).Connect(context.Background(), a)
+	var e *engine.Error
+	if !errors.As(err, &e) || e.Kind != engine.ErrRefused {
+		t.Errorf("got %v, want %s", err, engine.ErrRefused)
+	}
+}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,8 +31,9 @@
 const OperatorKey = "trial-operator-key"
 
 const (
-	eventBuffer  = 1 << 16
-	readyTimeout = 20 * time.Second
+	eventBuffer     = 1 << 16
+	readyTimeout    = 20 * time.Second
+	balancerNotices = 100 * time.Millisecond // from not ready until the balancer sends no more
 )
 
 // Settings describe a world.
@@ -53,6 +56,7 @@
 	Services map[string][]*standin.Service
 	Members  map[string]*Member
 
+	mu      sync.Mutex // of Members
 	base    string
 	http    *http.Client
 	servers []func()
@@ -69,6 +73,7 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 	err      error
+	leaving  bool // the balancer has seen that it is not ready
 	events   *timeline.Writer
 }
 
@@ -208,7 +213,9 @@
 			m.err = errors.Join(m.err, m.events.Close())
 		}
 	}()
+	w.mu.Lock()
 	w.Members[id] = m
+	w.mu.Unlock()
 	w.Platform.List.Put(platform.Instance{ID: id, Role: platform.RoleRouter, Zone: zone, Address: o.Peers})
 	return m, nil
 }
@@ -285,29 +292,39 @@
 	return client.NewCaller(w.Members[id].Callers, key, w.http, client.Retries{})
 }
 
-// Stop stops an instance as planned and returns its error.
+// Stop stops an instance as planned and returns its error. The balancer notices readiness within its wait.
 func (w *World) Stop(id string) error {
 	m := w.Members[id]
 	m.stop()
+	time.Sleep(balancerNotices)
+	w.mu.Lock()
+	m.leaving = true
+	w.mu.Unlock()
 	<-m.done
+	w.remove(id)
 	w.Platform.List.Remove(id)
-	delete(w.Members, id)
 	return m.err
 }
 
 // Crash ends an instance at once; it stays on the lagging list.
 func (w *World) Crash(id string) {
 	m := w.Members[id]
+	w.remove(id)
 	m.instance.Crash()
 	<-m.done
 	m.stop()
+}
+
+func (w *World) remove(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	delete(w.Members, id)
 }
 
 // Close stops everything.
 func (w *World) Close() error {
 	var l []error
-	for id := range w.Members {
+	for _, id := range slices.Sorted(maps.Keys(w.Members)) {
 		l = append(l, w.Stop(id))
 	}
 	for _, f := range w.servers {
