--- a/internal/core/cascade/plan.go
+++ b/internal/core/cascade/plan.go
@@ -30,7 +30,9 @@
 	r       *Request
 	options [maxCandidates]option
 	count   int
-	canary  int // option that this request must try, or -1
+	subject int  // option that this request must try first for a roll-out, or -1
+	canary  int  // the same if it is the version under roll-out, or -1
+	rated   bool // the subject ends the plan and is rated after delivery
 	lift    bool
 	best    chain
 }
@@ -48,7 +50,7 @@
 
 // Plan returns the plan with the least expected objective; draw is a random number in [0, 1).
 func (v *View) Plan(r *Request, draw float64) Plan {
-	p := planner{v: v, r: r, canary: -1}
+	p := planner{v: v, r: r, canary: -1, subject: -1}
 	p.best.objective = math.Inf(1)
 	if len(r.Candidates) == 0 {
 		return Plan{Problem: ProblemNoCandidate}
@@ -67,8 +69,8 @@
 	if p.best.length == 0 {
 		return Plan{Problem: ProblemMaxCost}
 	}
-	trial := p.tryCanary()
-	if p.canary < 0 {
+	trial := p.compare()
+	if p.subject < 0 {
 		trial = p.explore(draw)
 	}
 	return p.plan(p.best, draw, trial)
@@ -78,33 +80,50 @@
 func (p *planner) weigh(draw float64) {
 	r := p.r
 	known := p.v.classes[r.Class]
+	control := ""
 	for i := range r.Candidates {
 		c := &r.Candidates[i]
 		if c.Canary && c.Version != r.Pinned {
-			if p.canary >= 0 || part(draw, drawCanary+i) >= c.Share {
+			u := part(draw, drawCanary+i)
+			if p.canary < 0 && u >= c.Share && u < c.Share+min(c.Share, p.v.settings.ControlShare) {
+				control = c.Model
+			}
+			if p.canary >= 0 || u >= c.Share {
 				continue
 			}
 		}
 		if p.count == maxCandidates {
-			return
-		}
-		o := &p.options[p.count]
-		o.at = i
-		ok := false
-		if known != nil {
-			o.estimate, ok = known.versions[c.Version]
+			break
 		}
-		p.fill(o, c, known, ok)
+		p.options[p.count].at = i
+		p.fill(&p.options[p.count], c, known)
 		if c.Canary {
-			p.canary = p.count
+			p.canary, p.subject = p.count, p.count
 		}
 		p.count++
 	}
+	if control != "" && p.canary < 0 {
+		p.subject = p.newest(control)
+	}
+}
+
+// newest returns the first option of a model, which is its newest active version, or -1.
+func (p *planner) newest(model string) int {
+	for i := range p.options[:p.count] {
+		if c := &p.r.Candidates[p.options[i].at]; c.Model == model && !c.Canary {
+			return i
+		}
+	}
+	return -1
 }
 
 // fill adds what follows from the request and, where nothing was observed, from the price and the prior.
-func (p *planner) fill(o *option, c *Candidate, known *estimates, ok bool) {
+func (p *planner) fill(o *option, c *Candidate, known *estimates) {
 	r, s := p.r, &p.v.settings
+	ok := false
+	if known != nil {
+		o.estimate, ok = known.versions[c.Version]
+	}
 	if !ok {
 		var b belief
 		b.prior = c.Prior
@@ -270,10 +289,10 @@
 	}
 }
 
-// sample decides whether an unrated end is rated after delivery: a canary always, a suspect more often.
+// sample decides whether an unrated end is rated after delivery: always in a roll-out, more often for a suspect.
 func (p *planner) sample(o *option, draw float64) bool {
 	s := &p.v.settings
-	if p.r.Candidates[o.at].Canary {
+	if p.rated || p.r.Candidates[o.at].Canary {
 		return true
 	}
 	return part(draw, drawSample) < s.SampleShare+(s.SuspectShare-s.SampleShare)*o.suspicion
--- a/internal/core/cascade/plan_test.go
+++ b/internal/core/cascade/plan_test.go
@@ -245,3 +245,21 @@
 		})
 	}
 }
+
+// Guards a fair comparison: the current version sees as many of the same requests as its canary, and is rated.
+func TestPlanControl(t *testing.T) {
+	v := learned(20, map[string]float64{"new@1": 0.7, "cheap@1": 0.7, "mid@1": 0.99, "best@1": 0.99})
+	r := request("mid@1", "cheap@1", "best@1", "new@1")
+	r.Candidates[3].Canary, r.Candidates[3].Share, r.Candidates[3].Model = true, 0.05, "best@1"
+	seen, total := map[string]int{}, 20000
+	for i := range total {
+		if p := v.Plan(r, float64(i)/float64(total)); p.Steps[0].Rate || p.Steps[0].Sample {
+			seen[p.Steps[0].Version]++
+		}
+	}
+	for _, version := range []string{"new@1", "best@1"} {
+		if got := float64(seen[version]) / float64(total); math.Abs(got-0.05) > 0.005 {
+			t.Errorf("%s ran first and was rated in %v of the requests, want 0.05", version, got)
+		}
+	}
+}
--- a/internal/core/cascade/settings.go
+++ b/internal/core/cascade/settings.go
@@ -18,6 +18,7 @@
 	TrialShare   float64       // share of requests that try another version first
 	SampleShare  float64       // share of unrated answers that are rated after delivery
 	SuspectShare float64       // the same share, right before the alarm
+	ControlShare float64       // share of requests at most that run the current version for comparison with a canary
 	MaxErrors    float64       // share of failed calls above which a version is not trusted
 	RatingTime   time.Duration // expected time of a rating before one is seen
 	MaxClasses   int           // classes remembered at most
@@ -37,6 +38,7 @@
 		Alarm:        8,
 		TrialShare:   0.02,
 		SampleShare:  0.05,
+		ControlShare: 0.1,
 		SuspectShare: 0.5,
 		MaxErrors:    0.2,
 		RatingTime:   200 * time.Millisecond,
@@ -50,7 +52,7 @@
 	switch {
 	case s.HalfLife < 0 || s.LoadHalfLife < 0 || s.Stale < 0 || s.RatingTime < 0:
 		return &Error{"check settings", ErrInvalid, fmt.Errorf("durations must not be negative")}
-	case !share(s.TrialShare) || !share(s.SampleShare) || !share(s.SuspectShare) || !share(s.MaxErrors):
+	case !share(s.TrialShare) || !share(s.SampleShare) || !share(s.SuspectShare) || !share(s.ControlShare) || !share(s.MaxErrors):
 		return &Error{"check settings", ErrInvalid, fmt.Errorf("shares must be in [0, 1]")}
 	case s.PriorWeight < 0 || s.Confidence < 0 || s.MinSamples < 0 || s.MaxWeight < s.MinSamples || s.Alarm < 0 || s.MaxClasses < 0:
 		return &Error{"check settings", ErrInvalid, fmt.Errorf("weights must not be negative, max-weight not below min-samples")}
@@ -80,6 +82,7 @@
 		{&s.Alarm, &d.Alarm},
 		{&s.TrialShare, &d.TrialShare},
 		{&s.SampleShare, &d.SampleShare},
+		{&s.ControlShare, &d.ControlShare},
 		{&s.SuspectShare, &d.SuspectShare},
 		{&s.MaxErrors, &d.MaxErrors},
 	} {
--- a/internal/core/cascade/trial.go
+++ b/internal/core/cascade/trial.go
@@ -19,19 +19,20 @@
 	return float64(x>>11) / (1 << 53)
 }
 
-// tryCanary puts the canary that this request drew in front of the plan, rated, unless it ends the plan already.
-func (p *planner) tryCanary() bool {
-	if p.canary < 0 {
+// compare puts the version under roll-out, or in as many requests the one that it replaces, in front of the plan.
+// Both see the same mix of requests this way, so that their ratings can be compared.
+func (p *planner) compare() bool {
+	if p.subject < 0 {
 		return false
 	}
-	if o := &p.options[p.canary]; o.end {
-		c := chain{at: [maxSteps]int8{int8(p.canary)}, length: 1}
+	if p.options[p.subject].end {
+		c := chain{at: [maxSteps]int8{int8(p.subject)}, length: 1}
 		if p.value(&c) {
-			p.best = c
+			p.best, p.rated = c, true
 			return true
 		}
 	}
-	return p.prepend(p.canary)
+	return p.prepend(p.subject)
 }
 
 // explore puts a version that may turn out better in front of the plan, rated, in a small share of the requests.
@@ -78,9 +79,9 @@
 	model := p.r.Candidates[p.options[i].at].Model
 	c := chain{at: [maxSteps]int8{int8(i)}, length: 1}
 	for n, at := range p.best.at[:p.best.length] {
-		same := int(at) == i || (i == p.canary && p.r.Candidates[p.options[at].at].Model == model)
+		same := int(at) == i || (i == p.subject && p.r.Candidates[p.options[at].at].Model == model)
 		if n < p.best.length-1 && same {
-			continue // a second version of the canary's model would add cost but little quality
+			continue // a second version of the same model would add cost but little quality
 		}
 		c.at[c.length] = at
 		c.length++
--- /dev/null
+++ b/internal/core/rollout/trial.go
@@ -0,0 +1,243 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Verdict is what a trial says about a new version.
+type Verdict string
+
+// Verdicts of a trial.
+const (
+	Continue Verdict = "continue" // not enough is known
+	Stop     Verdict = "stop"     // the version is worse than the current one
+	Pass     Verdict = "pass"     // the stage has samples enough and no sign of harm
+)
+
+// Metric names what a trial compares.
+type Metric string
+
+// Metrics of a trial, in the order of State.Evidence.
+const (
+	MetricRatings Metric = "ratings"
+	MetricErrors  Metric = "errors"
+	MetricLatency Metric = "latency"
+)
+
+var metrics = [3]Metric{MetricRatings, MetricErrors, MetricLatency}
+
+const (
+	maxStrata = 256 // classes that a trial compares within
+	maxPeers  = 1024
+	maxWait   = 64 // samples of either version that wait for one of the other
+	// slowRank of slowSize latencies of the current version is the limit above which a call counts as slow.
+	slowRank = 40
+	slowSize = 50
+)
+
+// Sample is one outcome of the new or the current version; a rating may come as a sample of its own.
+type Sample struct {
+	Canary  bool // of the new version
+	Class   string
+	Later   bool // an earlier step of the plan fell short, so the request is a hard one
+	Rated   bool // Short holds a rating
+	Short   bool // the answer scored less than the profile owes
+	Done    bool // Latency holds the time of a complete answer
+	Latency time.Duration
+	Failed  bool // the version gave no answer
+}
+
+// State is the sum of a trial's samples on one instance; it is small enough for gossip.
+type State struct {
+	Evidence [3]Evidence `json:"evidence"`
+	Stage    int         `json:"stage"`
+	Ratings  int         `json:"ratings"` // compared in this stage
+	Calls    int         `json:"calls"`   // compared in this stage
+}
+
+// Trial is a sequential test of a new version against the current one.
+// It may be looked at after each sample: the probability of a false stop holds for all looks together.
+type Trial struct {
+	settings Settings
+	own      State
+	peers    map[string]State
+	strata   map[stratum]*arms
+	unrated  float64
+	at       time.Time
+	stopped  Metric
+}
+
+type stratum struct {
+	class string
+	later bool
+}
+
+// arms holds the samples of a stratum that wait for a comparison, for each metric.
+type arms struct {
+	waiting [3]queue
+	times   []time.Duration // first latencies of the current version
+	slow    time.Duration   // limit above which a call is slow; 0 while unknown
+}
+
+// queue holds outcomes of one version only, in order: as soon as both are there, they are compared.
+type queue struct {
+	canary bool
+	length int
+	bad    uint64 // bit n stands for outcome n
+}
+
+// NewTrial returns a trial without samples.
+func NewTrial(s Settings) *Trial {
+	return &Trial{settings: s.filled(), peers: map[string]State{}, strata: map[stratum]*arms{}}
+}
+
+// Observe counts a sample and returns the verdict of the current stage.
+func (t *Trial) Observe(now time.Time, minSamples int, o Sample) Verdict {
+	t.expose(now, o)
+	k := stratum{o.Class, o.Later}
+	a := t.strata[k]
+	if a == nil {
+		if len(t.strata) >= maxStrata {
+			return t.Verdict(minSamples)
+		}
+		a = &arms{}
+		t.strata[k] = a
+	}
+	if o.Rated {
+		t.own.Ratings += t.compare(&a.waiting[0], 0, o.Canary, o.Short)
+	}
+	if o.Done || o.Failed {
+		t.own.Calls += t.compare(&a.waiting[1], 1, o.Canary, o.Failed)
+	}
+	if o.Done {
+		if a.slow > 0 {
+			t.compare(&a.waiting[2], 2, o.Canary, o.Latency > a.slow)
+		} else if !o.Canary {
+			a.learn(o.Latency)
+		}
+	}
+	return t.Verdict(minSamples)
+}
+
+// learn sets the limit of slow calls once enough latencies of the current version are known.
+func (a *arms) learn(d time.Duration) {
+	a.times = append(a.times, d)
+	if len(a.times) == slowSize {
+		slices.SortFunc(a.times, cmp.Compare[time.Duration])
+		a.slow, a.times = max(1, a.times[slowRank-1]), nil
+	}
+}
+
+// compare adds an outcome to the queue or compares it with those that wait, and returns how many
+// samples of the new version were compared.
+func (t *Trial) compare(q *queue, metric int, canary, bad bool) int {
+	bit := uint64(0)
+	if bad {
+		bit = 1
+	}
+	if q.length == 0 || q.canary == canary {
+		limit := maxControls
+		if canary {
+			limit = maxWait
+		}
+		if q.canary = canary; q.length < limit {
+			q.bad |= bit << q.length
+			q.length++
+		}
+		return 0
+	}
+	e := &t.own.Evidence[metric]
+	if canary {
+		e.add(t.settings.Tolerance, bad, q.length, bits.OnesCount64(q.bad))
+		*q = queue{}
+		return 1
+	}
+	// The sample of the new version that waited longest is taken: a choice by outcome would bias the test.
+	e.add(t.settings.Tolerance, q.bad&1 == 1, 1, int(bit))
+	q.bad >>= 1
+	q.length--
+	return 1
+}
+
+// expose counts answers of the new version that wait for a rating.
+func (t *Trial) expose(now time.Time, o Sample) {
+	if now.After(t.at) {
+		t.unrated *= math.Exp2(-float64(now.Sub(t.at)) / float64(t.settings.Patience))
+		t.at = now
+	}
+	if o.Canary && o.Done {
+		t.unrated++
+	}
+	if o.Canary && o.Rated {
+		t.unrated = max(0, t.unrated-1)
+	}
+}
+
+// Verdict returns the verdict of the current stage, which needs minSamples compared ratings and calls.
+func (t *Trial) Verdict(minSamples int) Verdict {
+	sum := t.total()
+	worst := math.Inf(-1)
+	for i, e := range sum.Evidence {
+		r := e.ratio()
+		worst = max(worst, r)
+		// Each metric gets an equal part of the allowed false stops.
+		if t.stopped == "" && r >= math.Log(float64(len(metrics))/t.settings.FalseStops) {
+			t.stopped = metrics[i]
+		}
+	}
+	switch {
+	case t.stopped != "":
+		return Stop
+	case sum.Ratings >= minSamples && sum.Calls >= minSamples && worst < math.Log(t.settings.Caution):
+		return Pass
+	}
+	return Continue
+}
+
+// total adds the peers' states to the own one.
+func (t *Trial) total() State {
+	sum := t.own
+	for _, p := range t.peers {
+		for i, e := range p.Evidence {
+			sum.Evidence[i] = sum.Evidence[i].plus(e)
+		}
+		if p.Stage == sum.Stage {
+			sum.Ratings += p.Ratings
+			sum.Calls += p.Calls
+		}
+	}
+	return sum
+}
+
+// Stopped returns the metric that stopped the version, or "".
+func (t *Trial) Stopped() Metric { return t.stopped }
+
+// Open reports whether the new version may run further requests: too many answers that wait for
+// their rating close it, since the test could not see them.
+func (t *Trial) Open() bool { return t.stopped == "" && t.unrated < t.settings.MaxUnrated }
+
+// State returns the sum of the instance's own samples.
+func (t *Trial) State() State { return t.own }
+
+// Merge replaces what is known of a peer's samples; an older state of the peer changes nothing.
+func (t *Trial) Merge(peer string, s State) {
+	o, ok := t.peers[peer]
+	if !ok && len(t.peers) >= maxPeers {
+		return
+	}
+	if ok && (s.Stage < o.Stage || (s.Stage == o.Stage && s.Ratings+s.Calls < o.Ratings+o.Calls)) {
+		return
+	}
+	t.peers[peer] = s
+}
+
+// enter starts a stage: its samples are counted anew, while the evidence stays.
+func (t *Trial) enter(stage int) {
+	if t.own.Stage != stage {
+		t.own.Stage, t.own.Ratings, t.own.Calls = stage, 0, 0
+	}
+}
--- /dev/null
+++ b/internal/core/rollout/trial_test.go
@@ -0,0 +1,165 @@
+package rollout
+
+import (
+	"math"
+	"math/bits"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards the bound on false stops: by exact enumeration, the expected likelihood ratio of a comparison is at
+// most 1 for a version whose odds of a bad outcome are within the tolerance, so the product is a supermartingale.
+func TestEvidenceIsSupermartingale(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		controls := rapid.IntRange(1, 8).Draw(t, "controls")
+		current := rapid.Float64Range(0.001, 0.9).Draw(t, "current")
+		ratio := rapid.Float64Range(0.2, 1.5).Draw(t, "odds ratio")
+		canary := ratio * current / (1 - current + ratio*current)
+		var mean [len(odds)]float64
+		for set := range 1 << (controls + 1) {
+			n, bad := bits.OnesCount(uint(set>>1)), set&1 == 1
+			p := math.Pow(current, float64(n)) * math.Pow(1-current, float64(controls-n))
+			if bad {
+				p *= canary
+			} else {
+				p *= 1 - canary
+			}
+			var e Evidence
+			e.add(1.5, bad, controls, n)
+			for i := range mean {
+				mean[i] += p * math.Exp(e[i])
+			}
+		}
+		for i, m := range mean {
+			if m > 1+1e-9 {
+				t.Fatalf("expected likelihood ratio for odds %v is %v", odds[i], m)
+			}
+		}
+	})
+}
+
+// Guards the mixture against overflow and against a difference from the plain mean of products.
+func TestEvidenceRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var e Evidence
+		naive := [len(odds)]float64{1, 1, 1, 1}
+		for range rapid.IntRange(0, 20).Draw(t, "samples") {
+			bad, k := rapid.Bool().Draw(t, "bad"), rapid.IntRange(1, 8).Draw(t, "controls")
+			n := rapid.IntRange(0, k).Draw(t, "bad controls")
+			e.add(1.5, bad, k, n)
+			m := float64(n)
+			if bad {
+				m++
+			}
+			good := float64(k+1) - m
+			for i, o := range odds {
+				up, down := o*m/(o*m+good), 1.5*m/(1.5*m+good)
+				if !bad {
+					up, down = good/(o*m+good), good/(1.5*m+good)
+				}
+				if m > 0 && good > 0 {
+					naive[i] *= up / down
+				}
+			}
+		}
+		want := math.Log((naive[0] + naive[1] + naive[2] + naive[3]) / 4)
+		if got := e.ratio(); math.Abs(got-want) > 1e-6 {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+	if got := (Evidence{5000, 0, 0, 0}).ratio(); got < 4990 || math.IsInf(got, 0) {
+		t.Errorf("got %v for strong evidence", got)
+	}
+}
+
+// feed gives a trial n samples of each version; rated is the share of ratings that arrive.
+func feed(t *Trial, n int, canaryShort, canaryFailed, rated float64, slow time.Duration) Verdict {
+	r := rand.New(rand.NewPCG(1, 2))
+	for range n {
+		for _, canary := range []bool{false, true} {
+			short, failed, latency := 0.03, 0.002, time.Duration(r.ExpFloat64()*float64(time.Second))
+			if canary {
+				short, failed, latency = canaryShort, canaryFailed, latency+slow
+			}
+			o := Sample{Canary: canary, Class: "c", Latency: latency, Failed: r.Float64() < failed}
+			o.Done = !o.Failed
+			t.Observe(epoch, 100, o)
+			if r.Float64() < rated {
+				t.Observe(epoch, 100, Sample{Canary: canary, Class: "c", Rated: true, Short: r.Float64() < short})
+			}
+		}
+	}
+	return t.Verdict(100)
+}
+
+// Guards against bad versions that pass and against stages that pass without ratings.
+func TestTrialVerdict(t *testing.T) {
+	for name, c := range map[string]struct {
+		n                    int
+		short, failed, rated float64
+		slow                 time.Duration
+		want                 Verdict
+		metric               Metric
+	}{
+		"healthy":                {300, 0.03, 0.002, 1, 0, Pass, ""},
+		"too few samples":        {50, 0.03, 0.002, 1, 0, Continue, ""},
+		"half the ratings":       {400, 0.03, 0.002, 0.5, 0, Pass, ""},
+		"ratings away":           {300, 0.03, 0.002, 0, 0, Continue, ""},
+		"short answers":          {300, 0.4, 0.002, 1, 0, Stop, MetricRatings},
+		"errors, ratings away":   {300, 0.03, 0.4, 0, 0, Stop, MetricErrors},
+		"slow":                   {300, 0.03, 0.002, 1, 3 * time.Second, Stop, MetricLatency},
+		"short, many lost":       {900, 0.4, 0.002, 0.2, 0, Stop, MetricRatings},
+		"better than the other":  {300, 0, 0, 1, 0, Pass, ""},
+		"suspect is not passed":  {40, 0.3, 0.002, 1, 0, Continue, ""},
+		"errors are caught soon": {60, 0.03, 0.6, 1, 0, Stop, MetricErrors},
+	} {
+		tr := NewTrial(Settings{})
+		if got := feed(tr, c.n, c.short, c.failed, c.rated, c.slow); got != c.want || tr.Stopped() != c.metric {
+			t.Errorf("%s: got %s %q, want %s %q", name, got, tr.Stopped(), c.want, c.metric)
+		}
+	}
+}
+
+// Guards exposure: answers whose rating never comes close the version, and time opens it again.
+func TestTrialOpen(t *testing.T) {
+	tr := NewTrial(Settings{})
+	for range 250 {
+		tr.Observe(epoch, 10, Sample{Canary: true, Class: "c", Done: true})
+	}
+	if tr.Open() {
+		t.Error("open with 250 unrated answers")
+	}
+	tr.Observe(epoch.Add(5*time.Minute), 10, Sample{Class: "c"})
+	if !tr.Open() {
+		t.Error("still closed after ratings were given up")
+	}
+}
+
+// Guards pooling: peers' samples count once, whatever the order and number of deliveries.
+func TestTrialMerge(t *testing.T) {
+	whole, a, b := NewTrial(Settings{}), NewTrial(Settings{}), NewTrial(Settings{})
+	var states []State
+	for range 30 {
+		feed(a, 10, 0.2, 0.002, 1, 0)
+		states = append(states, a.State())
+	}
+	feed(b, 100, 0.2, 0.002, 1, 0)
+	whole.own = a.State()
+	whole.Merge("b", b.State())
+	rapid.Check(t, func(t *rapid.T) {
+		tr := NewTrial(Settings{})
+		tr.own = b.State()
+		for _, i := range rapid.Permutation(states).Draw(t, "order") {
+			tr.Merge("a", i)
+			tr.Merge("a", states[0])
+		}
+		if got, want := tr.total(), whole.total(); got != want {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	})
+}
