Let peers know which content runs alone, and drop their leases by name

After one death two instances could each run a copy of the same content alone and lose two more endpoints. Leases carry the content, and a peer's report replaces its earlier leases.

--- a/internal/core/suspect/bound_test.go
+++ b/internal/core/suspect/bound_test.go
@@ -46,8 +46,8 @@
 
 func newFleet(instances, endpoints int) *fleet {
 	f := &fleet{running: make([][]*job, endpoints), now: epoch}
-	for range instances {
-		f.registers = append(f.registers, New(DefaultSettings()))
+	for i := range instances {
+		f.registers = append(f.registers, New(DefaultSettings(fmt.Sprintf("instance-%d", i))))
 	}
 	return f
 }
@@ -119,6 +119,15 @@
 	f.gossip()
 }
 
+func (f *fleet) pending(c Content) (n int) {
+	for _, j := range f.jobs {
+		if j.content == c && !j.done && !j.refused {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *fleet) gossip() {
 	for _, from := range f.registers {
 		for _, to := range f.registers {
@@ -142,8 +151,9 @@
 				f.submit(next, at(len(f.registers), "instance"))
 				next++
 			}
-			if !slices.ContainsFunc(f.jobs, func(j *job) bool { return j.content == poison && !j.done && !j.refused }) {
-				f.submit(poison, at(len(f.registers), "instance")) // the caller sends it again under another key
+			// The caller sends it again under another key, after a death also several at once.
+			for range min(3, 1+2*f.lost) - f.pending(poison) {
+				f.submit(poison, at(len(f.registers), "instance"))
 			}
 			f.place(at(len(f.running), "place"))
 			f.finish(at(len(f.running), "finish"))
@@ -170,7 +180,7 @@
 func TestMergeIsIdempotent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func() Report {
-			r := New(DefaultSettings())
+			r := New(DefaultSettings("a"))
 			for range rapid.IntRange(0, 6).Draw(t, "deaths") {
 				at := epoch.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "at")) * 20 * time.Second)
 				r.Death(at, name(rapid.IntRange(0, 2).Draw(t, "endpoint")), Content(rapid.IntRange(1, 3).Draw(t, "content")))
@@ -179,7 +189,7 @@
 		}
 		a, b := draw(), draw()
 		now := epoch.Add(2 * time.Minute)
-		x, y := New(DefaultSettings()), New(DefaultSettings())
+		x, y := New(DefaultSettings("x")), New(DefaultSettings("y"))
 		x.Merge(now, a)
 		x.Merge(now, b)
 		once := x.Digest()
@@ -200,7 +210,7 @@
 
 // TestBoundedMemory guards the bound on marks and that a refused content outlives suspects.
 func TestBoundedMemory(t *testing.T) {
-	s := DefaultSettings()
+	s := DefaultSettings("a")
 	s.Contents = 64
 	r := New(s)
 	r.Death(epoch, "a", poison)
--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -9,13 +9,17 @@
 
 // Report is what an instance tells its peers about suspects.
 type Report struct {
-	Marks []Mark   `json:"marks,omitempty"`
-	Alone []uint64 `json:"alone,omitempty"` // hashes of endpoints on which its suspects run
+	Instance string  `json:"instance"`
+	Marks    []Mark  `json:"marks,omitempty"`
+	Alone    []Lease `json:"alone,omitempty"` // its suspects that run now
 }
 
 // Digest returns what peers need to know. It is sorted, so equal registers give equal reports.
 func (r *Register) Digest() Report {
-	p := Report{Alone: slices.Sorted(maps.Values(r.running))}
+	p := Report{Instance: r.settings.Instance}
+	for _, c := range slices.Sorted(maps.Keys(r.running)) {
+		p.Alone = append(p.Alone, Lease{c, r.running[c]})
+	}
 	for _, m := range r.marks {
 		c := *m
 		c.Deaths = slices.Clone(m.Deaths)
@@ -43,9 +47,11 @@
 			r.view = nil
 		}
 	}
-	for _, e := range p.Alone {
-		r.leased[e] = now.Add(r.settings.LeaseFor)
+	if len(p.Alone) == 0 {
+		delete(r.leases, p.Instance)
+		return
 	}
+	r.leases[p.Instance] = peerHold{p.Alone, now.Add(r.settings.LeaseFor)}
 }
 
 // View is an immutable snapshot of the suspects for traffic goroutines.
--- a/internal/core/suspect/register.go
+++ b/internal/core/suspect/register.go
@@ -9,6 +9,7 @@
 
 // Settings tune the register.
 type Settings struct {
+	Instance   string        // name under which peers keep this instance's leases
 	SuspectFor time.Duration // time for which one death makes a content a suspect
 	RefuseFor  time.Duration // time for which a content seen at two deaths is refused
 	SameDeath  time.Duration // reports on one endpoint this close together are one death
@@ -18,9 +19,10 @@
 	Deaths     int           // recent deaths remembered at most
 }
 
-// DefaultSettings returns the settings that docs/measurements/suspect.md measures.
-func DefaultSettings() Settings {
+// DefaultSettings returns an instance's settings, which docs/measurements/suspect.md measures.
+func DefaultSettings(instance string) Settings {
 	return Settings{
+		Instance:   instance,
 		SuspectFor: 10 * time.Minute,
 		RefuseFor:  15 * time.Minute,
 		SameDeath:  3 * time.Second,
@@ -62,16 +64,16 @@
 type Register struct {
 	settings Settings
 	marks    map[Content]*Mark
-	recent   []Death              // local deaths, oldest first, one for each endpoint
-	running  map[Content]uint64   // suspects running alone here, with their endpoints
-	leased   map[uint64]time.Time // endpoints on which peers run suspects, with the end of the lease
+	recent   []Death             // local deaths, oldest first, one for each endpoint
+	running  map[Content]uint64  // suspects running alone here, with their endpoints
+	leases   map[string]peerHold // by peer
 	view     *View
 }
 
 // New returns an empty register.
 func New(s Settings) *Register {
 	return &Register{
-		settings: s, marks: map[Content]*Mark{}, running: map[Content]uint64{}, leased: map[uint64]time.Time{},
+		settings: s, marks: map[Content]*Mark{}, running: map[Content]uint64{}, leases: map[string]peerHold{},
 	}
 }
 
@@ -233,9 +235,9 @@
 // Expire drops marks and leases that no longer count; call it about once a minute.
 func (r *Register) Expire(now time.Time) {
 	r.expire(now)
-	for e, end := range r.leased {
-		if !now.Before(end) {
-			delete(r.leased, e)
+	for n, h := range r.leases {
+		if !now.Before(h.until) {
+			delete(r.leases, n)
 		}
 	}
 }
--- a/internal/core/suspect/register_test.go
+++ b/internal/core/suspect/register_test.go
@@ -9,7 +9,7 @@
 
 // TestVerdict guards the path of a content through one and two deaths, clearing and expiry.
 func TestVerdict(t *testing.T) {
-	s := DefaultSettings()
+	s := DefaultSettings("a")
 	at := epoch.Add
 	for name, c := range map[string]struct {
 		do   func(r *Register)
