Test admission, retry ratio, hedging and the cost of a move

The overload rules had no tests. Properties cover the retry ratio, the request budget and weighted max-min shares; tables cover reasons, hedges and moves.

--- /dev/null
+++ b/internal/core/endpoint/overload_test.go
@@ -0,0 +1,175 @@
+package endpoint
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRetryRatio guards the fleet-wide ratio, the budget of each request and the deadline under any order of calls.
+func TestRetryRatio(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := DefaultRetries(1)
+		r, now := NewRetries(s), epoch
+		firsts, retries := 0, 0
+		deadline := epoch.Add(time.Minute)
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			a := r.First()
+			firsts++
+			for range rapid.IntRange(0, 6).Draw(t, "failures") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+				if !r.Take(now, &a, deadline, 50*time.Millisecond) {
+					continue
+				}
+				retries++
+				if a.used > s.Request {
+					t.Fatalf("%d attempts of one request", a.used)
+				}
+				if !now.Add(50 * time.Millisecond).Before(deadline) {
+					t.Fatalf("a retry %v before the deadline", deadline.Sub(now))
+				}
+			}
+		}
+		floor := int(now.Sub(epoch)/s.Floor) + 1
+		if limit := s.Ratio*float64(firsts) + float64(floor); float64(retries) > limit {
+			t.Fatalf("%d retries of %d first attempts, limit %.1f", retries, firsts, limit)
+		}
+	})
+}
+
+// TestFairShares guards weighted max-min fairness: the budget is used up, nobody gets more than the demand plus the
+// headroom, and an organisation below its demand has no lower level than one of the same priority.
+func TestFairShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &pressure{users: map[string]*usage{}}
+		n := rapid.IntRange(1, 8).Draw(t, "organisations")
+		demand := 0.0
+		for i := range n {
+			u := p.user(Arrival{
+				Organisation: fmt.Sprint(i), Share: rapid.IntRange(0, 5).Draw(t, "share"),
+				Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
+			})
+			u.running, u.shed = rapid.IntRange(0, 20).Draw(t, "running"), float64(rapid.IntRange(0, 20).Draw(t, "shed"))
+			demand += p.demand(u)
+		}
+		budget := rapid.Float64Range(1, 100).Draw(t, "budget")
+		p.divide(budget, AdmissionSettings{})
+		used := 0.0
+		for _, u := range p.users {
+			used += min(u.limit, p.demand(u))
+			for _, o := range p.users {
+				below := u.limit < p.demand(u)-1e-9
+				if below && o.priority == u.priority && u.limit/u.share < min(o.limit, p.demand(o))/o.share-1e-9 {
+					t.Fatalf("%s has %.2f per share, %s has %.2f", u.name, u.limit/u.share, o.name, o.limit/o.share)
+				}
+				if below && o.priority < u.priority && o.limit >= 1+1e-9 {
+					t.Fatalf("priority %d gets %.2f while priority %d lacks", o.priority, o.limit, u.priority)
+				}
+			}
+		}
+		if want := min(budget, demand); math.Abs(used-want) > 1e-6 {
+			t.Fatalf("%.3f of the budget is used, want %.3f", used, want)
+		}
+	})
+}
+
+// TestAdmit guards the reasons, each of which the caller reports as "not run".
+func TestAdmit(t *testing.T) {
+	for name, c := range map[string]struct {
+		slots, load float64
+		deadline    time.Duration
+		priority    int
+		want        Reason
+	}{
+		"room":           {32, 10, time.Minute, 0, Admitted},
+		"no endpoint":    {0, 0, time.Minute, 0, ShedCapacity},
+		"long queue":     {32, 320, time.Second, 2, ShedWait},
+		"share used":     {32, 64, time.Minute, 1, ShedShare},
+		"lower priority": {32, 64, time.Minute, 0, ShedPriority},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := NewAdmission(DefaultAdmission(1))
+			for range 40 {
+				a.Admit(epoch, Arrival{Pool: "m@1", Organisation: "high", Priority: 1})
+			}
+			for range 8 {
+				a.Admit(epoch, Arrival{Pool: "m@1", Organisation: "low"})
+				a.Admit(epoch, Arrival{Pool: "m@1", Organisation: "top", Priority: 2})
+			}
+			for range 20 {
+				a.Done("m@1", "top", time.Second)
+				a.Admit(epoch, Arrival{Pool: "m@1", Organisation: "top", Priority: 2})
+			}
+			a.Update(epoch, "m@1", c.slots, c.load)
+			org := map[int]string{0: "low", 1: "high", 2: "top"}[c.priority]
+			got := a.Admit(epoch, Arrival{Pool: "m@1", Organisation: org, Priority: c.priority, Deadline: epoch.Add(c.deadline)})
+			if got != c.want {
+				t.Errorf("reason %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// TestHedge guards what may be copied, when, and how often.
+func TestHedge(t *testing.T) {
+	s := DefaultHedge()
+	h := NewHedge(s)
+	for i := range 200 {
+		h.Observe(epoch, "m@1", time.Duration(i+1)*time.Millisecond)
+	}
+	for name, c := range map[string]struct {
+		pool       string
+		idempotent bool
+		weight     float64
+		left       time.Duration
+		want       bool
+	}{
+		"latency weighted": {"m@1", true, 1, time.Minute, true},
+		"cost weighted":    {"m@1", true, 0, time.Minute, false},
+		"not idempotent":   {"m@1", false, 1, time.Minute, false},
+		"unknown pool":     {"m@2", true, 1, time.Minute, false},
+		"deadline":         {"m@1", true, 1, 150 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, ok := h.After(epoch, c.pool, c.idempotent, c.weight, epoch.Add(c.left))
+			if ok != c.want || (ok && (d < 185*time.Millisecond || d > 195*time.Millisecond)) {
+				t.Errorf("after %v, %v; want %v near 190ms", d, ok, c.want)
+			}
+		})
+	}
+	copies := 0
+	for range 1000 {
+		if a := h.First(); h.Take(epoch, &a, time.Time{}) {
+			copies++
+		}
+	}
+	if copies != int(1000*s.Ratio) {
+		t.Errorf("%d copies of 1000, want %v", copies, 1000*s.Ratio)
+	}
+}
+
+// TestMoveCost guards the break-even and the rule that a move must end before the old endpoint stops.
+func TestMoveCost(t *testing.T) {
+	s := DefaultMove()
+	n := BreakEven(s)
+	for name, c := range map[string]struct {
+		tokens, hit int
+		left        time.Duration
+		want        bool
+	}{
+		"below the break-even": {n - 20, 0, time.Minute, false},
+		"above the break-even": {n + 20, 0, time.Minute, true},
+		"mostly cached":        {n + 1000, n + 900, time.Minute, false},
+		"stops too early":      {n + 20, 0, 10 * time.Millisecond, false},
+		"nothing to move":      {0, 0, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if m := MoveCost(s, c.tokens, c.hit, c.left); m.Cached != c.want {
+				t.Errorf("%+v, want cached %v", m, c.want)
+			}
+		})
+	}
+}
