--- a/internal/core/claim/claimant.go
+++ b/internal/core/claim/claimant.go
@@ -186,9 +186,10 @@
 		c.phase = Closed
 		return Output{Result: OutcomeExpired}
 	case Early:
-		o := c.void() // a delayed copy of the claim may still fall into the window
-		o.Result = BadKey
-		return o
+		// A void outside the window does not count. A delayed copy of the claim may still take the key, which then
+		// ends as outcome-unknown; it never runs twice.
+		c.phase = Closed
+		return Output{Result: BadKey}
 	}
 	return c.void()
 }
--- a/internal/core/claim/fold.go
+++ b/internal/core/claim/fold.go
@@ -149,8 +149,8 @@
 }
 
 func (f *Fold) void(c record.Claim, issued time.Time) {
-	if f.now.After(issued.Add(Window)) || issued.After(f.now.Add(2*Skew)) {
-		return // no later claim can count, or the key is not plausible
+	if _, ok := f.inWindow(issued); !ok {
+		return // a complete reader need not have read records that lie before the window
 	}
 	e := f.entry(c, issued)
 	if !slices.Contains(e.seen, c.Attempt) {
