Add the command line

Operators publish profiles, organisations and versions, export bills and read the time line from one program. Files of profiles are read by the decoder of the settings, so they get the same messages with line and column.

--- a/cmd/cassiaspoke/main.go
+++ b/cmd/cassiaspoke/main.go
@@ -1,8 +1,13 @@
 // Command cassiaspoke routes requests to versions of models and to plain services.
 package main
 
-import "fmt"
+import (
+	"context"
+	"os"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/command"
+)
 
 func main() {
-	fmt.Println("cassiaspoke")
+	os.Exit(command.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/internal/command/check.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/certificate"
+	"github.com/cassiaspoke/cassiaspoke/internal/settings"
+)
+
+const flagFiles = "files"
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a settings file and list all of its problems as file:line:column: message",
+		ArgsUsage: "FILE",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: flagFiles, Usage: "also read the secrets and certificates that it names"}},
+		Action:    check,
+	}
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	path, err := argument(c)
+	if err != nil {
+		return err
+	}
+	s, err := settings.Load(path)
+	if err == nil && c.Bool(flagFiles) {
+		err = checkFiles(s)
+	}
+	if err != nil {
+		return &Error{Op: "check", Kind: ErrFile, Err: err}
+	}
+	fmt.Fprintf(c.Root().Writer, "%s: %s\n", path, s)
+	return nil
+}
+
+// checkFiles reads the files that settings name.
+func checkFiles(s settings.Settings) error {
+	errs := make([]error, 0, len(s.Sessions.Keys))
+	for _, k := range s.Sessions.Keys {
+		_, err := k.Secret()
+		errs = append(errs, err)
+	}
+	for _, t := range []*settings.TLS{s.Callers.TLS, s.Operators.TLS, s.Peers.TLS} {
+		if t == nil {
+			continue
+		}
+		_, err := certificate.New(*t, time.Now, func(error) {})
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,152 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/command"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+var files = map[string]string{
+	"key":   operatorKey + "\n",
+	"wrong": "other-key",
+	"reports.json": `// Consignment reports.
+{"base": 0, "reason": "first", "name": "reports", "allow": ["m@*"], "safe": "m@*",
+ "quality": {"min-score": 0.8, "share": 0.9}, "max-cost": 5000, "weights": {"cost": 1}, "deadline": "2m"}`,
+	"nobase.json":  `{"name": "reports"}`,
+	"invalid.json": `{"base": 1, "name": "reports", "allow": ["m@*"], "safe": "n@1"}`,
+	"typo.json":    "{\"base\": 1, \"name\": \"reports\",\n \"max-cots\": 5, \"deadline\": 120}",
+	"org.json":     `{"base": 0, "name": "depot", "key-hashes": [], "profiles": ["reports"], "limits": []}`,
+	"m1.json":      `{"name": "m@1", "price": {"input": 10, "output": 30}}`,
+	"bad.json":     "{\"instance\": {}}",
+	"a.events": `{"clock":"2026-01-01T00:00:01.000000000Z/0","instance":"a","part":"gateway","name":"accepted","request":"r1"}
+{"clock":"2026-01-01T00:00:03.000000000Z/0","instance":"a","part":"gateway","name":"answered","request":"r1","fields":{"status":"200"}}
+{"clock":"2026`,
+	"b.events": `{"clock":"2026-01-01T00:00:02.000000000Z/0","instance":"b","part":"peer","name":"held","request":"r1","version":"m@1"}` + "\n",
+}
+
+// run runs a command; each argument @NAME becomes the path of a file, and "> FILE" at the end keeps the output there.
+func run(t *testing.T, dir, args string) (int, string, string) {
+	t.Helper()
+	l := append([]string{"cassiaspoke"}, strings.Fields(args)...)
+	for i, a := range l {
+		if name, ok := strings.CutPrefix(a, "@"); ok {
+			l[i] = filepath.Join(dir, name)
+		}
+	}
+	var out, errs bytes.Buffer
+	n := slices.Index(l, ">")
+	if n < 0 {
+		n = len(l)
+	}
+	code := command.Run(context.Background(), l[:n], &out, &errs)
+	if n < len(l) {
+		if err := os.WriteFile(l[n+1], out.Bytes(), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return code, out.String(), errs.String()
+}
+
+type step struct {
+	args      string
+	code      int
+	out, errs string // parts of the outputs
+}
+
+// Guards against a change that is reported otherwise than it was decided, and against exit codes that scripts misread.
+func TestCommands(t *testing.T) {
+	publish := step{"profile publish @reports.json", command.ExitDone, "profile reports is at revision 1\n", ""}
+	add := step{"version add @m1.json", command.ExitDone, "version m@1 is at revision 1\n", ""}
+	tests := map[string][]step{
+		"publish and show": {
+			publish,
+			{"profile show reports --json", command.ExitDone, `"revision": 1`, ""},
+			{"profile show reports > @shown.json", command.ExitDone, `"max-cost": 5000`, ""},
+			{"profile publish @shown.json", command.ExitDone, "revision 2\n", ""},
+			{"profile list", command.ExitDone, "reports  2         5000      2m0s      m@*   m@*", ""},
+			{"profile history reports", command.ExitDone, "1         1970-01-01T00:00:00Z  ida       profile-publish  first", ""},
+		},
+		"conflict": {
+			publish,
+			{"profile publish @reports.json", command.ExitConflict, "", "ida published revision 1 at 1970-01-01T00:00:00Z; nothing was changed"},
+			{"--json profile publish @reports.json", command.ExitConflict, "\"operator\": \"ida\",\n    \"revision\": 1", ""},
+			{"profile publish --base 1 @reports.json", command.ExitDone, "revision 4\n", ""},
+		},
+		"no base":         {{"profile publish @nobase.json", command.ExitUsage, "", `with "base" in the file or --base`}},
+		"refused":         {publish, {"profile publish @invalid.json", command.ExitRefused, "", "nothing was changed"}},
+		"faults in file":  {{"profile publish @typo.json", command.ExitUsage, "", "typo.json:2:2: max-cots: found an unknown field"}},
+		"faults, second":  {{"profile publish @typo.json", command.ExitUsage, "", `typo.json:2:29: deadline: found 120, want duration text`}},
+		"organisation":    {{"organisation publish --json @org.json", command.ExitDone, `"revision": 1`, ""}},
+		"unknown profile": {{"profile show none", command.ExitRefused, "", "not-found"}},
+		"wrong key":       {{"status --key-file @wrong", command.ExitRefused, "", "unauthorised"}},
+		"no such command": {{"profile publsh x", command.ExitUsage, "", ""}},
+		"no such flag":    {{"status --jsn", command.ExitUsage, "", ""}},
+		"no argument":     {{"profile show", command.ExitUsage, "", "takes one argument: NAME"}},
+		"no server":       {{"status --operator http://127.0.0.1:1", command.ExitFailed, "", "transport"}},
+		"key in clear":    {{"status --operator http://192.0.2.1:80", command.ExitUsage, "", "unencrypted"}},
+		"status":          {{"status", command.ExitDone, "not ready: log is behind", ""}},
+		"version": {
+			add,
+			{"version roll-out m@1 --base 1 --stage 0.1:20 --stage 1:50", command.ExitDone, "revision 2", ""},
+			{"version status m@1", command.ExitDone, "m@1      2         rolling-out  1 of 2  0.1", ""},
+			{"version pause m@1 --reason slow", command.ExitDone, "revision 3", ""},
+			{"version resume m@1", command.ExitUsage, "", "--base"},
+			{"version resume m@1 --base 2", command.ExitConflict, "", "ida published revision 3"},
+			{"version withdraw m@1", command.ExitDone, "", ""},
+			{"version withdraw m@1", command.ExitRefused, "", "withdrawn"},
+			{"version status m@2", command.ExitRefused, "", "unknown"},
+		},
+		"stage not a number": {{"version roll-out m@1 --base 1 --stage ten", command.ExitUsage, "", `"ten"`}},
+		"bills":              {{"bill export --json", command.ExitRefused, `{"organisation":"depot","key":"k1"`, "continue with --from 11"}},
+		"bills from":         {{"bill export --from 12", command.ExitDone, "depot\tk3\t", "next offset: 13"}},
+		"check":              {{"check @bad.json", command.ExitUsage, "", "bad.json:1:14: instance.id: found nothing"}},
+		"timeline": {
+			{"timeline @a.events @b.events", command.ExitDone, "accepted", "1 lines are no events"},
+			{"timeline --instance b @a.events @b.events", command.ExitDone, `2026-01-01T00:00:02.000000000Z/0 b peer held request="r1" version="m@1"`, ""},
+			{"timeline --version m@1 --json @a.events @b.events", command.ExitDone, `"name":"held"`, ""},
+			{"timeline @none", command.ExitUsage, "", "none"},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &api{catalog: profile.New(), bills: []record.Bill{{Organisation: "depot", Key: "k1"}, {}, {Organisation: "depot", Key: "k3"}}}
+			dir := t.TempDir()
+			for n, text := range files {
+				if err := os.WriteFile(filepath.Join(dir, n), []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			t.Setenv("CASSIASPOKE_OPERATOR", a.start(t))
+			t.Setenv("CASSIASPOKE_KEY_FILE", filepath.Join(dir, "key"))
+			for _, s := range steps {
+				code, out, errs := run(t, dir, s.args)
+				if code != s.code || !strings.Contains(out, s.out) || !strings.Contains(errs, s.errs) {
+					t.Errorf("%s: exit code %d, want %d\noutput %q\nwant %q\nerrors %q\nwant %q", s.args, code, s.code, out, s.out, errs, s.errs)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a time line whose text output is not in causal order.
+func TestTimelineOrder(t *testing.T) {
+	dir := t.TempDir()
+	for _, n := range []string{"a.events", "b.events"} {
+		if err := os.WriteFile(filepath.Join(dir, n), []byte(files[n]), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, out, _ := run(t, dir, "timeline @a.events @b.events")
+	a, h, b := strings.Index(out, "accepted"), strings.Index(out, "held"), strings.Index(out, "answered")
+	if a < 0 || a >= h || h >= b {
+		t.Errorf("got\n%s", out)
+	}
+}
--- /dev/null
+++ b/internal/command/remote.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/cassiaspoke/cassiaspoke/pkg/client"
+)
+
+// defaultTimeout leaves the log's bounded wait and the reader's way back enough time.
+const defaultTimeout = 30 * time.Second
+
+// operator returns the client that the shared flags describe.
+func operator(c *cli.Command) (*client.Operator, error) {
+	base := c.String(flagOperator)
+	if base == "" || c.String(flagKeyFile) == "" {
+		return nil, wrong(c.Name, ErrUsage, "--%s and --%s are needed", flagOperator, flagKeyFile)
+	}
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" || (u.Scheme != "https" && u.Scheme != "http") {
+		return nil, wrong(c.Name, ErrUsage, "--%s: %q is not a URL", flagOperator, base)
+	}
+	if u.Scheme == "http" && !loopback(u.Hostname()) {
+		return nil, wrong(c.Name, ErrUsage, "--%s: %s would send the key unencrypted, use https", flagOperator, base)
+	}
+	key, err := os.ReadFile(c.String(flagKeyFile))
+	if err != nil {
+		return nil, wrong(c.Name, ErrFile, "--%s: %w", flagKeyFile, err)
+	}
+	h, err := httpClient(c)
+	if err != nil {
+		return nil, err
+	}
+	return client.NewOperator(base, string(bytes.TrimSpace(key)), h), nil
+}
+
+func loopback(host string) bool {
+	a, err := netip.ParseAddr(host)
+	return host == "localhost" || err == nil && a.IsLoopback()
+}
+
+func httpClient(c *cli.Command) (*http.Client, error) {
+	h := &http.Client{
+		Timeout: c.Duration(flagTimeout),
+		// A redirect would send the key to another address.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	file := c.String(flagCAFile)
+	if file == "" {
+		return h, nil
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, wrong(c.Name, ErrFile, "--%s: %w", flagCAFile, err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(b) {
+		return nil, wrong(c.Name, ErrFile, "--%s: %s holds no certificate", flagCAFile, file)
+	}
+	h.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}
+	return h, nil
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -31,22 +32,23 @@
 
 // Parse reads settings from the content of the file at path.
 func Parse(path string, src []byte) (Settings, error) {
-	d := &decoder{file: path, dir: filepath.Dir(path), src: src, at: map[string]int{}, found: map[string]string{}, bad: map[string]bool{}}
 	s := Default()
-	v, err := hujson.Parse(src)
-	if err != nil {
-		d.syntax(err)
-	} else {
-		d.value("", &v, reflect.ValueOf(&s).Elem())
+	d := newDecoder(path, src)
+	if d.tree(&s) {
 		d.check(s)
 	}
-	if len(d.problems) == 0 {
-		return s, nil
+	if err := d.result(); err != nil {
+		return Settings{}, err
 	}
-	slices.SortStableFunc(d.problems, func(a, b Problem) int {
-		return cmp.Or(a.Line-b.Line, a.Column-b.Column, strings.Compare(a.Path, b.Path))
-	})
-	return Settings{}, &Error{Op: "load", Kind: ErrInvalid, File: path, Problems: d.problems}
+	return s, nil
+}
+
+// Decode reads the content of another file in JSON with comments, such as a profile, into the struct at out.
+// The *Error lists all problems of syntax, names and types; fields that the file leaves out keep their values.
+func Decode(path string, src []byte, out any) error {
+	d := newDecoder(path, src)
+	d.tree(out)
+	return d.result()
 }
 
 // decoder fills settings from a syntax tree, because encoding/json stops at the first fault and gives no line.
@@ -59,6 +61,35 @@
 	problems  []Problem
 }
 
+func newDecoder(path string, src []byte) *decoder {
+	return &decoder{
+		file: path, dir: filepath.Dir(path), src: src,
+		at: map[string]int{}, found: map[string]string{}, bad: map[string]bool{},
+	}
+}
+
+// tree reads the whole file and reports whether its syntax is right.
+func (d *decoder) tree(out any) bool {
+	v, err := hujson.Parse(d.src)
+	if err != nil {
+		d.syntax(err)
+		return false
+	}
+	d.value("", &v, reflect.ValueOf(out).Elem())
+	return true
+}
+
+// result returns all problems in the file's order, or nil.
+func (d *decoder) result() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(d.problems, func(a, b Problem) int {
+		return cmp.Or(a.Line-b.Line, a.Column-b.Column, strings.Compare(a.Path, b.Path))
+	})
+	return &Error{Op: "load", Kind: ErrInvalid, File: d.file, Problems: d.problems}
+}
+
 func (d *decoder) syntax(err error) {
 	var line, column int
 	if n, _ := fmt.Sscanf(err.Error(), "hujson: line %d, column %d:", &line, &column); n != 2 {
@@ -172,6 +203,11 @@
 			out.SetFloat(f)
 			return
 		}
+	case reflect.Uint64:
+		if n, err := strconv.ParseUint(string(l), 10, 64); err == nil && k == '0' {
+			out.SetUint(n)
+			return
+		}
 	default:
 		if n, err := strconv.ParseInt(string(l), 10, 64); err == nil && k == '0' {
 			out.SetInt(n)
@@ -183,7 +219,7 @@
 
 var kindNames = map[reflect.Kind]string{
 	reflect.String: "text", reflect.Bool: "true or false", reflect.Float64: "a number",
-	reflect.Int: "a whole number", reflect.Int64: "a whole number",
+	reflect.Int: "a whole number", reflect.Int64: "a whole number", reflect.Uint64: "a whole number, 0 or more",
 }
 
 // show describes a value; the text in place of a hash may be an API key by mistake, so only its length is shown.
@@ -206,10 +242,18 @@
 // fieldsOf returns the fields of a struct by their names in the file, and the names in order.
 func fieldsOf(v reflect.Value) (map[string]reflect.Value, []string) {
 	m := make(map[string]reflect.Value, v.NumField())
-	names := make([]string, v.NumField())
+	names := make([]string, 0, v.NumField())
 	for i := range v.NumField() {
-		names[i] = v.Type().Field(i).Tag.Get("json")
-		m[names[i]] = v.Field(i)
+		f := v.Type().Field(i)
+		if f.Anonymous {
+			inner, more := fieldsOf(v.Field(i))
+			maps.Copy(m, inner)
+			names = append(names, more...)
+			continue
+		}
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		m[name] = v.Field(i)
+		names = append(names, name)
 	}
 	return m, names
 }
--- a/internal/settings/scalar.go
+++ b/internal/settings/scalar.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
 // minSecret is the shortest secret of a session key, in bytes: the output size of HMAC-SHA-256.
@@ -102,6 +104,10 @@
 	reflect.TypeFor[time.Duration](): {`duration text such as "5s"`, func(_, s string) (any, error) {
 		return time.ParseDuration(s)
 	}},
+	reflect.TypeFor[record.Duration](): {`duration text such as "5s"`, func(_, s string) (any, error) {
+		d, err := time.ParseDuration(s)
+		return record.Duration(d), err
+	}},
 	reflect.TypeFor[Size](): {`size text such as "64KiB"`, func(_, s string) (any, error) {
 		return ParseSize(s)
 	}},
--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Error is the error type of this package; its kind is the Code of the reply.
@@ -19,7 +20,7 @@
 func (e *Error) Error() string {
 	s := fmt.Sprintf("client: %s: %s: %s", e.Op, e.Code, e.Message)
 	if e.Winner != nil {
-		s += fmt.Sprintf(" (%s published revision %d at %s)", e.Winner.Operator, e.Winner.Revision, e.Winner.Time)
+		s += fmt.Sprintf("; %s published revision %d at %s", e.Winner.Operator, e.Winner.Revision, e.Winner.Time.UTC().Format(time.RFC3339))
 	}
 	return s
 }
