--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -104,6 +104,12 @@
 			{"version withdraw m@1", command.ExitRefused, "", "withdrawn"},
 			{"version status m@2", command.ExitRefused, "", "unknown"},
 		},
+		"version at once": {
+			add,
+			{"version roll-out m@1 --base 1", command.ExitUsage, "", "--at-once"},
+			{"version roll-out m@1 --base 1 --at-once", command.ExitDone, "revision 2", ""},
+			{"version status", command.ExitDone, "m@1      2         active  -", ""},
+		},
 		"stage not a number": {{"version roll-out m@1 --base 1 --stage ten", command.ExitUsage, "", `"ten"`}},
 		"bills":              {{"bill export --json", command.ExitRefused, `{"organisation":"depot","key":"k1"`, "continue with --from 11"}},
 		"bills from":         {{"bill export --from 12", command.ExitDone, "depot\tk3\t", "next offset: 13"}},
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -17,6 +17,7 @@
 const (
 	flagReason = "reason"
 	flagStage  = "stage"
+	flagAtOnce = "at-once"
 )
 
 // versionFile is a version as operators keep it in a file.
@@ -38,9 +39,7 @@
 			{
 				Name: "roll-out", ArgsUsage: "MODEL@VERSION", Action: rollOut,
 				Usage: "move the model's new sessions to the version in stages",
-				Flags: []cli.Flag{baseFlag(), reason(), &cli.StringSliceFlag{
-					Name: flagStage, Usage: "`SHARE:SAMPLES` of new sessions and of healthy samples before the next stage; repeat it",
-				}},
+				Flags: append(stageFlags(), baseFlag(), reason()),
 			},
 			{Name: "pause", ArgsUsage: "MODEL@VERSION", Action: stop(client.ActionPause), Usage: "pause a roll-out", Flags: []cli.Flag{current(), reason()}},
 			{Name: "resume", ArgsUsage: "MODEL@VERSION", Action: resume, Usage: "resume a paused or halted version", Flags: []cli.Flag{baseFlag(), reason()}},
@@ -68,7 +67,7 @@
 }
 
 func rollOut(ctx context.Context, c *cli.Command) error {
-	stages, err := parseStages(c.StringSlice(flagStage))
+	stages, err := parseStages(c.StringSlice(flagStage), c.Bool(flagAtOnce))
 	if err != nil {
 		return err
 	}
@@ -126,9 +125,17 @@
 	return 0, err
 }
 
-func parseStages(texts []string) ([]record.Stage, error) {
-	if len(texts) == 0 {
-		return nil, wrong("roll-out", ErrUsage, "give at least one --%s SHARE:SAMPLES, such as --%s 0.05:200 --%s 1:1000", flagStage, flagStage, flagStage)
+func stageFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: flagStage, Usage: "`SHARE:SAMPLES` of new sessions and of healthy samples before the next stage; repeat it"},
+		&cli.BoolFlag{Name: flagAtOnce, Usage: "give the version all new sessions without stages, as for the first version of a model"},
+	}
+}
+
+// parseStages returns no stages for a roll-out at once.
+func parseStages(texts []string, atOnce bool) ([]record.Stage, error) {
+	if (len(texts) == 0) != atOnce {
+		return nil, wrong("roll-out", ErrUsage, "give --%s SHARE:SAMPLES, such as --%s 0.05:200 --%s 1:1000, or else --%s", flagStage, flagStage, flagStage, flagAtOnce)
 	}
 	l := make([]record.Stage, len(texts))
 	for i, t := range texts {
--- a/pkg/client/api.go
+++ b/pkg/client/api.go
@@ -13,8 +13,13 @@
 	HeaderSession        = "Cassiaspoke-Session"         // token that keeps a session on its version
 	HeaderSessionChanged = "Cassiaspoke-Session-Changed" // reason why the answer's version is not the session's
 	HeaderVersion        = "Cassiaspoke-Version"         // version that gave the answer
+	HeaderRequest        = "Cassiaspoke-Request"         // the request's key, also where the caller gave none
+	HeaderReplayed       = "Cassiaspoke-Replayed"        // "true" on the stored reply of an earlier call with the same key
 )
 
+// SessionNew is the value of HeaderSession in a request that starts a session.
+const SessionNew = "new"
+
 // SessionWithdrawn is the value of HeaderSessionChanged after the session's version was withdrawn.
 const SessionWithdrawn = "withdrawn"
 
--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -49,7 +49,7 @@
 	return c.session
 }
 
-// SetSession continues a session from a token.
+// SetSession continues a session from a token; SessionNew starts one with the next request.
 func (c *Caller) SetSession(token string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
