Judge the end of a cascade by its ratings after the step before it

Change: pass shares per preceding step, joint trust of a rated step and its end, samples of an end scaled by how few requests reach it; measurement of cascades.

--- a/internal/core/cascade/beliefs.go
+++ b/internal/core/cascade/beliefs.go
@@ -7,12 +7,15 @@
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
+// Further stands for the earlier steps of a plan when there are two or more.
+const Further = "*"
+
 // Outcome is what became of one step of a plan; a late rating may come as an Outcome of its own.
 type Outcome struct {
 	Class    string
 	Version  string
 	Prior    float64       // expected pass share of the version before any rating; 0 means unknown
-	Later    bool          // an earlier step of the plan fell short, so the request is a hard one
+	After    string        // empty for the first step, the first step's version for the second one, then Further
 	At       time.Time     // when the answer was complete; zero means now
 	Rated    bool          // Score holds a rating
 	Score    float64       // 0 to 1
@@ -27,7 +30,8 @@
 // belief is what is known about one version in one class.
 type belief struct {
 	prior           float64
-	first, later    passes
+	first, later    passes             // on all requests, and on those on which an earlier step fell short
+	after           map[string]*passes // on those on which only the given version was tried and fell short
 	cost            average
 	latency, steady average // over LoadHalfLife and HalfLife
 	errors          average
@@ -68,16 +72,12 @@
 	if o.At.IsZero() || o.At.After(now) {
 		o.At = now
 	}
-	i := Item{Class: o.Class, Version: o.Version, Prior: o.Prior}
-	pass, fail := 0.0, 1.0
-	if o.Score >= o.MinScore {
-		pass, fail = 1, 0
-	}
+	i := Item{Class: o.Class, Version: o.Version, After: o.After, Prior: o.Prior}
 	switch {
-	case o.Rated && o.Later:
-		i.LaterPass, i.LaterFail = pass, fail
+	case o.Rated && o.Score >= o.MinScore:
+		i.Pass = 1
 	case o.Rated:
-		i.Pass, i.Fail = pass, fail
+		i.Fail = 1
 	}
 	if o.Failed {
 		i.Failed = 1
@@ -97,13 +97,7 @@
 	s := &b.settings
 	v := b.belief(at, i)
 	if i.Pass+i.Fail > 0 {
-		v.first.add(s, at, i.Pass, i.Fail, v.prior)
-	}
-	if i.LaterPass+i.LaterFail > 0 {
-		if v.later.add(s, at, i.LaterPass, i.LaterFail, 0) {
-			// A change seen on hard requests makes the ratings on all requests doubtful.
-			v.first.pass, v.first.fail = 0, 0
-		}
+		v.rated(s, at, i)
 	}
 	if i.Done > 0 {
 		v.cost.add(s.HalfLife, at, i.Done, i.Cost, 0)
@@ -115,6 +109,33 @@
 	}
 }
 
+// rated counts ratings by what came before them: later steps see harder requests.
+func (v *belief) rated(s *Settings, at time.Time, i Item) {
+	if i.After == "" {
+		v.first.add(s, at, i.Pass, i.Fail, v.prior)
+		return
+	}
+	if v.later.add(s, at, i.Pass, i.Fail, 0) {
+		// A change seen on hard requests makes the ratings on all requests doubtful.
+		v.first.pass, v.first.fail = 0, 0
+	}
+	if i.After == Further {
+		return
+	}
+	p := v.after[i.After]
+	if p == nil {
+		if len(v.after) >= maxVersions {
+			return
+		}
+		if v.after == nil {
+			v.after = map[string]*passes{}
+		}
+		p = &passes{}
+		v.after[i.After] = p
+	}
+	p.add(s, at, i.Pass, i.Fail, 0)
+}
+
 func (b *Beliefs) belief(at time.Time, i Item) *belief {
 	c := b.classes[i.Class]
 	if c == nil {
@@ -174,6 +195,9 @@
 	for _, c := range b.classes {
 		before := len(c.versions)
 		maps.DeleteFunc(c.versions, func(v string, _ *belief) bool { return !keep(v) })
+		for _, v := range c.versions {
+			maps.DeleteFunc(v.after, func(v string, _ *passes) bool { return !keep(v) })
+		}
 		c.dirty = c.dirty || len(c.versions) != before
 	}
 }
--- a/internal/core/cascade/beliefs_test.go
+++ b/internal/core/cascade/beliefs_test.go
@@ -61,12 +61,14 @@
 		for range 1500 {
 			b.Observe(now, rating("mid@1", now, true))
 			o := rating("mid@1", now, true)
-			o.Later = true
+			o.After = Further
 			b.Observe(now, o)
 		}
 		for range c.ratings {
 			o := rating("mid@1", now, c.pass)
-			o.Later = c.later
+			if c.later {
+				o.After = Further
+			}
 			b.Observe(now, o)
 		}
 		now = now.Add(c.wait)
--- a/internal/core/cascade/digest.go
+++ b/internal/core/cascade/digest.go
@@ -12,15 +12,14 @@
 	maxPeers = 2048 // remembered senders of digests
 )
 
-// Item sums the outcomes of a version in a class.
+// Item sums the outcomes of a version in a class at a place in the plan.
 type Item struct {
 	Class         string  `json:"class"`
 	Version       string  `json:"version"`
+	After         string  `json:"after,omitempty"`
 	Prior         float64 `json:"prior,omitempty"`
 	Pass          float64 `json:"pass,omitempty"`
 	Fail          float64 `json:"fail,omitempty"`
-	LaterPass     float64 `json:"later-pass,omitempty"`
-	LaterFail     float64 `json:"later-fail,omitempty"`
 	Failed        float64 `json:"failed,omitempty"`
 	Done          float64 `json:"done,omitempty"`
 	Cost          float64 `json:"cost,omitempty"`
@@ -35,7 +34,7 @@
 	Items    []Item    `json:"items"`
 }
 
-type itemKey struct{ class, version string }
+type itemKey struct{ class, version, after string }
 
 // peer remembers which digests of a sender were merged: the highest sequence and the 64 before it.
 type peer struct {
@@ -46,20 +45,18 @@
 
 // keep adds an outcome to the sums for the next digest.
 func (b *Beliefs) keep(i Item) {
-	k := itemKey{i.Class, i.Version}
+	k := itemKey{i.Class, i.Version, i.After}
 	o := b.own[k]
 	if o == nil {
 		if len(b.own) >= maxOwn {
 			return
 		}
-		o = &Item{Class: i.Class, Version: i.Version}
+		o = &Item{Class: i.Class, Version: i.Version, After: i.After}
 		b.own[k] = o
 	}
 	o.Prior = max(o.Prior, i.Prior)
 	o.Pass += i.Pass
 	o.Fail += i.Fail
-	o.LaterPass += i.LaterPass
-	o.LaterFail += i.LaterFail
 	o.Failed += i.Failed
 	o.Done += i.Done
 	o.Cost += i.Cost
@@ -78,17 +75,17 @@
 		l = append(l, *i)
 	}
 	slices.SortFunc(l, func(x, y Item) int {
-		return cmp.Or(cmp.Compare(y.bad(), x.bad()), cmp.Compare(y.Done, x.Done), cmp.Compare(x.Class, y.Class), cmp.Compare(x.Version, y.Version))
+		return cmp.Or(cmp.Compare(y.bad(), x.bad()), cmp.Compare(y.Done, x.Done), cmp.Compare(x.Class, y.Class), cmp.Compare(x.Version, y.Version), cmp.Compare(x.After, y.After))
 	})
 	l = l[:min(len(l), maxItems)]
 	for _, i := range l {
-		delete(b.own, itemKey{i.Class, i.Version})
+		delete(b.own, itemKey{i.Class, i.Version, i.After})
 	}
 	b.sequence++
 	return Digest{Sequence: b.sequence, At: now, Items: l}, true
 }
 
-func (i Item) bad() float64 { return i.Fail + i.LaterFail + i.Failed }
+func (i Item) bad() float64 { return i.Fail + i.Failed }
 
 // Merge learns from a peer's digest and reports whether it was new.
 // A peer's name must be another one after each restart, since its sequence starts again.
--- a/internal/core/cascade/plan.go
+++ b/internal/core/cascade/plan.go
@@ -46,6 +46,7 @@
 	worst     float64
 	cost      float64
 	seconds   float64
+	reach     float64 // share of requests that come to the end
 }
 
 // Plan returns the plan with the least expected objective; draw is a random number in [0, 1).
@@ -128,7 +129,6 @@
 		var b belief
 		b.prior = c.Prior
 		o.mean, o.deviation = b.first.moments(s, time.Time{}, c.Prior)
-		o.later = o.mean
 	}
 	o.worst = (float64(c.Price.Input)*float64(r.Input) + float64(c.Price.Output)*float64(r.MaxOutput)) / 1000
 	if !o.timed {
@@ -173,7 +173,9 @@
 // direct weighs the plans of one step.
 func (p *planner) direct() {
 	for i := range p.options[:p.count] {
-		p.weighChain(chain{at: [maxSteps]int8{int8(i)}, length: 1})
+		if p.options[i].end {
+			p.weighChain(chain{at: [maxSteps]int8{int8(i)}, length: 1})
+		}
 	}
 }
 
@@ -182,16 +184,13 @@
 	var buf [maxRated]int8
 	rated := p.worthRating(buf[:0])
 	for e := range p.options[:p.count] {
-		if !p.options[e].end {
-			continue
-		}
 		for _, i := range rated {
-			if int(i) == e {
+			if int(i) == e || (!p.options[e].end && !p.joint(int(i), e)) {
 				continue
 			}
 			p.weighChain(chain{at: [maxSteps]int8{i, int8(e)}, length: 2})
 			for _, j := range rated {
-				if j != i && int(j) != e {
+				if j != i && int(j) != e && p.options[e].end {
 					p.weighChain(chain{at: [maxSteps]int8{i, j, int8(e)}, length: 3})
 				}
 			}
@@ -199,6 +198,20 @@
 	}
 }
 
+// joint reports whether a rated step and an end meet the quality together, though the end alone is not known to.
+// The end's share is the one seen after that very step, so requests that are hard for both count in full.
+func (p *planner) joint(i, e int) bool {
+	s, first, end := &p.v.settings, &p.options[i], &p.options[e]
+	if e == p.canary || p.r.Candidates[end.at].Safe || end.errors > s.MaxErrors || first.count < s.MinSamples {
+		return false
+	}
+	a, ok := end.behind(p.version(i))
+	low := first.mean - s.Confidence*first.deviation
+	return ok && a.fresh && 1-(1-low)*(1-a.low) >= p.r.Quality.Share
+}
+
+func (p *planner) version(i int) string { return p.r.Candidates[p.options[i].at].Version }
+
 // worthRating returns the options whose rated step costs least per answer that it saves the end.
 // The canary is left out: tryCanary places it.
 func (p *planner) worthRating(l []int8) []int8 {
@@ -230,7 +243,7 @@
 // weighChain keeps a plan that is allowed and better than the best one so far.
 // When the only end falls short of the quality, the better plan is the one with more quality.
 func (p *planner) weighChain(c chain) {
-	if !p.options[c.at[c.length-1]].end || !p.value(&c) {
+	if !p.value(&c) {
 		return
 	}
 	better := c.objective < p.best.objective
@@ -250,8 +263,9 @@
 	for i, at := range c.at[:c.length] {
 		o := &p.options[at]
 		share := o.mean
-		if i > 0 && i < last {
-			share = o.later
+		if i == 1 {
+			a, _ := o.behind(p.version(int(c.at[0])))
+			share = a.mean
 		}
 		c.worst += o.worst
 		c.cost += reach * o.cost
@@ -268,7 +282,7 @@
 		miss *= 1 - share
 		reach *= 1 - share*(1-o.errors)
 	}
-	c.quality = 1 - miss
+	c.quality, c.reach = 1-miss, reach
 	late := p.r.Deadline > 0 && c.length > 1 && longest > p.r.Deadline.Seconds()
 	return c.worst <= float64(p.r.MaxCost) && !late
 }
@@ -281,7 +295,7 @@
 		l[i] = Step{Version: d.Version, Rate: i < c.length-1, Canary: d.Canary}
 	}
 	end := &p.options[c.at[c.length-1]]
-	l[c.length-1].Sample = p.r.RaterUp && p.sample(end, draw)
+	l[c.length-1].Sample = p.r.RaterUp && p.sample(end, c.reach, draw)
 	return Plan{
 		Steps: l, Trial: trial, Quality: c.quality, Uncertainty: end.deviation,
 		Cost: record.Micros(math.Ceil(c.cost)), Worst: record.Micros(math.Ceil(c.worst)),
@@ -290,12 +304,13 @@
 }
 
 // sample decides whether an unrated end is rated after delivery: always in a roll-out, more often for a suspect.
-func (p *planner) sample(o *option, draw float64) bool {
+// The share is one of all requests, so an end that few requests come to is rated more often when they do.
+func (p *planner) sample(o *option, reach, draw float64) bool {
 	s := &p.v.settings
 	if p.rated || p.r.Candidates[o.at].Canary {
 		return true
 	}
-	return part(draw, drawSample) < s.SampleShare+(s.SuspectShare-s.SampleShare)*o.suspicion
+	return part(draw, drawSample)*reach < s.SampleShare+(s.SuspectShare-s.SampleShare)*o.suspicion
 }
 
 // pinned returns the one step that keeps a session on its version.
--- a/internal/core/cascade/plan_test.go
+++ b/internal/core/cascade/plan_test.go
@@ -103,6 +103,33 @@
 	}
 }
 
+// Guards an end that is good enough only together with the step before it: it needs ratings after that very step.
+func TestPlanJoint(t *testing.T) {
+	for name, c := range map[string]struct {
+		after string
+		pass  int // of 10 ratings
+		age   time.Duration
+		want  string
+	}{
+		"good together":       {"cheap@1", 9, 0, "cheap@1 > mid@1"},
+		"not good enough":     {"cheap@1", 2, 0, "cheap@1 > best@1"},
+		"after another step":  {"new@1", 9, 0, "cheap@1 > mid@1 > best@1"},
+		"ratings are too old": {"cheap@1", 9, 6 * time.Minute, "cheap@1 > mid@1 > best@1"},
+	} {
+		b := New(Settings{})
+		for i := range 1000 {
+			first, second := rating("cheap@1", epoch, i%10 < 8), rating("mid@1", epoch, i%10 < c.pass)
+			second.After = c.after
+			b.Observe(epoch, first)
+			b.Observe(epoch, second)
+		}
+		r := request("cheap@1", "mid@1", "best@1")
+		if got := names(b.View(epoch.Add(c.age)).Plan(r, noTrial)); got != c.want {
+			t.Errorf("%s: got %q, want %q", name, got, c.want)
+		}
+	}
+}
+
 // Guards the exposure cap of a canary, and that it is rated before it has ratings enough.
 func TestPlanCanary(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/core/cascade/request.go
+++ b/internal/core/cascade/request.go
@@ -66,3 +66,16 @@
 	Uncertainty float64       // standard deviation of the pass share of an unrated end
 	Trial       bool          // the first step is there for learning
 }
+
+// Outcome returns the outcome of a step to be filled in: the class, the version and its place in the plan.
+func (p *Plan) Outcome(r *Request, step int) Outcome {
+	o := Outcome{Class: r.Class, Version: p.Steps[step].Version, MinScore: r.Quality.MinScore}
+	switch step {
+	case 0:
+	case 1:
+		o.After = p.Steps[0].Version
+	default:
+		o.After = Further
+	}
+	return o
+}
--- a/internal/core/cascade/trial.go
+++ b/internal/core/cascade/trial.go
@@ -78,10 +78,11 @@
 	}
 	model := p.r.Candidates[p.options[i].at].Model
 	c := chain{at: [maxSteps]int8{int8(i)}, length: 1}
+	alone := p.options[p.best.at[p.best.length-1]].end
 	for n, at := range p.best.at[:p.best.length] {
-		same := int(at) == i || (i == p.subject && p.r.Candidates[p.options[at].at].Model == model)
+		same := int(at) == i || (alone && i == p.subject && p.r.Candidates[p.options[at].at].Model == model)
 		if n < p.best.length-1 && same {
-			continue // a second version of the same model would add cost but little quality
+			continue // a second version of the same model adds cost but little quality, unless the end relies on it
 		}
 		c.at[c.length] = at
 		c.length++
--- a/internal/core/cascade/view.go
+++ b/internal/core/cascade/view.go
@@ -24,7 +24,7 @@
 // estimate is what a plan needs to know about a version.
 type estimate struct {
 	mean, deviation float64 // of the pass share
-	later           float64 // mean pass share on requests on which an earlier step fell short
+	after           []afterShare
 	count           float64 // ratings that count
 	fresh           bool    // rated lately
 	suspicion       float64 // how close the change detector is to its alarm, 0 to 1
@@ -34,6 +34,23 @@
 	timed           bool    // cost, seconds and spread come from complete answers
 }
 
+// afterShare is the pass share on the requests on which another version was tried and fell short.
+type afterShare struct {
+	version   string
+	mean, low float64
+	fresh     bool
+}
+
+// behind returns the pass share on requests on which a version was tried and fell short, and whether it was rated.
+func (e *estimate) behind(version string) (afterShare, bool) {
+	for i := range e.after {
+		if e.after[i].version == version {
+			return e.after[i], true
+		}
+	}
+	return afterShare{mean: e.mean}, false
+}
+
 func (c *class) estimate(s *Settings, now time.Time) *estimates {
 	e := &estimates{made: now, versions: make(map[string]estimate, len(c.versions))}
 	for n, v := range c.versions {
@@ -47,7 +64,7 @@
 func (v *belief) estimate(s *Settings, now time.Time) estimate {
 	var e estimate
 	e.mean, e.deviation = v.first.moments(s, now, v.prior)
-	e.later, _ = v.later.moments(s, now, e.mean)
+	e.after = v.estimateAfter(s, now)
 	e.count = v.first.count(s, now)
 	e.fresh = now.Sub(v.first.last) < s.Stale || now.Sub(v.later.last) < s.Stale
 	e.suspicion = min(1, max(v.first.cusum, v.later.cusum)/s.Alarm)
@@ -66,6 +83,19 @@
 	return e
 }
 
+// estimateAfter leaves out versions with too few ratings: the share on all requests is the better guess then.
+func (v *belief) estimateAfter(s *Settings, now time.Time) []afterShare {
+	l := make([]afterShare, 0, len(v.after))
+	for n, p := range v.after {
+		if p.count(s, now) < s.MinSamples {
+			continue
+		}
+		mean, deviation := p.moments(s, now, 0)
+		l = append(l, afterShare{n, mean, mean - s.Confidence*deviation, now.Sub(p.last) < s.Stale})
+	}
+	return l
+}
+
 // Health is what the beliefs say about a version in a class, for status pages and metrics.
 type Health struct {
 	Share     float64 // mean pass share
