Keep the rate of false change alarms constant and try versions behind the first step

Cause: at a constant threshold a version rated on every request raised a false alarm every few thousand requests, and the ratings kept after it were picked for being bad; a version that could end a cascade was not rated after its first step. Change: the threshold grows with the ratings seen in a half-life, trials also insert a version behind the first step, and they hope for three standard deviations.

--- a/internal/core/cascade/passes.go
+++ b/internal/core/cascade/passes.go
@@ -8,9 +8,13 @@
 // oddsOfChange is the factor on the odds of a failed rating that the change detector looks for.
 const oddsOfChange = 4
 
+// alarmRatings in a half-life are few enough that Settings.Alarm holds as it is.
+const alarmRatings = 1000
+
 // passes counts ratings at and below the quality with exponential decay and watches for a change for the worse.
 type passes struct {
-	pass, fail float64
+	pass, fail float64   // at most Settings.MaxWeight together
+	seen       float64   // the same without that bound
 	at         time.Time // to which the counts are decayed
 	last       time.Time // of the newest rating
 	cusum      float64   // log-likelihood ratio of a change since the run began
@@ -24,7 +28,7 @@
 	w := 1.0
 	if made.After(p.at) {
 		f := halving(made.Sub(p.at), s.HalfLife)
-		p.pass, p.fail, p.at = p.pass*f, p.fail*f, made
+		p.pass, p.fail, p.seen, p.at = p.pass*f, p.fail*f, p.seen*f, made
 	} else {
 		w = halving(p.at.Sub(made), s.HalfLife)
 	}
@@ -34,6 +38,7 @@
 	alarm := p.detect(s, pass*w, fail*w, prior)
 	p.pass += pass * w
 	p.fail += fail * w
+	p.seen += (pass + fail) * w
 	if n := p.pass + p.fail; n > s.MaxWeight {
 		p.pass, p.fail = p.pass*s.MaxWeight/n, p.fail*s.MaxWeight/n
 	}
@@ -57,7 +62,7 @@
 	}
 	p.runPass += pass
 	p.runFail += fail
-	if p.cusum < s.Alarm {
+	if p.cusum < p.alarm(s) {
 		return false
 	}
 	p.pass, p.fail = p.runPass-pass, p.runFail-fail // add counts the newest ratings
@@ -65,6 +70,11 @@
 	return true
 }
 
+// alarm returns the likelihood ratio at which a version counts as changed. It grows with the ratings seen in a
+// half-life, so that false alarms come at a rate per time: at a constant threshold, versions rated on every
+// request had one every few thousand requests and were dropped for ratings picked for being bad.
+func (p *passes) alarm(s *Settings) float64 { return s.Alarm + math.Log1p(p.seen/alarmRatings) }
+
 // moments returns the mean of the Beta belief about the pass share at a time, and its standard deviation.
 func (p *passes) moments(s *Settings, now time.Time, prior float64) (mean, deviation float64) {
 	a, b := 1.0, 1.0 // an unknown prior is the uniform distribution
--- a/internal/core/cascade/plan.go
+++ b/internal/core/cascade/plan.go
@@ -11,6 +11,8 @@
 	maxCandidates = 32 // versions that a plan weighs
 	// maxRated versions are weighed as rated steps; with all 19 of them a plan took 16 us instead of 6 us.
 	maxRated = 8
+	// trialConfidence is wider than the bounds of trust, so that unlucky first ratings do not end the trials.
+	trialConfidence = 3
 )
 
 // option is a candidate with its estimates for one request.
@@ -21,7 +23,8 @@
 	worst   float64 // micros
 	direct  float64 // objective of a step that ends the plan, without uncertainty
 	rated   float64 // objective of a rated step
-	optimum float64 // upper bound of the pass share
+	high    float64 // upper bound of the pass share
+	optimum float64 // pass share that a trial hopes for
 }
 
 // planner weighs the plans for one request; it lives on the stack.
@@ -138,7 +141,8 @@
 			o.seconds = known.slowest
 		}
 	}
-	o.optimum = min(1, o.mean+s.Confidence*o.deviation)
+	o.high = min(1, o.mean+s.Confidence*o.deviation)
+	o.optimum = min(1, o.mean+trialConfidence*o.deviation)
 	o.direct = p.weight(o.cost, o.seconds)
 	o.rated = p.weight(o.cost, o.seconds+p.v.rating)
 }
@@ -163,7 +167,7 @@
 	}
 	if safe >= 0 {
 		o := &p.options[safe]
-		short := o.count >= s.MinSamples && o.optimum < share
+		short := o.count >= s.MinSamples && o.high < share
 		o.end = !short || !other
 		p.lift = short && !other
 	}
--- a/internal/core/cascade/settings.go
+++ b/internal/core/cascade/settings.go
@@ -34,8 +34,8 @@
 		Confidence:   2,
 		MinSamples:   30,
 		MaxWeight:    2000,
-		// A threshold of 8 gives at least e^8, about 3,000 ratings between false alarms.
-		Alarm:        8,
+		// A threshold of 10 gives at least e^10, about 22,000 ratings between false alarms.
+		Alarm:        10,
 		TrialShare:   0.02,
 		SampleShare:  0.05,
 		ControlShare: 0.1,
--- a/internal/core/cascade/trial.go
+++ b/internal/core/cascade/trial.go
@@ -35,23 +35,31 @@
 	return p.prepend(p.subject)
 }
 
-// explore puts a version that may turn out better in front of the plan, rated, in a small share of the requests.
+// explore adds a version that may turn out better as a rated step, in a small share of the requests.
 func (p *planner) explore(draw float64) bool {
-	if part(draw, drawTrial) >= p.v.settings.TrialShare {
+	if part(draw, drawTrial) >= p.v.settings.TrialShare || !p.r.RaterUp || p.r.Session {
 		return false
 	}
-	var l [maxCandidates]int8
+	var l [2 * maxCandidates]int8
 	n := 0
 	for i := range p.options[:p.count] {
 		if p.promising(i) {
 			l[n] = int8(i)
 			n++
 		}
+		if p.promisingEnd(i) {
+			l[n] = int8(i + maxCandidates)
+			n++
+		}
 	}
 	if n == 0 {
 		return false
 	}
-	return p.prepend(int(l[int(part(draw, drawPick)*float64(n))]))
+	i := int(l[int(part(draw, drawPick)*float64(n))])
+	if i >= maxCandidates {
+		return p.insert(i - maxCandidates)
+	}
+	return p.prepend(i)
 }
 
 // promising reports whether an option could beat the best plan if it were as good as ratings leave possible.
@@ -71,6 +79,43 @@
 	return rated+(1-o.optimum)*end.direct < p.best.objective
 }
 
+// promisingEnd reports whether an option could replace what follows the first step of the best plan
+// if it were as good after that step as ratings leave possible.
+func (p *planner) promisingEnd(i int) bool {
+	if p.best.length < 2 || p.best.length == maxSteps || p.contains(i) {
+		return false
+	}
+	first, o := &p.options[p.best.at[0]], &p.options[i]
+	a, ok := o.behind(p.version(int(p.best.at[0])))
+	if !ok {
+		a.high = 1
+	}
+	if o.end || p.joint(int(p.best.at[0]), i) || 1-(1-first.mean)*(1-a.high) < p.r.Quality.Share {
+		return false
+	}
+	return first.rated+(1-first.mean)*o.direct < p.best.objective
+}
+
+func (p *planner) contains(i int) bool {
+	for _, at := range p.best.at[:p.best.length] {
+		if int(at) == i {
+			return true
+		}
+	}
+	return false
+}
+
+// insert puts a rated step behind the first one; the end stays, so the delivered quality does not fall.
+func (p *planner) insert(i int) bool {
+	c := chain{at: [maxSteps]int8{p.best.at[0], int8(i)}, length: p.best.length + 1}
+	copy(c.at[2:], p.best.at[1:p.best.length])
+	if !p.value(&c) {
+		return false
+	}
+	p.best = c
+	return true
+}
+
 // prepend puts a rated step in front of the best plan; the end stays, so the delivered quality does not fall.
 func (p *planner) prepend(i int) bool {
 	if !p.r.RaterUp || p.r.Session || int(p.best.at[p.best.length-1]) == i {
--- a/internal/core/cascade/view.go
+++ b/internal/core/cascade/view.go
@@ -37,7 +37,8 @@
 // afterShare is the pass share on the requests on which another version was tried and fell short.
 type afterShare struct {
 	version   string
-	mean, low float64
+	mean      float64
+	low, high float64 // bounds of the mean
 	fresh     bool
 }
 
@@ -67,7 +68,7 @@
 	e.after = v.estimateAfter(s, now)
 	e.count = v.first.count(s, now)
 	e.fresh = now.Sub(v.first.last) < s.Stale || now.Sub(v.later.last) < s.Stale
-	e.suspicion = min(1, max(v.first.cusum, v.later.cusum)/s.Alarm)
+	e.suspicion = min(1, max(v.first.cusum/v.first.alarm(s), v.later.cusum/v.later.alarm(s)))
 	if v.steady.weight > 0 {
 		usual := v.steady.sum / v.steady.weight
 		e.timed = true
@@ -91,7 +92,8 @@
 			continue
 		}
 		mean, deviation := p.moments(s, now, 0)
-		l = append(l, afterShare{n, mean, mean - s.Confidence*deviation, now.Sub(p.last) < s.Stale})
+		margin := s.Confidence * deviation
+		l = append(l, afterShare{n, mean, mean - margin, min(1, mean+margin), now.Sub(p.last) < s.Stale})
 	}
 	return l
 }
