--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -114,6 +114,7 @@
 	r := search{view: v, query: &q, now: q.Now.UnixNano(), exclude: true}
 	var best *member
 	for _, z := range p.zones {
+		r.mean = z.average()
 		for i := range z.members {
 			m := &z.members[i]
 			if r.usable(m) && !occupied(m.info.id) && (best == nil || r.utilisation(m) < r.utilisation(best)) {
@@ -132,6 +133,7 @@
 	view    *View
 	query   *Query
 	now     int64
+	mean    float64 // of the zone under search
 	cached  [hintWays]Handle
 	affine  bool // the request prefers certain endpoints
 	hinted  bool
@@ -170,6 +172,7 @@
 
 // inZone returns an endpoint with a free slot, or with full any one, and whether the zone has usable endpoints.
 func (r *search) inZone(z *zone, full bool) (*member, bool) {
+	r.mean = z.average()
 	if r.affine {
 		return r.byPrefix(z, full)
 	}
@@ -203,12 +206,12 @@
 // survey sums the load and the slots of a zone's usable members and reports whether one has a free slot. It is
 // kept apart from byPrefix because the compiler then holds the sums in registers.
 func (r *search) survey(z *zone) (load, slots float64, free bool) {
-	now, fade, exclude := r.now, r.view.fade, r.exclude
+	now, fade, exclude, mean := r.now, r.view.fade, r.exclude, r.mean
 	for i := range z.members {
 		m := &z.members[i]
 		l := unusable
 		if m.count.open(now) && (!exclude || !r.excluded(m.handle)) {
-			l = m.count.load(now, fade)
+			l = m.count.load(now, fade, mean)
 			load += l
 			slots += m.slots
 			if l+1 <= m.slots {
@@ -232,7 +235,7 @@
 		if i < kept {
 			l = r.loads[i]
 		} else if l = unusable; r.usable(m) {
-			l = m.count.load(r.now, r.view.fade)
+			l = m.count.load(r.now, r.view.fade, r.mean)
 		}
 		if l+1 > max(1, bound*m.slots) || l == unusable {
 			continue
@@ -307,9 +310,11 @@
 	return best
 }
 
-func (r *search) free(m *member) bool { return m.count.load(r.now, r.view.fade)+1 <= m.slots }
+func (r *search) free(m *member) bool { return m.count.load(r.now, r.view.fade, r.mean)+1 <= m.slots }
 
-func (r *search) utilisation(m *member) float64 { return m.count.load(r.now, r.view.fade) / m.slots }
+func (r *search) utilisation(m *member) float64 {
+	return m.count.load(r.now, r.view.fade, r.mean) / m.slots
+}
 
 func (r *search) usable(m *member) bool {
 	return m.count.open(r.now) && (!r.exclude || !r.excluded(m.handle))
--- a/internal/core/endpoint/counter.go
+++ b/internal/core/endpoint/counter.go
@@ -23,15 +23,15 @@
 	_           [24]byte
 }
 
-// load returns own outstanding requests plus the reported load, which fades linearly with its age: fade is the
-// share lost for each nanosecond.
-func (c *counter) load(now int64, fade float64) float64 {
+// load returns own outstanding requests plus the load of other instances: the reported one, which fades linearly
+// with its age to the mean of the zone. fade is the share lost for each nanosecond.
+func (c *counter) load(now int64, fade, mean float64) float64 {
 	weight := min(1, 1-float64(now-c.reportedAt.Load())*fade)
-	own := float64(c.outstanding.Load())
-	if weight <= 0 {
-		return own
+	others := mean
+	if weight > 0 {
+		others += weight * (math.Float64frombits(c.report.Load()) - mean)
 	}
-	return own + math.Float64frombits(c.report.Load())*weight
+	return float64(c.outstanding.Load()) + others
 }
 
 // setReport stores a reported load without the share of this instance, which outstanding counts already.
--- a/internal/core/endpoint/health.go
+++ b/internal/core/endpoint/health.go
@@ -178,6 +178,7 @@
 		}
 		t.gone(now, n)
 	}
+	t.View().settle(now)
 }
 
 // unknownLeaving reports whether only the endpoint's own earlier answer calls it leaving and a probe is due;
--- a/internal/core/endpoint/naive_test.go
+++ b/internal/core/endpoint/naive_test.go
@@ -20,6 +20,10 @@
 // naiveChoose states the rules of Choose with lists and sorting, straight from the table's entries.
 func naiveChoose(t *Table, q Query) (Handle, bool) {
 	zones := map[string][]naiveMember{}
+	means := map[string]float64{}
+	for _, z := range t.View().pool(q.Version, q.Service).zonesOf() {
+		means[z.name] = z.average()
+	}
 	for _, e := range t.order {
 		if e.leaving() || e.state == stateOut || slices.Contains(q.Exclude[:], e.handle) || !serves(e, q) {
 			continue
@@ -28,7 +32,7 @@
 		if e.state == stateReturning && (own > 0 || q.Now.UnixNano() < e.count.nextAt.Load()) {
 			continue
 		}
-		load := e.count.load(q.Now.UnixNano(), 0.5/float64(t.settings.ReportHalf))
+		load := e.count.load(q.Now.UnixNano(), 0.5/float64(t.settings.ReportHalf), means[e.zone])
 		zones[e.zone] = append(zones[e.zone], naiveMember{e, load, load+1 <= slotsOf(t, e)})
 	}
 	names := make([]string, 0, len(zones))
@@ -57,6 +61,13 @@
 	return naiveRank(t, q, zones[names[0]], 1e9)
 }
 
+func (p *pool) zonesOf() []zone {
+	if p == nil {
+		return nil
+	}
+	return p.zones
+}
+
 func serves(e *entry, q Query) bool {
 	if q.Service != "" {
 		return e.service == q.Service
--- a/internal/core/endpoint/settings.go
+++ b/internal/core/endpoint/settings.go
@@ -10,7 +10,7 @@
 	Slots      int           // concurrent requests of an endpoint that does not report its slots
 	LoadBound  float64       // an endpoint keeps a prefix up to this multiple of the pool's mean utilisation
 	LoadFloor  float64       // utilisation below which an endpoint always keeps its prefixes
-	ReportHalf time.Duration // age at which a reported load counts half
+	ReportHalf time.Duration // age at which a reported load counts half, and the mean of its zone the other half
 	Hints      int           // cache hints remembered; rounded up to a power of two
 
 	ErrorStatuses int           // consecutive error statuses before an ejection
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -24,7 +24,8 @@
 	handles  map[Handle]*entry
 	last     Handle
 	hints    *hints
-	view     *View // nil when an event made it out of date
+	now      time.Time // of the last event
+	view     *View     // nil when an event made it out of date
 	actions  []Action
 }
 
@@ -60,6 +61,7 @@
 func (t *Table) View() *View {
 	if t.view == nil {
 		t.view = t.build()
+		t.view.settle(t.now)
 	}
 	return t.view
 }
@@ -67,6 +69,7 @@
 // Step folds an event and returns the probes that the edge has to make. The slice is valid until the next Step.
 func (t *Table) Step(now time.Time, ev Event) []Action {
 	t.actions = t.actions[:0]
+	t.now = now
 	switch ev := ev.(type) {
 	case Listed:
 		t.list(now, ev.Instances)
--- a/internal/core/endpoint/view.go
+++ b/internal/core/endpoint/view.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"math"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +28,7 @@
 type zone struct {
 	name    string
 	hash    uint64
+	mean    *atomic.Uint64 // reported load of an endpoint on average, float64 bits
 	members []member
 }
 
@@ -70,10 +73,11 @@
 	}
 	n := now.UnixNano()
 	for _, z := range p.zones {
+		mean := z.average()
 		for i := range z.members {
 			if m := &z.members[i]; !m.count.barred() {
 				slots += m.slots
-				load += m.count.load(n, v.fade)
+				load += m.count.load(n, v.fade, mean)
 			}
 		}
 	}
@@ -107,6 +111,37 @@
 	return v
 }
 
+func (z *zone) average() float64 { return math.Float64frombits(z.mean.Load()) }
+
+// settle stores the mean of the zone's reported loads, each weighted by its freshness. An endpoint without a fresh
+// report counts as loaded as the others: taking it as idle sends every instance there at once.
+func (z *zone) settle(now int64, fade float64) {
+	sum, weights := 0.0, 0.0
+	for i := range z.members {
+		c := z.members[i].count
+		w := min(1, 1-float64(now-c.reportedAt.Load())*fade)
+		if w > 0 {
+			sum += w * math.Float64frombits(c.report.Load())
+			weights += w
+		}
+	}
+	if weights > 0 {
+		sum /= weights
+	}
+	z.mean.Store(math.Float64bits(sum))
+}
+
+// settle renews the means of all pools; views share the zones' means with the traffic goroutines.
+func (v *View) settle(now time.Time) {
+	for _, l := range []map[string]*pool{v.versions, v.services} {
+		for _, p := range l {
+			for i := range p.zones {
+				p.zones[i].settle(now.UnixNano(), v.fade)
+			}
+		}
+	}
+}
+
 func add(pools map[string]*pool, name string, m member) {
 	p := pools[name]
 	if p == nil {
@@ -117,7 +152,7 @@
 	i := slices.IndexFunc(p.zones, func(z zone) bool { return z.name == m.info.zone })
 	if i < 0 {
 		i = len(p.zones)
-		p.zones = append(p.zones, zone{name: m.info.zone, hash: hashText(m.info.zone)})
+		p.zones = append(p.zones, zone{name: m.info.zone, hash: hashText(m.info.zone), mean: &atomic.Uint64{}})
 	}
 	p.zones[i].members = append(p.zones[i].members, m)
 }
