Adapt admission to the wait for the first token

Slots say nothing about a prefill queue: at 3x load a pool held at its slots answered the first token within 1.2 s for two thirds of its capacity. The level of a pool now falls by a factor while the mean wait is above 300 ms and rises in small steps.

--- a/internal/core/endpoint/admission.go
+++ b/internal/core/endpoint/admission.go
@@ -25,11 +25,20 @@
 	Release  float64       // share of Target below which nothing is limited
 	Recent   time.Duration // half-life of the demand that was shed
 	Headroom float64       // share above its demand that an organisation within its share may grow between updates
+
+	Wait   time.Duration // mean wait for the first token to stay below
+	Lower  float64       // factor on the pool's level when the wait is longer
+	Hold   time.Duration // time between two lowerings, in which the first takes effect
+	Raise  float64       // step of the level for each update with a shorter wait
+	Lowest float64       // level that is never undercut
 }
 
 // DefaultAdmission returns the settings for a fleet of the given number of instances.
 func DefaultAdmission(fleet int) AdmissionSettings {
-	return AdmissionSettings{Fleet: fleet, Target: 1, Release: 0.9, Recent: time.Second, Headroom: 0.1}
+	return AdmissionSettings{
+		Fleet: fleet, Target: 1, Release: 0.9, Recent: time.Second, Headroom: 0.1,
+		Wait: 300 * time.Millisecond, Lower: 0.85, Hold: time.Second, Raise: 0.01, Lowest: 0.2,
+	}
 }
 
 // Admission decides which requests run under overload. Its caller serialises the calls.
@@ -44,6 +53,9 @@
 	limited     bool
 	known       bool
 	service     float64 // mean time of a request, in seconds
+	level       float64 // share of the slots that keeps the wait short; slots say nothing about a prefill queue
+	waited      float64 // mean wait for the first token, in seconds
+	lowered     time.Time
 	users       map[string]*usage
 	updated     time.Time
 }
@@ -83,7 +95,8 @@
 		fade = halved(now.Sub(p.updated), a.settings.Recent)
 	}
 	p.slots, p.load, p.known, p.updated = slots, load, true, now
-	p.limited = load > a.settings.Target*a.settings.Release*slots
+	a.adapt(now, p)
+	p.limited = load > p.target(a.settings)*a.settings.Release
 	own := 0
 	for n, u := range p.users {
 		u.shed *= fade
@@ -100,12 +113,34 @@
 	}
 }
 
+// adapt lowers the pool's level by a factor while the first token waits too long and raises it step by step.
+func (a *Admission) adapt(now time.Time, p *pressure) {
+	switch {
+	case p.waited <= a.settings.Wait.Seconds():
+		p.level = min(1, p.level+a.settings.Raise)
+	case now.Sub(p.lowered) >= a.settings.Hold:
+		// The load at which the wait is too long is the one to go below, however far the slots reach.
+		p.level = max(a.settings.Lowest, min(p.level, p.load/max(1, p.slots))*a.settings.Lower)
+		p.lowered = now
+	}
+}
+
+// target returns the load to hold the pool at.
+func (p *pressure) target(s AdmissionSettings) float64 { return s.Target * p.level * p.slots }
+
+// Waited records how long a request waited for its first token beyond the time that computing its prompt takes.
+func (a *Admission) Waited(pool string, wait time.Duration) {
+	p := a.pool(pool)
+	// A mean over about 10 requests follows the queues within a second.
+	p.waited += (max(0, wait).Seconds() - p.waited) / 10
+}
+
 // budget returns how many requests this instance may run in the pool: its part of the present load, scaled to the
 // target. All instances scale alike, so the whole load goes to the target; an instance with little load gets at
 // least half of an even part.
 func (a *Admission) budget(p *pressure, own int) float64 {
-	even := a.settings.Target * p.slots / float64(max(1, a.settings.Fleet))
-	return max(1, even/2, float64(own)*a.settings.Target*p.slots/max(1, p.load))
+	even := p.target(a.settings) / float64(max(1, a.settings.Fleet))
+	return max(1, even/2, float64(own)*p.target(a.settings)/max(1, p.load))
 }
 
 // divide gives the budget to the priorities from the highest down, and within one to the organisations by weighted
@@ -215,7 +250,7 @@
 func (a *Admission) pool(name string) *pressure {
 	p := a.pools[name]
 	if p == nil {
-		p = &pressure{users: map[string]*usage{}}
+		p = &pressure{users: map[string]*usage{}, level: 1}
 		a.pools[name] = p
 	}
 	return p
