--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -118,9 +118,12 @@
 		}
 		return "a value"
 	case "min":
-		return p + suffix + " or more"
+		return p + " or more" + suffix
 	case "max":
-		return p + suffix + " or less"
+		if suffix != "" {
+			return p + " or fewer" + suffix
+		}
+		return p + " or less"
 	case "gt":
 		return "more than " + p
 	case "lt":
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -107,6 +107,16 @@
 		"duplicate name": {`"HASH"}]`, `"HASH"}, {"name": "ida", "hash": "HASH"}]`, []string{
 			`5:53: operators.keys: found an array, want elements that differ in name`,
 		}},
+		"empty list": {`{"id": "k1", "secret-file": "k1.secret"}`, ``, []string{
+			`8:24: sessions.keys: found an array, want 1 or more elements`,
+		}},
+		"long name": {`"k1"`, `"december-of-2026"`, nil},
+		"too long name": {`"k1"`, `"december-of-2026x"`, []string{
+			`8:32: sessions.keys[0].id: found "december-of-2026x", want 16 or fewer characters`,
+		}},
+		"not an object": {good, "[]", []string{
+			`1:1: file: found an array, want an object`,
+		}},
 		"out of range": {`"2MiB"`, `"2GiB"`, []string{
 			`4:66: callers.limits.body-bytes: found "2GiB", want "64MiB" or less`,
 		}},
@@ -138,8 +148,11 @@
 		t.Run(name, func(t *testing.T) {
 			_, err := settings.Parse("a1.json", text(test.old, test.new))
 			var e *settings.Error
-			if !errors.As(err, &e) {
-				t.Fatalf("got %v, want a *settings.Error", err)
+			if errors.As(err, &e) != (test.want != nil) {
+				t.Fatalf("got %v, want %v", err, test.want)
+			}
+			if e == nil {
+				return
 			}
 			var got []string
 			for _, p := range e.Problems {
