Judge roll-outs in the running instance

Cause: the sequential test had no samples and its verdicts no effect. Change: outcomes feed the roll-outs' driver; a stopped version gets no new work at once on the instance, and the halt goes through the log.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// runs reports whether new work may be sent to the version now.
+func (a *attempt) runs() bool {
+	return a.m.p.Catalog().Allows(a.r.Profile.Name, a.step.Version) && a.m.p.Planner.Runs(a.step.Version)
+}
+
 // once chooses an endpoint and streams from it, continuing from the text at hand.
 func (a *attempt) once(ctx context.Context) error {
 	c, err := a.choose(ctx)
@@ -63,7 +68,7 @@
 	whole := false
 	defer func() { a.m.p.Suspects.End(a.r.digest, c.ID, whole) }()
 	// Checked last before sending: the version may have been withdrawn while the request waited.
-	if !a.m.p.Catalog().Allows(a.r.Profile.Name, a.step.Version) {
+	if !a.runs() {
 		return errReplan
 	}
 	started := time.Now()
@@ -137,7 +142,7 @@
 		if now.After(limit) {
 			return endpoint.Choice{}, &Error{Op: "choose", Kind: ErrCapacity, Err: fmt.Errorf("no endpoint serves %s", a.step.Version)}
 		}
-		if !a.m.p.Catalog().Allows(a.r.Profile.Name, a.step.Version) {
+		if !a.runs() {
 			return endpoint.Choice{}, errReplan
 		}
 		if !ok && a.failed > 0 {
--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -181,8 +181,11 @@
 	case session.OutcomeRefused:
 		return &Error{Op: "plan", Kind: ErrNotAllowed, NotRun: !r.sent, Err: errors.New("the organisation may not use the profile")}
 	case session.OutcomeKept:
-		r.pinned = true
-		return m.choosePlan(c, r, pin.Version)
+		if m.p.Planner.Runs(pin.Version) {
+			r.pinned = true
+			return m.choosePlan(c, r, pin.Version)
+		}
+		r.moved = string(session.ReasonHalted)
 	case session.OutcomeMoved:
 		r.moved = string(pin.Reason)
 	}
@@ -228,9 +231,9 @@
 }
 
 func (m *Maker) runSteps(ctx context.Context, r *run) error {
-	later := false
+	after := ""
 	for i, s := range r.steps {
-		err := m.step(ctx, r, s, later)
+		err := m.step(ctx, r, s, after)
 		short := errors.Is(err, errFellShort)
 		if err == nil || errors.Is(err, errReplan) || (!short && !s.Rate) || ctx.Err() != nil {
 			return err
@@ -238,14 +241,24 @@
 		if i == len(r.steps)-1 {
 			return &Error{Op: "run", Kind: ErrCapacity, Err: err}
 		}
-		later = later || short
+		if short {
+			after = afterStep(after, s.Version)
+		}
 		m.event("escalated", r, s.Version, "", err)
 	}
 	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errors.New("the plan has no steps")}
 }
 
+// afterStep names the steps that fell short before the next one.
+func afterStep(after, version string) string {
+	if after == "" {
+		return version
+	}
+	return cascade.Further
+}
+
 // step asks one version. An unrated step streams to the caller; a rated one is buffered until its rating is known.
-func (m *Maker) step(ctx context.Context, r *run, s cascade.Step, later bool) error {
+func (m *Maker) step(ctx context.Context, r *run, s cascade.Step, after string) error {
 	r.result.Steps++
 	start := time.Now()
 	a := &attempt{m: m, r: r, step: s}
@@ -256,7 +269,7 @@
 	r.result.Usage.Output += a.usage.Output
 	v := m.p.Catalog().Versions[s.Version]
 	o := cascade.Outcome{
-		Class: r.class, Version: s.Version, Prior: v.Prior, Later: later, MinScore: r.Profile.Quality.MinScore,
+		Class: r.class, Version: s.Version, Prior: v.Prior, After: after, MinScore: r.Profile.Quality.MinScore,
 		Done: err == nil, Failed: err != nil, Cost: c, Latency: time.Since(start),
 	}
 	if err != nil {
@@ -303,7 +316,7 @@
 			return
 		}
 		m.p.Planner.Observe(cascade.Outcome{
-			Class: o.Class, Version: o.Version, Prior: o.Prior, Later: o.Later, MinScore: o.MinScore, At: at, Rated: true, Score: score,
+			Class: o.Class, Version: o.Version, Prior: o.Prior, After: o.After, MinScore: o.MinScore, At: at, Rated: true, Score: score,
 		})
 	})
 }
--- a/internal/answer/request.go
+++ b/internal/answer/request.go
@@ -32,6 +32,8 @@
 type Planner interface {
 	Beliefs() *cascade.View
 	Candidates(profile string) []cascade.Candidate
+	// Runs reports whether this instance sends work to a version; it stops a bad one before the log does.
+	Runs(version string) bool
 	RaterUp() bool
 	Observe(o cascade.Outcome)
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -205,7 +205,9 @@
 // Publish appends a change and returns its revision once the fold has accepted it.
 // A lost append reply is resolved by reading the record back; the append is repeated if it doesn't appear.
 func (f *Follower) Publish(ctx context.Context, ch record.Change) (uint64, error) {
-	ch.ID = uuid.NewString()
+	if ch.ID == "" {
+		ch.ID = uuid.NewString()
+	}
 	b, err := json.Marshal(ch)
 	if err != nil {
 		return 0, &Error{Op: "publish", Kind: ErrRefused, Err: err}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -15,9 +15,11 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/rollout"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
 const (
@@ -49,6 +51,9 @@
 	catalog    atomic.Pointer[profile.Catalog]
 	services   []string
 	rater      raterState
+	driver     *rollout.Driver
+	closed     atomic.Pointer[closedVersions]
+	publish    func(record.Change)
 
 	admitting sync.Mutex
 	admission *endpoint.Admission
@@ -68,11 +73,13 @@
 		events: o.Events, logger: o.Logger, scope: o.Scope.SubScope("endpoints"),
 		services: slices.Sorted(maps.Keys(o.Gateway.Services)),
 		queue:    make(chan any, controlQueue), ctx: ctx, admission: endpoint.NewAdmission(o.Admission),
+		driver: rollout.NewDriver(o.RollOut),
 	}
 	c.endpoints.Store(c.table.View())
 	c.estimates.Store(c.beliefs.View(time.Now()))
 	c.candidates.Store(&map[string][]cascade.Candidate{})
 	c.catalog.Store(profile.New())
+	c.closed.Store(&closedVersions{})
 	c.listed.Store(&[]platform.Instance{})
 	return c
 }
@@ -90,6 +97,7 @@
 			c.step(time.Now(), e)
 		case now := <-t.C:
 			c.step(now, endpoint.Tick{})
+			c.judge(now, rollout.Tick{})
 			c.estimates.Store(c.beliefs.View(now))
 			c.measure(now)
 		}
@@ -105,6 +113,9 @@
 		c.endpoints.Store(c.table.View())
 	case cascade.Outcome:
 		c.beliefs.Observe(now, e)
+		c.judge(now, rollout.SampleSeen{Version: e.Version, Sample: sampleOf(e)})
+	case rollout.Event:
+		c.judge(now, e)
 	case func(time.Time):
 		e(now)
 	}
@@ -164,6 +175,7 @@
 
 // apply takes over a new catalog.
 func (c *control) apply(k *profile.Catalog) {
+	c.post(rollout.CatalogChanged{Catalog: k})
 	m := make(map[string][]cascade.Candidate, len(k.Profiles))
 	for n := range k.Profiles {
 		m[n] = cascade.Candidates(k, n)
@@ -187,8 +199,8 @@
 func (c *control) Beliefs() *cascade.View { return c.estimates.Load() }
 
 // Candidates returns the versions that a profile allows now.
-func (c *control) Candidates(profile string) []cascade.Candidate {
-	return (*c.candidates.Load())[profile]
+func (c *control) Candidates(name string) []cascade.Candidate {
+	return c.closed.Load().open((*c.candidates.Load())[name])
 }
 
 // Observe learns from an outcome.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,10 +26,13 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/peer"
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
-// expireEvery is the time between two removals of suspects that no longer count.
-const expireEvery = time.Minute
+const (
+	expireEvery    = time.Minute      // between two removals of suspects that no longer count
+	publishTimeout = 10 * time.Second // of a change that a trial asks for
+)
 
 var (
 	errStopping = errors.New("the instance is stopping")
@@ -67,6 +70,7 @@
 	i.ctx, i.cancel = context.WithCancelCause(context.Background())
 	i.control = newControl(i.ctx, o, i.engines, rand.Uint64())
 	i.config = catalog.NewFollower(o.Catalog, o.Log, o.Logger, i.applied, i.read)
+	i.control.publish = i.publish
 	i.newPeers()
 	i.ledger = newLedgers(i.ctx, o, i.peers.Witness())
 	retries := newRetries(o.Retries)
@@ -186,6 +190,22 @@
 
 func (i *Instance) read(sent time.Time, next platform.Offset) { i.peers.LogRead(sent, next) }
 
+// publish appends a change that a trial asks for. The driver asks again if the log doesn't accept it.
+func (i *Instance) publish(ch record.Change) {
+	ch.Operator = i.o.ID
+	i.work.Go(func() {
+		ctx, cancel := context.WithTimeout(i.ctx, publishTimeout)
+		defer cancel()
+		e := timeline.Event{Part: "rollout", Name: string(ch.Kind), Version: ch.Name, Fields: map[string]string{"reason": ch.Reason}}
+		if _, err := i.config.Publish(ctx, ch); err != nil {
+			e.Fields["error"] = err.Error()
+		}
+		i.o.Events.Write(e)
+		i.o.Logger.Info("rollout: A change was asked for.", zap.String("kind", string(ch.Kind)), zap.String("version", ch.Name),
+			zap.String("reason", ch.Reason), zap.String("error", e.Fields["error"]))
+	})
+}
+
 // Ready tells the load balancer whether to send work here.
 func (i *Instance) Ready() error {
 	if i.stopping.Load() {
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -14,6 +14,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/catalog"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/rollout"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
@@ -51,6 +52,7 @@
 	Retries   endpoint.RetrySettings
 	Admission endpoint.AdmissionSettings
 	Cascade   cascade.Settings
+	RollOut   rollout.Settings
 	Suspects  suspect.Settings
 	Ledger    Ledger
 
@@ -85,6 +87,7 @@
 		Retries:   endpoint.DefaultRetries(9),
 		Admission: endpoint.DefaultAdmission(9),
 		Cascade:   cascade.Defaults(),
+		RollOut:   rollout.Defaults(),
 		Suspects:  suspect.DefaultSettings(id),
 		ListEvery: time.Second, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
 		BalancerWait: 5 * time.Second, Drain: 15 * time.Minute,
