--- a/internal/core/endpoint/admission.go
+++ b/internal/core/endpoint/admission.go
@@ -37,7 +37,7 @@
 func DefaultAdmission(fleet int) AdmissionSettings {
 	return AdmissionSettings{
 		Fleet: fleet, Target: 1, Release: 0.9, Recent: time.Second, Headroom: 0.1,
-		Wait: 300 * time.Millisecond, Lower: 0.85, Hold: time.Second, Raise: 0.01, Lowest: 0.2,
+		Wait: 150 * time.Millisecond, Lower: 0.85, Hold: time.Second, Raise: 0.005, Lowest: 0.2,
 	}
 }
 
--- a/internal/core/endpoint/settings.go
+++ b/internal/core/endpoint/settings.go
@@ -32,8 +32,8 @@
 	return Settings{
 		Fleet:         fleet,
 		Slots:         32,
-		LoadBound:     1.25,
-		LoadFloor:     0.5,
+		LoadBound:     1.5,
+		LoadFloor:     0.75,
 		ReportHalf:    time.Second,
 		Hints:         1 << 16,
 		ErrorStatuses: 5,
--- a/internal/measure/pool_model.go
+++ b/internal/measure/pool_model.go
@@ -5,7 +5,10 @@
 	"container/list"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
 )
 
 // poolSettings describe the queueing model of one pool of engines. All times are virtual.
@@ -30,7 +33,7 @@
 // outage makes all engines fail between two times.
 type outage struct {
 	From, To time.Duration
-	Status   bool // engines answer with an error status instead of refusing connections
+	Status   bool // engines answer with an error status; otherwise they die and refuse connections
 }
 
 // lysroer is the smaller user's fleet of 18 engines in 3 availability zones with 9 instances.
@@ -64,8 +67,8 @@
 	attempts     int
 	hit          bool
 	cancelled    bool
-	running      bool
 	measured     bool
+	kind         endpoint.FailKind // of the last failed attempt
 }
 
 // poolEngine is a model of an engine with continuous batching and a prefix cache.
@@ -73,6 +76,8 @@
 	index, zone int
 	running     int
 	queue       []*poolRequest
+	live        []*poolRequest // in a slot
+	deaths      int
 	prefillFree time.Duration
 	order       *list.List // cached prefixes, most recently used first
 	cached      map[uint64]*list.Element
@@ -149,6 +154,9 @@
 	m.router.start(m)
 	m.after(0, m.arrive)
 	m.after(0, m.measureLoad)
+	if o := m.settings.Outage; o.To > 0 && !o.Status {
+		m.after(o.From, m.die)
+	}
 	end := m.settings.Length + m.settings.Drain
 	for len(m.timers) > 0 {
 		t := heap.Pop(&m.timers).(poolTimer)
@@ -240,6 +248,10 @@
 	case r.cancelled:
 		m.router.finished(m, r)
 	case m.down():
+		r.kind = endpoint.FailRefused
+		if m.settings.Outage.Status {
+			r.kind = endpoint.FailStatus
+		}
 		m.after(m.delay(r), func() { m.router.failed(m, r) })
 	case e.running < m.settings.Slots:
 		m.begin(e, r)
@@ -248,10 +260,25 @@
 	}
 }
 
+// die ends all engines with their requests and caches.
+func (m *poolModel) die() {
+	for _, e := range m.engines {
+		lost := slices.Concat(e.live, e.queue)
+		e.deaths++
+		e.running, e.live, e.queue, e.prefillFree = 0, nil, nil, 0
+		e.order, e.cached = list.New(), map[uint64]*list.Element{}
+		for _, r := range lost {
+			r.kind = endpoint.FailDied
+			m.after(m.delay(r), func() { m.router.failed(m, r) })
+		}
+	}
+}
+
 // begin takes a slot, waits for the prefill of earlier prompts and computes what is not cached.
 func (m *poolModel) begin(e *poolEngine, r *poolRequest) {
-	r.running = true
 	e.running++
+	e.live = append(e.live, r)
+	deaths := e.deaths
 	tokens := r.suffix
 	if r.hit = m.use(e, r.prefix); !r.hit {
 		tokens += float64(m.settings.PrefixTokens)
@@ -260,7 +287,11 @@
 	start := max(m.now, e.prefillFree)
 	e.prefillFree = start + time.Duration(tokens/m.settings.Prefill*float64(time.Second))
 	perToken := m.settings.TokenBase + time.Duration(e.running)*m.settings.TokenStep
-	m.after(e.prefillFree-m.now+perToken, func() { m.firstToken(e, r, perToken) })
+	m.after(e.prefillFree-m.now+perToken, func() {
+		if e.deaths == deaths {
+			m.firstToken(e, r, perToken)
+		}
+	})
 }
 
 // use touches a prefix in an engine's cache and reports whether it was there.
@@ -293,17 +324,28 @@
 		m.leave(e, r)
 		return
 	}
+	deaths := e.deaths
 	m.after(m.delay(r), func() {
-		r.first = m.now
-		m.result.first(r)
+		if e.deaths != deaths {
+			return
+		}
+		if r.first == 0 {
+			r.first = m.now
+			m.result.first(r)
+		}
 		m.router.firstToken(m, r)
 	})
-	m.after(time.Duration(r.output*float64(perToken)), func() { m.leave(e, r) })
+	m.after(time.Duration(r.output*float64(perToken)), func() {
+		if e.deaths == deaths {
+			m.leave(e, r)
+		}
+	})
 }
 
 // leave frees the slot for the next request in the queue whose caller still waits.
 func (m *poolModel) leave(e *poolEngine, r *poolRequest) {
 	e.running--
+	e.live = slices.DeleteFunc(e.live, func(o *poolRequest) bool { return o == r })
 	m.after(m.delay(r), func() { m.router.finished(m, r) })
 	for len(e.queue) > 0 && e.running < m.settings.Slots {
 		n := e.queue[0]
--- a/internal/measure/pool_result.go
+++ b/internal/measure/pool_result.go
@@ -70,13 +70,13 @@
 	}
 }
 
-// p99 returns the 99th percentile of the time to the first token of the requests that got one.
-func (p *poolResult) p99() time.Duration {
+// percentile returns a percentile of the time to the first token of the requests that got one.
+func (p *poolResult) percentile(x float64) time.Duration {
 	if len(p.latencies) == 0 {
 		return 0
 	}
 	slices.Sort(p.latencies)
-	return p.latencies[int(math.Ceil(0.99*float64(len(p.latencies))))-1]
+	return p.latencies[int(math.Ceil(x/100*float64(len(p.latencies))))-1]
 }
 
 func (p *poolResult) goodput() float64 { return float64(p.good) / p.seconds }
--- a/internal/measure/pool_router.go
+++ b/internal/measure/pool_router.go
@@ -79,6 +79,7 @@
 type tabled struct {
 	settings   endpoint.Settings
 	admission  bool
+	admit      endpoint.AdmissionSettings
 	unbudgeted bool // retries without a ratio, for comparison
 	noHints    bool
 	noPrefix   bool
@@ -102,7 +103,7 @@
 }
 
 func newTabled(s endpoint.Settings, seed uint64) *tabled {
-	return &tabled{settings: s, admission: true, random: rand.New(rand.NewPCG(seed, 3))}
+	return &tabled{settings: s, admission: true, admit: endpoint.DefaultAdmission(s.Fleet), random: rand.New(rand.NewPCG(seed, 3))}
 }
 
 // virtualStart is the wall-clock time that virtual time 0 stands for.
@@ -122,7 +123,7 @@
 		s.Seed, s.Fleet, s.Slots = uint64(i), m.settings.Instances, m.settings.Slots
 		n := &tabledInstance{
 			table:     endpoint.NewTable(s),
-			admission: endpoint.NewAdmission(endpoint.DefaultAdmission(m.settings.Instances)),
+			admission: endpoint.NewAdmission(t.admit),
 			retries:   endpoint.NewRetries(endpoint.DefaultRetries(m.settings.Instances)),
 			requests:  map[*poolRequest]*tabledRequest{},
 		}
@@ -224,7 +225,11 @@
 	}
 }
 
-func (t *tabled) firstToken(m *poolModel, r *poolRequest) { t.answered(m, r) }
+func (t *tabled) firstToken(m *poolModel, r *poolRequest) {
+	t.answered(m, r)
+	compute := time.Duration((r.suffix + float64(m.settings.PrefixTokens)) / m.settings.Prefill * float64(time.Second))
+	t.instances[r.instance].admission.Waited(poolVersion, m.now-r.sent-compute)
+}
 
 func (t *tabled) answered(m *poolModel, r *poolRequest) {
 	n := t.instances[r.instance]
@@ -245,12 +250,8 @@
 	n := t.instances[r.instance]
 	s := n.requests[r]
 	s.choice.End()
-	kind := endpoint.FailRefused
-	if m.settings.Outage.Status {
-		kind = endpoint.FailStatus
-	}
 	h := s.choice.Endpoint
-	t.step(m, n, endpoint.Failed{Endpoint: h, Started: virtualStart.Add(r.sent), Kind: kind, Version: poolVersion})
+	t.step(m, n, endpoint.Failed{Endpoint: h, Started: virtualStart.Add(r.sent), Kind: r.kind, Version: poolVersion})
 	s.exclude[(r.attempts-1)%len(s.exclude)] = h
 	deadline := virtualStart.Add(r.arrived + m.settings.GiveUp)
 	again := !r.cancelled && r.attempts < 4
