--- /dev/null
+++ b/internal/core/claim/fold_test.go
@@ -0,0 +1,141 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// TestMain fixes the seed of generated tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// base is a time of issue that the test's keys share; keys differ in their last digits.
+var base = time.UnixMilli(1_800_000_000_000)
+
+func testKey(issued time.Time, n int) string {
+	ms := fmt.Sprintf("%012x", issued.UnixMilli())
+	return fmt.Sprintf("%s-%s-7000-8000-%012x", ms[:8], ms[8:], n)
+}
+
+// line is one record of a generated stream.
+type line struct {
+	at    time.Time
+	claim record.Claim
+}
+
+// naive rules on line n by looking at all lines before it.
+func naive(l []line, n int) (Verdict, bool) {
+	c, now := l[n].claim, l[n].at
+	issued, _ := Issued(c.Key)
+	switch {
+	case now.After(issued.Add(Window)):
+		return Expired, true
+	case issued.After(now.Add(Skew)):
+		return Early, true
+	}
+	holder, seen := "", map[string]bool{}
+	for _, x := range l[:n] {
+		inside := !x.at.After(issued.Add(Window)) && !issued.After(x.at.Add(Skew))
+		if x.claim.Key != c.Key || !inside {
+			continue
+		}
+		switch a := x.claim.Attempt; {
+		case x.claim.Kind == record.ClaimTake && !seen[a] && holder == "":
+			holder = a
+		case x.claim.Kind == record.ClaimVoid && holder == a:
+			holder = ""
+		}
+		seen[x.claim.Attempt] = true
+	}
+	if seen[c.Attempt] {
+		return "", false
+	}
+	if holder != "" {
+		return Taken, true
+	}
+	return Won, true
+}
+
+// Guards against a fold that rules differently from the definition, from any start of the stream.
+func TestFoldAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l []line
+		at := base
+		for range rapid.IntRange(1, 40).Draw(t, "lines") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "seconds")) * time.Second)
+			key := testKey(base.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "key"))*8*time.Minute), 0)
+			kinds := []record.ClaimKind{record.ClaimTake, record.ClaimTake, record.ClaimVoid}
+			l = append(l, line{at, record.Claim{
+				Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), Organisation: "lys", Key: key,
+				Attempt: key + rapid.StringMatching("[a-d]").Draw(t, "attempt"),
+			}})
+		}
+		start := rapid.IntRange(0, len(l)-1).Draw(t, "start")
+		var before time.Time
+		if start > 0 {
+			before = l[start-1].at
+		}
+		f := NewFold(uint64(start), before)
+		for n := start; n < len(l); n++ {
+			got, err := f.Apply(uint64(n), l[n].at, record.ClaimBatch{Claims: []record.Claim{l[n].claim}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if again, err := f.Apply(uint64(n), l[n].at, record.ClaimBatch{Claims: []record.Claim{l[n].claim}}); err != nil || again != nil {
+				t.Fatalf("second delivery of offset %d: %v, %v", n, again, err)
+			}
+			issued, _ := Issued(l[n].claim.Key)
+			want, ok := naive(l, n)
+			if l[n].claim.Kind != record.ClaimTake || !f.Complete(issued) {
+				continue
+			}
+			if ok != (len(got) == 1) || (ok && got[0].Verdict != want) {
+				t.Fatalf("offset %d: got %v, want %s %v", n, got, want, ok)
+			}
+		}
+	})
+}
+
+// Guards against memory that grows beyond the window, and against bodies that are kept without bound.
+func TestFoldBounds(t *testing.T) {
+	f := NewFold(0, time.Time{})
+	body := make([]byte, MaxBody)
+	for n := range 40_000 {
+		at := base.Add(time.Duration(n) * 50 * time.Millisecond)
+		c := record.Claim{Kind: record.ClaimTake, Organisation: "lys", Key: testKey(at, n), Attempt: fmt.Sprint(n)}
+		o := c
+		o.Kind, o.Outcome = record.ClaimOutcome, &record.Outcome{Status: 200, Body: body, Kept: true}
+		if _, err := f.Apply(uint64(n), at, record.ClaimBatch{Claims: []record.Claim{c, o}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n, limit := f.Len(), int((Window+time.Minute)/(50*time.Millisecond)); n > limit {
+		t.Errorf("%d keys are remembered, want at most %d", n, limit)
+	}
+	if f.size > keptBodies {
+		t.Errorf("%d bytes of bodies are kept, want at most %d", f.size, keptBodies)
+	}
+	first, _ := f.Holder("lys", testKey(base.Add(39_000*50*time.Millisecond), 39_000))
+	if first.Outcome == nil || !first.Outcome.Kept {
+		t.Errorf("a late outcome is %+v, want a kept body", first.Outcome)
+	}
+}
+
+// Guards against a reader that skips records.
+func TestFoldGap(t *testing.T) {
+	if _, err := NewFold(3, time.Time{}).Apply(4, base, record.ClaimBatch{}); err == nil {
+		t.Error("offset 4 after 3 was applied")
+	}
+}
--- a/internal/ledger/claim_history_test.go
+++ b/internal/ledger/claim_history_test.go
@@ -23,7 +23,9 @@
 type claimSim struct {
 	*sim
 	t        *testing.T
+	failed   bool
 	resend   bool
+	keys     []string
 	readers  []*claimReader
 	attempts []*claimAttempt
 	runs     map[string][]*claimAttempt // at the service, by key
@@ -41,14 +43,14 @@
 
 // claimAttempt is an attempt that is driven as Ticket does.
 type claimAttempt struct {
-	reader       *claimReader
-	key          string
-	id           string
-	machine      *claim.Claimant
-	call, reply  time.Time // reply is zero until the attempt has ended
-	result       claim.Result
-	digest       string // of the outcome that the caller got
-	sent, unsure bool
+	reader      *claimReader
+	key         string
+	id          string
+	machine     *claim.Claimant
+	call, reply time.Time // reply is zero until the attempt has ended
+	result      claim.Result
+	digest      string // of the outcome that the caller got
+	sent        bool
 }
 
 func newClaimSim(t *testing.T, seed uint64) *claimSim {
@@ -67,9 +69,11 @@
 		c.startReader(c.span(0, 20*time.Minute))
 	}
 	c.startReader(0)
+	c.hang = []float64{0, c.hang, 0.5}[c.r.IntN(3)]
 	for range 1 + c.r.IntN(2) {
 		key := c.newKey(c.span(-2*time.Minute, 2*time.Minute))
-		for range 2 + c.r.IntN(4) {
+		c.keys = append(c.keys, key)
+		for range 2 + c.r.IntN(6) {
 			c.after(c.attemptTime(), func() { c.startAttempt(key) })
 		}
 	}
@@ -114,9 +118,13 @@
 		})
 	}
 	if c.chance(0.3) {
-		c.after(c.span(0, 16*time.Minute), func() {
+		c.after(c.span(0, 5*time.Minute), func() {
 			p, _ := c.log.Read(context.Background(), claimStream, math.MaxUint32, 1, 0)
 			c.log.Trim(claimStream, platform.Offset(c.r.Uint64N(uint64(p.Next)+1)))
+			c.startReader(0)
+			for range 3 {
+				c.after(c.span(0, time.Minute), func() { c.startAttempt(c.keys[c.r.IntN(len(c.keys))]) })
+			}
 		})
 	}
 }
@@ -174,7 +182,7 @@
 func (r *claimReader) rule(v claim.Ruling) {
 	if v.Verdict != claim.Incomplete && v.Verdict != claim.Early && v.Verdict != claim.Expired {
 		if was, ok := r.sim.rulings[v.Attempt]; ok && was != v.Verdict {
-			r.sim.t.Errorf("readers disagree on %s: %s and %s", v.Attempt, was, v.Verdict)
+			r.sim.fail("readers disagree on %s: %s and %s", v.Attempt, was, v.Verdict)
 		}
 		r.sim.rulings[v.Attempt] = v.Verdict
 	}
@@ -225,10 +233,12 @@
 		a.sent = true
 		c.after(c.span(0, time.Second), func() { a.serve() })
 	}
-	switch {
-	case o.Result == claim.MaySend:
-		delete(r.waiting, a.id)
+	if o.Result == claim.MaySend {
 		r.after(c.span(0, 2*time.Second), a.send)
+		return
+	}
+	switch {
+	case !a.reply.IsZero(): // the caller has its reply
 	case o.Result != "":
 		a.end(o)
 	case a.machine.Phase() == claim.Claiming && (e.Kind == claim.Start || e.Kind == claim.Tick):
@@ -267,22 +277,30 @@
 	a.reader.after(c.span(0, 30*time.Second), func() { a.step(e) })
 }
 
+// end keeps the reply to the caller. Rulings and mistaken calls still reach the attempt and must have no effect.
 func (a *claimAttempt) end(o claim.Output) {
-	delete(a.reader.waiting, a.id)
 	a.reply, a.result = a.reader.sim.now, o.Result
-	switch {
-	case o.Result == claim.Finished:
+	if a.reader.sim.chance(0.2) {
+		a.reader.after(time.Second, func() { a.step(claim.Event{Kind: claim.Send}) })
+	}
+	switch o.Result {
+	case claim.Finished:
 		a.digest = a.id
-	case o.Result == claim.OutcomeKnown:
+	case claim.OutcomeKnown:
 		a.digest = o.Outcome.Digest
 	}
 }
 
+func (c *claimSim) fail(format string, a ...any) {
+	c.failed = true
+	c.t.Errorf(format, a...)
+}
+
 // check compares what the callers were told with what the service did.
-func (c *claimSim) check() {
+func (c *claimSim) check() bool {
 	for key, l := range c.runs {
 		if len(l) > 1 && !c.resend {
-			c.t.Errorf("key %s ran %d times", key, len(l))
+			c.fail("key %s ran %d times", key, len(l))
 		}
 	}
 	for _, a := range c.attempts {
@@ -290,16 +308,14 @@
 		switch a.result {
 		case claim.NotRun, claim.InProgress, claim.OutcomeExpired, claim.BadKey, claim.OutcomeKnown:
 			if ran || a.sent {
-				c.t.Errorf("attempt %s was told %s, but it ran", a.id, a.result)
+				c.fail("attempt %s was told %s, but it ran", a.id, a.result)
 			}
 		}
 	}
-	if c.resend {
-		return
-	}
-	if !porcupine.CheckOperations(claimModel, c.operations()) {
-		c.t.Errorf("the history is not linearizable: %s", c.describe())
+	if !c.resend && !porcupine.CheckOperations(claimModel, c.operations()) {
+		c.fail("the history is not linearizable: %s", c.describe())
 	}
+	return !c.failed
 }
 
 // claimOp is one attempt in the sequential model.
@@ -369,17 +385,16 @@
 // Guards against double runs, false "not run", wrong outcomes and readers that disagree, in generated histories with lost
 // replies, late appends, outages, paused, dead and new instances, retention, duplicated and reordered deliveries.
 func TestClaimHistories(t *testing.T) {
-	results := map[claim.Result]int{}
-	histories(t, func(t *testing.T, seed uint64) {
+	histories(t, func(t *testing.T, seed uint64) map[string]int {
 		c := newClaimSim(t, seed)
 		c.run()
-		c.check()
-		for _, a := range c.attempts {
-			results[a.result]++
-		}
-		if t.Failed() {
+		if !c.check() {
 			t.Errorf("seed %d", seed)
 		}
+		counts := map[string]int{}
+		for _, a := range c.attempts {
+			counts[string(a.result)]++
+		}
+		return counts
 	})
-	t.Logf("attempts by result: %v", results)
 }
--- a/internal/ledger/sim_test.go
+++ b/internal/ledger/sim_test.go
@@ -6,10 +6,15 @@
 	"encoding/json"
 	"math/rand/v2"
 	"os"
+	"runtime"
+	"slices"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/internal/standin"
 )
@@ -17,19 +22,34 @@
 // soakHistories is the number of generated histories of each history test unless CASSIASPOKE_SOAK sets another.
 const soakHistories = 500
 
-// histories runs f once per seed. A failing seed is run again with CASSIASPOKE_SEED.
-func histories(t *testing.T, f func(t *testing.T, seed uint64)) {
+// histories runs f once per seed, each history in one goroutine, and logs the sums of the counts that f returns.
+// CASSIASPOKE_SEED sets the first seed, so that a failing one can be run alone.
+func histories(t *testing.T, f func(t *testing.T, seed uint64) map[string]int) {
 	t.Helper()
 	n, first := soakHistories, 1
-	if v, err := strconv.Atoi(os.Getenv("CASSIASPOKE_SOAK")); err == nil {
-		n = v
-	}
 	if v, err := strconv.Atoi(os.Getenv("CASSIASPOKE_SEED")); err == nil {
 		n, first = 1, v
 	}
+	if v, err := strconv.Atoi(os.Getenv("CASSIASPOKE_SOAK")); err == nil {
+		n = v
+	}
+	var mu sync.Mutex
+	var g errgroup.Group
+	g.SetLimit(max(1, runtime.GOMAXPROCS(0)/2))
+	sum := map[string]int{}
 	for seed := first; seed < first+n && !t.Failed(); seed++ {
-		f(t, uint64(seed))
+		g.Go(func() error {
+			counts := f(t, uint64(seed))
+			mu.Lock()
+			defer mu.Unlock()
+			for k, v := range counts {
+				sum[k] += v
+			}
+			return nil
+		})
 	}
+	_ = g.Wait()
+	t.Logf("%d histories from seed %d: %v", n, first, sum)
 }
 
 type simEvent struct {
@@ -63,6 +83,7 @@
 	outage  [2]time.Time
 	lose    float64 // share of appends whose reply is lost
 	hang    float64 // share of appends that take effect late
+	late    time.Duration
 	nodes   []*simNode
 	touched func(stream string) // after an append took effect
 }
@@ -73,6 +94,7 @@
 	s := &sim{r: rand.New(rand.NewPCG(seed, 7)), now: simStart, touched: func(string) {}}
 	s.log = standin.NewLog(func() time.Time { return s.now })
 	s.lose, s.hang = s.r.Float64()*0.4, s.r.Float64()*0.2
+	s.late = []time.Duration{time.Minute, 25 * time.Minute}[s.r.IntN(2)]
 	if s.r.IntN(2) == 0 {
 		from := simStart.Add(s.span(0, 20*time.Minute))
 		s.outage = [2]time.Time{from, from.Add(s.span(time.Second, 20*time.Minute))}
@@ -136,6 +158,42 @@
 	})
 }
 
+// simLog is the log as a caller sees it that waits for the reply.
+type simLog struct{ *sim }
+
+var errSim = &platform.Error{Op: "append", Kind: platform.ErrUnavailable}
+
+// Append takes effect at once, late or never; the reply of a late one is lost.
+func (l simLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	if l.down() {
+		return 0, errSim
+	}
+	if l.chance(l.hang) {
+		data = slices.Clone(data)
+		l.after(l.span(time.Second, l.late), func() {
+			if !l.down() {
+				_, _ = l.log.Append(ctx, stream, data)
+				l.touched(stream)
+			}
+		})
+		return 0, errSim
+	}
+	o, err := l.log.Append(ctx, stream, data)
+	l.touched(stream)
+	if err != nil || l.chance(l.lose) {
+		return 0, errSim
+	}
+	return o, nil
+}
+
+// Read fails in an outage.
+func (l simLog) Read(ctx context.Context, stream string, from platform.Offset, limit int, _ time.Duration) (platform.Page, error) {
+	if l.down() {
+		return platform.Page{}, errSim
+	}
+	return l.log.Read(ctx, stream, from, limit, 0)
+}
+
 // simNode is an instance that may be paused or dead.
 type simNode struct {
 	sim    *sim
