--- a/internal/certificate/source_test.go
+++ b/internal/certificate/source_test.go
@@ -157,6 +157,10 @@
 		"foreign client":     {s.Server(), load(mixed).Client("127.0.0.1"), false},
 		"client without":     {s.Server(), &tls.Config{InsecureSkipVerify: true}, false},
 		"other peer's place": {s.Server(), s.Client("127.0.0.2"), false},
+		"peers":              {s.Peers(), s.Peers(), true},
+		"foreign peer calls": {s.Peers(), foreign.Peers(), false},
+		"mixed peer calls":   {s.Peers(), load(mixed).Peers(), false},
+		"mixed peer serves":  {load(mixed).Peers(), s.Peers(), false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
