--- a/internal/core/cascade/plan_test.go
+++ b/internal/core/cascade/plan_test.go
@@ -273,6 +273,22 @@
 	}
 }
 
+// Guards against an unproven canary that runs where nobody can rate it before delivery.
+func TestPlanCanaryUnrated(t *testing.T) {
+	v := learned(20, map[string]float64{"new@1": 0.99, "best@1": 0.99})
+	for name, change := range map[string]func(*Request){
+		"ratings away": func(r *Request) { r.RaterUp = false },
+		"session":      func(r *Request) { r.Session = true },
+	} {
+		r := request("best@1", "new@1")
+		r.Candidates[1].Canary, r.Candidates[1].Share = true, 1
+		change(r)
+		if got := names(v.Plan(r, noTrial)); got != "best@1" {
+			t.Errorf("%s: got %q", name, got)
+		}
+	}
+}
+
 // Guards a fair comparison: the current version sees as many of the same requests as its canary, and is rated.
 func TestPlanControl(t *testing.T) {
 	v := learned(20, map[string]float64{"new@1": 0.7, "cheap@1": 0.7, "mid@1": 0.99, "best@1": 0.99})
--- a/internal/core/rollout/settings.go
+++ b/internal/core/rollout/settings.go
@@ -10,6 +10,7 @@
 	FalseStops float64       // probability at most that a healthy version is stopped, over its whole roll-out
 	Tolerance  float64       // odds ratio of bad outcomes, new to current version, that still counts as healthy
 	Caution    float64       // evidence (likelihood ratio) from which on a roll-out does not advance
+	Margin     float64       // by which shares of bad outcomes may exceed the current version's when a stage passes
 	MaxUnrated float64       // answers of a new version that may wait for their rating
 	Patience   time.Duration // after which half of the waiting answers count as never rated
 	Repeat     time.Duration // before an action that the log did not confirm is asked for again
@@ -21,6 +22,7 @@
 		FalseStops: 0.001,
 		Tolerance:  1.5,
 		Caution:    10,
+		Margin:     0.02,
 		MaxUnrated: 200,
 		Patience:   5 * time.Minute,
 		Repeat:     5 * time.Second,
@@ -35,6 +37,8 @@
 		return &Error{"check settings", ErrInvalid, fmt.Errorf("false-stops is %v, want a probability", s.FalseStops)}
 	case s.Tolerance < 1 || s.Tolerance >= odds[0]:
 		return &Error{"check settings", ErrInvalid, fmt.Errorf("tolerance is %v, want 1 or more and less than %v", s.Tolerance, odds[0])}
+	case s.Margin < 0 || s.Margin > 1:
+		return &Error{"check settings", ErrInvalid, fmt.Errorf("margin is %v, want a share", s.Margin)}
 	case s.Caution < 1 || s.MaxUnrated < 1 || s.Patience < 0 || s.Repeat < 0:
 		return &Error{"check settings", ErrInvalid, fmt.Errorf("caution and max-unrated must be 1 or more, durations not negative")}
 	}
@@ -47,6 +51,7 @@
 		{&s.FalseStops, &d.FalseStops},
 		{&s.Tolerance, &d.Tolerance},
 		{&s.Caution, &d.Caution},
+		{&s.Margin, &d.Margin},
 		{&s.MaxUnrated, &d.MaxUnrated},
 	} {
 		if *p.at == 0 {
--- a/internal/core/rollout/trial.go
+++ b/internal/core/rollout/trial.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -33,10 +32,11 @@
 const (
 	maxStrata = 256 // classes that a trial compares within
 	maxPeers  = 1024
-	maxWait   = 64 // samples of either version that wait for one of the other
 	// slowRank of slowSize latencies of the current version is the limit above which a call counts as slow.
 	slowRank = 40
 	slowSize = 50
+	// slowMargin widens the margin for slow calls: one in five is slow by definition, so their share varies more.
+	slowMargin = 5
 )
 
 // Sample is one outcome of the new or the current version; a rating may come as a sample of its own.
@@ -54,11 +54,32 @@
 // State is the sum of a trial's samples on one instance; it is small enough for gossip.
 type State struct {
 	Evidence [3]Evidence `json:"evidence"`
+	Tallies  [3]Tally    `json:"tallies"`
 	Stage    int         `json:"stage"`
 	Ratings  int         `json:"ratings"` // compared in this stage
 	Calls    int         `json:"calls"`   // compared in this stage
 }
 
+// Tally counts the compared outcomes of one metric since the roll-out was started or resumed.
+type Tally struct {
+	Canary     int `json:"canary"`
+	CanaryBad  int `json:"canary-bad"`
+	Control    int `json:"control"`
+	ControlBad int `json:"control-bad"`
+}
+
+func (t *Tally) add(o Tally) {
+	t.Canary += o.Canary
+	t.CanaryBad += o.CanaryBad
+	t.Control += o.Control
+	t.ControlBad += o.ControlBad
+}
+
+// excess returns by how much the share of bad outcomes of the new version exceeds that of the current one.
+func (t *Tally) excess() float64 {
+	return outcomes{t.Canary, t.CanaryBad}.share() - outcomes{t.Control, t.ControlBad}.share()
+}
+
 // Trial is a sequential test of a new version against the current one.
 // It may be looked at after each sample: the probability of a false stop holds for all looks together.
 type Trial struct {
@@ -78,17 +99,13 @@
 
 // arms holds the samples of a stratum that wait for a comparison, for each metric.
 type arms struct {
-	waiting [3]queue
+	waiting [3]block
 	times   []time.Duration // first latencies of the current version
 	slow    time.Duration   // limit above which a call is slow; 0 while unknown
 }
 
-// queue holds outcomes of one version only, in order: as soon as both are there, they are compared.
-type queue struct {
-	canary bool
-	length int
-	bad    uint64 // bit n stands for outcome n
-}
+// block holds outcomes that wait until there are enough of both versions.
+type block struct{ canary, control outcomes }
 
 // NewTrial returns a trial without samples.
 func NewTrial(s Settings) *Trial {
@@ -132,35 +149,22 @@
 	}
 }
 
-// compare adds an outcome to the queue or compares it with those that wait, and returns how many
-// samples of the new version were compared.
-func (t *Trial) compare(q *queue, metric int, canary, bad bool) int {
-	bit := uint64(0)
-	if bad {
-		bit = 1
+// compare adds an outcome to a block and compares a full one; it returns how many samples of the new version
+// were compared. When a block is full depends on numbers only: a choice by outcome would bias the test.
+func (t *Trial) compare(b *block, metric int, canary, bad bool) int {
+	if canary {
+		b.canary.add(bad)
+	} else {
+		b.control.add(bad)
 	}
-	if q.length == 0 || q.canary == canary {
-		limit := maxControls
-		if canary {
-			limit = maxWait
-		}
-		if q.canary = canary; q.length < limit {
-			q.bad |= bit << q.length
-			q.length++
-		}
+	if b.canary.count < minBlock || b.control.count < minBlock {
 		return 0
 	}
-	e := &t.own.Evidence[metric]
-	if canary {
-		e.add(t.settings.Tolerance, bad, q.length, bits.OnesCount64(q.bad))
-		*q = queue{}
-		return 1
-	}
-	// The sample of the new version that waited longest is taken: a choice by outcome would bias the test.
-	e.add(t.settings.Tolerance, q.bad&1 == 1, 1, int(bit))
-	q.bad >>= 1
-	q.length--
-	return 1
+	n := b.canary.count
+	t.own.Tallies[metric].add(Tally{n, b.canary.bad, b.control.count, b.control.bad})
+	t.own.Evidence[metric].add(t.settings.Tolerance, b.canary, b.control)
+	*b = block{}
+	return n
 }
 
 // expose counts answers of the new version that wait for a rating.
@@ -192,18 +196,26 @@
 	switch {
 	case t.stopped != "":
 		return Stop
-	case sum.Ratings >= minSamples && sum.Calls >= minSamples && worst < math.Log(t.settings.Caution):
+	case sum.Ratings >= minSamples && sum.Calls >= minSamples && worst < math.Log(t.settings.Caution) && t.close(&sum):
 		return Pass
 	}
 	return Continue
 }
 
+// close reports whether the new version's shares of bad outcomes are near enough to those of the current one.
+// A version that is somewhat worse waits in its stage until the evidence stops it or the shares come closer.
+func (t *Trial) close(sum *State) bool {
+	m := t.settings.Margin
+	return sum.Tallies[0].excess() <= m && sum.Tallies[1].excess() <= m && sum.Tallies[2].excess() <= slowMargin*m
+}
+
 // total adds the peers' states to the own one.
 func (t *Trial) total() State {
 	sum := t.own
 	for _, p := range t.peers {
 		for i, e := range p.Evidence {
 			sum.Evidence[i] = sum.Evidence[i].plus(e)
+			sum.Tallies[i].add(p.Tallies[i])
 		}
 		if p.Stage == sum.Stage {
 			sum.Ratings += p.Ratings
--- a/internal/core/rollout/trial_test.go
+++ b/internal/core/rollout/trial_test.go
@@ -16,21 +16,17 @@
 // most 1 for a version whose odds of a bad outcome are within the tolerance, so the product is a supermartingale.
 func TestEvidenceIsSupermartingale(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		controls := rapid.IntRange(1, 8).Draw(t, "controls")
+		n, k := rapid.IntRange(1, 6).Draw(t, "canaries"), rapid.IntRange(1, 6).Draw(t, "controls")
 		current := rapid.Float64Range(0.001, 0.9).Draw(t, "current")
 		ratio := rapid.Float64Range(0.2, 1.5).Draw(t, "odds ratio")
 		canary := ratio * current / (1 - current + ratio*current)
 		var mean [len(odds)]float64
-		for set := range 1 << (controls + 1) {
-			n, bad := bits.OnesCount(uint(set>>1)), set&1 == 1
-			p := math.Pow(current, float64(n)) * math.Pow(1-current, float64(controls-n))
-			if bad {
-				p *= canary
-			} else {
-				p *= 1 - canary
-			}
+		for set := range 1 << (n + k) {
+			x, y := outcomes{n, bits.OnesCount(uint(set & (1<<n - 1)))}, outcomes{k, bits.OnesCount(uint(set >> n))}
+			p := math.Pow(canary, float64(x.bad)) * math.Pow(1-canary, float64(n-x.bad)) *
+				math.Pow(current, float64(y.bad)) * math.Pow(1-current, float64(k-y.bad))
 			var e Evidence
-			e.add(1.5, bad, controls, n)
+			e.add(1.5, x, y)
 			for i := range mean {
 				mean[i] += p * math.Exp(e[i])
 			}
@@ -43,28 +39,31 @@
 	})
 }
 
-// Guards the mixture against overflow and against a difference from the plain mean of products.
-func TestEvidenceRatio(t *testing.T) {
+// Guards the likelihood ratio and the mixture against a plain sum over all ways to place the bad outcomes.
+func TestEvidenceAgainstNaive(t *testing.T) {
+	chanceOf := func(odds float64, x, y outcomes) float64 {
+		own, sum := 0.0, 0.0
+		for set := range 1 << (x.count + y.count) {
+			if bits.OnesCount(uint(set)) != x.bad+y.bad {
+				continue
+			}
+			n := bits.OnesCount(uint(set & (1<<x.count - 1)))
+			sum += math.Pow(odds, float64(n))
+			if n == x.bad {
+				own += math.Pow(odds, float64(n))
+			}
+		}
+		return own / sum
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		var e Evidence
 		naive := [len(odds)]float64{1, 1, 1, 1}
-		for range rapid.IntRange(0, 20).Draw(t, "samples") {
-			bad, k := rapid.Bool().Draw(t, "bad"), rapid.IntRange(1, 8).Draw(t, "controls")
-			n := rapid.IntRange(0, k).Draw(t, "bad controls")
-			e.add(1.5, bad, k, n)
-			m := float64(n)
-			if bad {
-				m++
-			}
-			good := float64(k+1) - m
+		for range rapid.IntRange(0, 10).Draw(t, "blocks") {
+			x, y := outcomes{count: rapid.IntRange(1, 5).Draw(t, "canaries")}, outcomes{count: rapid.IntRange(1, 5).Draw(t, "controls")}
+			x.bad, y.bad = rapid.IntRange(0, x.count).Draw(t, "bad canaries"), rapid.IntRange(0, y.count).Draw(t, "bad controls")
+			e.add(1.5, x, y)
 			for i, o := range odds {
-				up, down := o*m/(o*m+good), 1.5*m/(1.5*m+good)
-				if !bad {
-					up, down = good/(o*m+good), good/(1.5*m+good)
-				}
-				if m > 0 && good > 0 {
-					naive[i] *= up / down
-				}
+				naive[i] *= chanceOf(o, x, y) / chanceOf(1.5, x, y)
 			}
 		}
 		want := math.Log((naive[0] + naive[1] + naive[2] + naive[3]) / 4)
@@ -135,6 +134,28 @@
 	}
 }
 
+// Guards against a stage that passes while the new version is visibly worse, short of proof.
+func TestTrialMargin(t *testing.T) {
+	for name, c := range map[string]struct {
+		metric int
+		bad    int // of 100, the current version has 20
+		want   Verdict
+	}{
+		"ratings within": {0, 22, Pass},
+		"ratings beyond": {0, 23, Continue},
+		"errors beyond":  {1, 23, Continue},
+		"slow within":    {2, 30, Pass},
+		"slow beyond":    {2, 31, Continue},
+	} {
+		tr := NewTrial(Settings{})
+		tr.own.Ratings, tr.own.Calls = 100, 100
+		tr.own.Tallies[c.metric] = Tally{100, c.bad, 100, 20}
+		if got := tr.Verdict(100); got != c.want {
+			t.Errorf("%s: got %s, want %s", name, got, c.want)
+		}
+	}
+}
+
 // Guards exposure: answers whose rating never comes close the version, and time opens it again.
 func TestTrialOpen(t *testing.T) {
 	tr := NewTrial(Settings{})
