Send a pause or withdrawal again when another change comes first

It is now sent up to five times with the current revision.

Measured: with four changes in between the withdrawal is accepted (before: exit code 3); with nine it ends with exit code 3.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/command"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
@@ -142,6 +143,34 @@
 	}
 }
 
+// Guards against a withdrawal that loses to changes that come first, and against one that never gives up.
+func TestWithdrawalWinsRaces(t *testing.T) {
+	tests := map[string]struct{ races, code int }{
+		"none": {0, command.ExitDone},
+		"some": {4, command.ExitDone},
+		"many": {9, command.ExitConflict},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &api{catalog: profile.New()}
+			var err error
+			a.catalog, err = a.catalog.Apply(0, time.Unix(0, 0), record.Change{Kind: record.VersionAdd, Name: "m@1", Version: &record.Version{Name: "m@1"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			dir := t.TempDir()
+			if err := os.WriteFile(filepath.Join(dir, "key"), []byte(operatorKey), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			a.races = test.races
+			code, _, errs := run(t, dir, "--key-file @key --operator "+a.start(t)+" version withdraw m@1")
+			if code != test.code || (a.catalog.Versions["m@1"].State == profile.StateWithdrawn) != (code == command.ExitDone) {
+				t.Errorf("exit code %d, want %d, version %+v, errors %s", code, test.code, a.catalog.Versions["m@1"], errs)
+			}
+		})
+	}
+}
+
 // Guards against a time line whose text output is not in causal order.
 func TestTimelineOrder(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/command/server_test.go
+++ b/internal/command/server_test.go
@@ -19,6 +19,12 @@
 type api struct {
 	catalog *profile.Catalog
 	bills   []record.Bill
+	races   int // changes of a version before which another operator changes it
+}
+
+// races holds the change that another operator makes to a version in each state.
+var races = map[profile.State]record.Kind{
+	profile.StateAdded: record.VersionRollOut, profile.StateRollingOut: record.VersionPause, profile.StatePaused: record.VersionResume,
 }
 
 const operatorKey = "ida-key"
@@ -93,6 +99,13 @@
 	var c client.VersionChange
 	_ = json.NewDecoder(r.Body).Decode(&c)
 	k := record.Kind("version-" + r.PathValue("action"))
+	if v := a.catalog.Versions[r.PathValue("name")]; a.races > 0 && v.Revision > 0 {
+		a.races--
+		a.catalog, _ = a.catalog.Apply(a.catalog.Next, time.Unix(0, 0), record.Change{
+			Kind: races[v.State], Name: v.Name, Base: v.Revision, Operator: "noor",
+			RollOut: &record.RollOut{Stages: []record.Stage{{Share: 1, MinSamples: 1}}},
+		})
+	}
 	a.apply(w, record.Change{Kind: k, Name: r.PathValue("name"), Base: c.Base, Operator: "ida", Reason: c.Reason, Version: c.Version, RollOut: c.RollOut})
 }
 
--- a/internal/command/version.go
+++ b/internal/command/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"strconv"
@@ -20,6 +21,9 @@
 	flagAtOnce = "at-once"
 )
 
+// stopTries bounds how often a pause or withdrawal is sent when other changes of the version come first.
+const stopTries = 5
+
 // versionFile is a version as operators keep it in a file.
 type versionFile struct {
 	Reason string `json:"reason"`
@@ -103,17 +107,33 @@
 		if err != nil {
 			return err
 		}
-		base := c.Uint64(flagBase)
-		if !c.IsSet(flagBase) {
-			if base, err = currentRevision(ctx, o, name); err != nil {
-				return remote(c.Name, err)
-			}
+		ch := client.VersionChange{Base: c.Uint64(flagBase), Reason: c.String(flagReason)}
+		var r client.RevisionReply
+		if c.IsSet(flagBase) {
+			r, err = o.ChangeVersion(ctx, name, a, ch)
+		} else {
+			r, err = stopCurrent(ctx, o, name, a, ch)
 		}
-		r, err := o.ChangeVersion(ctx, name, a, client.VersionChange{Base: base, Reason: c.String(flagReason)})
 		return accepted(c, "version "+name, r, err)
 	}
 }
 
+// stopCurrent sends a change with the current revision as its base, and again when another change came first:
+// a roll-out that advances on its own must not win against an operator who stops it.
+func stopCurrent(ctx context.Context, o *client.Operator, name string, a client.Action, ch client.VersionChange) (r client.RevisionReply, err error) {
+	for range stopTries {
+		if ch.Base, err = currentRevision(ctx, o, name); err != nil {
+			return r, err
+		}
+		r, err = o.ChangeVersion(ctx, name, a, ch)
+		var e *client.Error
+		if !errors.As(err, &e) || e.Winner == nil {
+			return r, err
+		}
+	}
+	return r, err
+}
+
 // currentRevision returns 0 for an unknown version, which the API then refuses.
 func currentRevision(ctx context.Context, o *client.Operator, name string) (uint64, error) {
 	l, err := o.Versions(ctx)
