End the return of grants at a planned stop

Cause: the refill loop took the grants again that a planned stop was returning, so a stop with a limited organisation ran until its drain timeout (115 grant records in 12 s, seen on a process). Change: no refill after Return was called. Result: TestWalletReturnEnds fails before (a take after the return) and passes after.

--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -56,6 +56,7 @@
 	mu       sync.Mutex
 	holder   string // unique per start and per reset of the fold
 	fold     *entitlement.Fold
+	closing  bool      // Return was called
 	end      bool      // the fold has reached the end of the stream
 	logNow   time.Time // the log's time, as last read at local time readAt
 	readAt   time.Time
@@ -132,6 +133,9 @@
 
 // Return gives all unreserved grants back and waits until the log has them, for a planned stop.
 func (w *Wallet) Return(ctx context.Context) error {
+	w.mu.Lock()
+	w.closing = true
+	w.mu.Unlock()
 	for {
 		b, pending := w.rest()
 		if len(b.Grants) == 0 && !pending {
@@ -312,8 +316,10 @@
 	}
 	now := w.now()
 	var b record.GrantBatch
-	for _, p := range w.wallets {
-		b.Grants = append(b.Grants, p.Tick(now)...)
+	if !w.closing { // a refill would take again what Return gives back
+		for _, p := range w.wallets {
+			b.Grants = append(b.Grants, p.Tick(now)...)
+		}
 	}
 	if len(b.Grants) > 0 {
 		return &b
--- a/internal/ledger/wallet_test.go
+++ b/internal/ledger/wallet_test.go
@@ -76,6 +76,35 @@
 	})
 }
 
+// Guards against refills that take the grants again while a planned stop returns them, so that it never ends.
+func TestWalletReturnEnds(t *testing.T) {
+	fixture(t, func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() })) {
+		w := NewWallet(ctx, o, WalletSettings{})
+		wait(w)
+		r, err := w.Reserve(ctx, limited(1_000_000), 1, entitlement.Amounts{Requests: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Settle(entitlement.Amounts{Requests: 1})
+		x, cancel := context.WithTimeout(ctx, time.Minute)
+		defer cancel()
+		if err := w.Return(x); err != nil {
+			t.Fatal(err)
+		}
+		end := platform.Offset(log.Appends())
+		time.Sleep(time.Minute)
+		p, err := log.Read(ctx, grantStream, end, 100, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range p.Entries {
+			for _, g := range decodeGrants(e.Data).Grants {
+				t.Errorf("after the return: %+v", g)
+			}
+		}
+	})
+}
+
 // Guards against a reader that starts after retention and grants again what was granted before.
 func TestWalletRetention(t *testing.T) {
 	fixture(t, func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() })) {
