--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -181,7 +181,7 @@
 }
 
 func tableReport(r engine.Report, now time.Time) endpoint.Report {
-	out := endpoint.Report{Leaving: r.Leaving}
+	out := endpoint.Report{Leaving: r.Leaving, Versions: r.Versions}
 	if r.Slots > 0 {
 		out.Time, out.Load, out.Slots = now, r.Outstanding, r.Slots
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -53,6 +53,7 @@
 type Report struct {
 	Outstanding int
 	Slots       int // 0 if the endpoint reported no load
+	Versions    []string
 	Leaving     bool
 }
 
@@ -241,6 +242,9 @@
 		r.Outstanding, _ = strconv.Atoi(o)
 		r.Slots, _ = strconv.Atoi(s)
 	}
+	if v := h.Get(HeaderVersions); v != "" {
+		r.Versions = strings.Split(v, ",")
+	}
 	return r
 }
 
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -2,11 +2,12 @@
 
 // Header names between the router and endpoints.
 const (
-	HeaderLoad    = "Endpoint-Load"    // "outstanding/slots" at the time of the engine's last report
-	HeaderLeaving = "Endpoint-Leaving" // "true" once the endpoint takes no new work
-	HeaderRequest = "Cassiaspoke-Request"
-	HeaderKey     = "Idempotency-Key"
-	HeaderFence   = "Fencing-Token"
+	HeaderLoad     = "Endpoint-Load"     // "outstanding/slots" at the time of the engine's last report
+	HeaderLeaving  = "Endpoint-Leaving"  // "true" once the endpoint takes no new work
+	HeaderVersions = "Endpoint-Versions" // versions that the engine serves, separated by commas
+	HeaderRequest  = "Cassiaspoke-Request"
+	HeaderKey      = "Idempotency-Key"
+	HeaderFence    = "Fencing-Token"
 )
 
 // DataDone is the data of the event that ends a stream.
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -198,11 +198,6 @@
 // Beliefs returns what is believed about versions.
 func (c *control) Beliefs() *cascade.View { return c.estimates.Load() }
 
-// Candidates returns the versions that a profile allows now.
-func (c *control) Candidates(name string) []cascade.Candidate {
-	return c.closed.Load().open((*c.candidates.Load())[name])
-}
-
 // Observe learns from an outcome.
 func (c *control) Observe(o cascade.Outcome) { c.post(o) }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -133,6 +133,7 @@
 	i.seed()
 	i.work.Go(func() { i.config.Run(i.ctx) })
 	i.work.Go(i.expire)
+	i.duties()
 	i.serve(i.callers, i.o.Callers)
 	i.serve(i.operator, i.o.Operators)
 	i.o.Events.Write(timeline.Event{Part: "instance", Name: "started"})
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -55,6 +55,7 @@
 	RollOut   rollout.Settings
 	Suspects  suspect.Settings
 	Ledger    Ledger
+	Loading   Loading
 
 	ListEvery    time.Duration // between reads of the instance list
 	HeaderBytes  int
@@ -88,6 +89,7 @@
 		Admission: endpoint.DefaultAdmission(9),
 		Cascade:   cascade.Defaults(),
 		RollOut:   rollout.Defaults(),
+		Loading:   DefaultLoading(),
 		Suspects:  suspect.DefaultSettings(id),
 		ListEvery: time.Second, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
 		BalancerWait: 5 * time.Second, Drain: 15 * time.Minute,
--- a/internal/instance/rollout.go
+++ b/internal/instance/rollout.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
@@ -14,15 +15,21 @@
 	reports []rollout.Report
 }
 
-// open returns the candidates that may run new work.
-func (v *closedVersions) open(l []cascade.Candidate) []cascade.Candidate {
-	if len(v.stopped)+len(v.waiting) == 0 {
-		return l
+// open reports whether a version may run new work outside the sessions that it has.
+func (v *closedVersions) open(version string) bool { return !v.stopped[version] && !v.waiting[version] }
+
+// Candidates returns the versions that a profile allows now and that some endpoint serves. Without the safe version
+// no plan could be trusted, so then the request rather waits for an endpoint.
+func (c *control) Candidates(name string) []cascade.Candidate {
+	all, closed, view := (*c.candidates.Load())[name], c.closed.Load(), c.endpoints.Load()
+	usable := func(d cascade.Candidate) bool { return closed.open(d.Version) && view.Size(d.Version) > 0 }
+	if !slices.ContainsFunc(all, func(d cascade.Candidate) bool { return !usable(d) }) {
+		return all
 	}
-	out := make([]cascade.Candidate, 0, len(l))
-	for _, c := range l {
-		if !v.stopped[c.Version] && !v.waiting[c.Version] {
-			out = append(out, c)
+	out := make([]cascade.Candidate, 0, len(all))
+	for _, d := range all {
+		if usable(d) || d.Safe {
+			out = append(out, d)
 		}
 	}
 	return out
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -33,6 +33,7 @@
 	PerToken      time.Duration
 	Prefixes      int // prompt prefixes kept in the cache
 	ChecksFencing bool
+	Changed       func(versions []string) // called after a command changed the versions
 }
 
 // EngineFaults tells an engine how to misbehave; zero values mean no fault.
--- a/internal/standin/enginecontrol.go
+++ b/internal/standin/enginecontrol.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
@@ -19,6 +20,7 @@
 		e.load, e.loadAt = e.running, time.Now()
 	}
 	w.Header().Set(engine.HeaderLoad, fmt.Sprintf("%d/%d", e.load, e.o.Slots))
+	w.Header().Set(engine.HeaderVersions, strings.Join(e.versions, ","))
 	if e.leaving {
 		w.Header().Set(engine.HeaderLeaving, "true")
 	}
@@ -59,6 +61,9 @@
 		http.Error(w, "unknown action", http.StatusBadRequest)
 		return
 	}
+	if e.o.Changed != nil {
+		e.o.Changed(slices.Clone(e.versions))
+	}
 	reply(w, c, nil)
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -97,6 +97,17 @@
 	l.list[n] = i
 }
 
+// SetVersions changes the versions of a listed engine.
+func (l *List) SetVersions(id string, versions []string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	for n := range l.list {
+		if l.list[n].ID == id {
+			l.list[n].Versions = versions
+		}
+	}
+}
+
 // Remove drops an instance.
 func (l *List) Remove(id string) {
 	l.lock.Lock()
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -147,13 +147,15 @@
 	if err != nil {
 		return nil, err
 	}
+	listed := platform.Instance{ID: id, Role: platform.RoleEngine, Zone: zone, Address: a, Versions: w.s.Versions}
 	e := standin.NewEngine(standin.EngineOptions{
-		ID: id, Versions: w.s.Versions, Slots: 16, FirstToken: 8 * time.Millisecond, PerToken: time.Millisecond, Prefixes: 64,
+		Changed: func(l []string) { w.Platform.List.SetVersions(id, l) },
+		ID:      id, Versions: w.s.Versions, Slots: 16, FirstToken: 8 * time.Millisecond, PerToken: time.Millisecond, Prefixes: 64,
 	})
 	w.work.Go(func() { _ = e.Serve(l) })
 	w.servers = append(w.servers, e.Close)
 	w.Engines[id] = e
-	w.Platform.List.Put(platform.Instance{ID: id, Role: platform.RoleEngine, Zone: zone, Address: a, Versions: w.s.Versions})
+	w.Platform.List.Put(listed)
 	return e, nil
 }
 
