Weigh a trial only after its evidence changed

Change: the sum over instances and the likelihood ratios are kept until a block is compared, a peer's state arrives or a stage starts.

--- a/internal/core/rollout/trial.go
+++ b/internal/core/rollout/trial.go
@@ -90,6 +90,9 @@
 	unrated  float64
 	at       time.Time
 	stopped  Metric
+	sum      State   // of all instances
+	worst    float64 // greatest log-likelihood ratio of a metric
+	known    bool    // sum and worst are up to date
 }
 
 type stratum struct {
@@ -163,7 +166,7 @@
 	n := b.canary.count
 	t.own.Tallies[metric].add(Tally{n, b.canary.bad, b.control.count, b.control.bad})
 	t.own.Evidence[metric].add(t.settings.Tolerance, b.canary, b.control)
-	*b = block{}
+	*b, t.known = block{}, false
 	return n
 }
 
@@ -183,25 +186,31 @@
 
 // Verdict returns the verdict of the current stage, which needs minSamples compared ratings and calls.
 func (t *Trial) Verdict(minSamples int) Verdict {
-	sum := t.total()
-	worst := math.Inf(-1)
-	for i, e := range sum.Evidence {
-		r := e.ratio()
-		worst = max(worst, r)
-		// Each metric gets an equal part of the allowed false stops.
-		if t.stopped == "" && r >= math.Log(float64(len(metrics))/t.settings.FalseStops) {
-			t.stopped = metrics[i]
-		}
+	if !t.known {
+		t.weigh()
 	}
 	switch {
 	case t.stopped != "":
 		return Stop
-	case sum.Ratings >= minSamples && sum.Calls >= minSamples && worst < math.Log(t.settings.Caution) && t.close(&sum):
+	case t.sum.Ratings >= minSamples && t.sum.Calls >= minSamples && t.worst < math.Log(t.settings.Caution) && t.close(&t.sum):
 		return Pass
 	}
 	return Continue
 }
 
+// weigh adds up the samples of all instances and looks for a metric that stops the version.
+func (t *Trial) weigh() {
+	t.sum, t.worst, t.known = t.total(), math.Inf(-1), true
+	for i, e := range t.sum.Evidence {
+		r := e.ratio()
+		t.worst = max(t.worst, r)
+		// Each metric gets an equal part of the allowed false stops.
+		if t.stopped == "" && r >= math.Log(float64(len(metrics))/t.settings.FalseStops) {
+			t.stopped = metrics[i]
+		}
+	}
+}
+
 // close reports whether the new version's shares of bad outcomes are near enough to those of the current one.
 // A version that is somewhat worse waits in its stage until the evidence stops it or the shares come closer.
 func (t *Trial) close(sum *State) bool {
@@ -244,12 +253,13 @@
 	if ok && (s.Stage < o.Stage || (s.Stage == o.Stage && s.Ratings+s.Calls < o.Ratings+o.Calls)) {
 		return
 	}
-	t.peers[peer] = s
+	t.peers[peer], t.known = s, false
 }
 
 // enter starts a stage: its samples are counted anew, while the evidence stays.
 func (t *Trial) enter(stage int) {
 	if t.own.Stage != stage {
 		t.own.Stage, t.own.Ratings, t.own.Calls = stage, 0, 0
+		t.known = false
 	}
 }
--- a/internal/core/rollout/trial_test.go
+++ b/internal/core/rollout/trial_test.go
@@ -171,6 +171,20 @@
 	}
 }
 
+// Guards pooling: evidence that suffices only together with a peer's stops the version at the merge.
+func TestTrialStopsByPeers(t *testing.T) {
+	tr, peer := NewTrial(Settings{}), NewTrial(Settings{})
+	if a, b := feed(tr, 12, 0.6, 0.002, 1, 0), feed(peer, 12, 0.6, 0.002, 1, 0); a != Continue || b != Continue {
+		t.Fatalf("got %s and %s before the merge", a, b)
+	}
+	for i := range 4 {
+		tr.Merge(string(rune('a'+i)), peer.State())
+	}
+	if got := tr.Verdict(100); got != Stop {
+		t.Errorf("got %s, want a stop", got)
+	}
+}
+
 // Guards pooling: peers' samples count once, whatever the order and number of deliveries.
 func TestTrialMerge(t *testing.T) {
 	whole, a, b := NewTrial(Settings{}), NewTrial(Settings{}), NewTrial(Settings{})
