Balance zones, keep the mean load, return faster and hold shares while shedding

One instance filled its own zone and refused half its requests at 0.8x; zones near their limit now give work to a zone with clearly more room. Probes of dead endpoints come every 2 s instead of at doubled times. Admission follows the wait that engines report, gives each instance an even part and holds shares until nothing is shed; a mean load without fresh reports no longer drops to 0.

--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -82,26 +82,15 @@
 		r.cached = v.hints.get(q.Prefix)
 		r.hinted = r.cached != [hintWays]Handle{}
 	}
-	first, tried := -1, uint64(0)
-	for range p.zones {
-		z := r.nextZone(p, tried)
-		tried |= 1 << z
-		m, usable := r.inZone(&p.zones[z], false)
-		if m != nil {
-			return r.choice(m, false), true
-		}
-		if usable && first < 0 {
-			first = z
-		}
-	}
-	if first < 0 {
+	z, full := r.zone(p)
+	if z == nil {
 		return Choice{}, false
 	}
-	m, _ := r.inZone(&p.zones[first], true)
+	m := r.inZone(z, full)
 	if m == nil {
 		return Choice{}, false // the last usable endpoint was barred meanwhile
 	}
-	return r.choice(m, true), true
+	return r.choice(m, full), true
 }
 
 // ChooseAlone returns the least used endpoint for a crash suspect, which other suspects do not run on. It walks
@@ -138,7 +127,9 @@
 	affine  bool // the request prefers certain endpoints
 	hinted  bool
 	exclude bool
-	loads   [kept]float64
+	loads   [kept]float64 // of the zone surveyed last
+	kept    *zone
+	last    survey
 }
 
 func (r *search) choice(m *member, full bool) Choice {
@@ -148,6 +139,38 @@
 	}
 }
 
+// zone returns the zone to search and whether all its slots are taken: the first one with a free slot, unless it is
+// near its limit and a later one has clearly more room; else the first with usable endpoints.
+func (r *search) zone(p *pool) (*zone, bool) {
+	var usable, free *zone
+	var used float64
+	tried := uint64(0)
+	for range p.zones {
+		i := r.nextZone(p, tried)
+		tried |= 1 << i
+		z := &p.zones[i]
+		s := r.survey(z)
+		switch {
+		case s.slots == 0:
+		case !s.free:
+			if usable == nil {
+				usable = z
+			}
+		case free == nil:
+			free, used = z, s.load/s.slots
+			if used < r.view.zoneFull {
+				return z, false
+			}
+		case s.load/s.slots < min(r.view.zoneFull, used-r.view.zoneGap):
+			return z, false
+		}
+	}
+	if free != nil {
+		return free, false
+	}
+	return usable, true
+}
+
 // nextZone returns the caller's zone first, then the others in an order that the prefix (or a draw) fixes, so
 // that all instances overflow a prefix to the same zone.
 func (r *search) nextZone(p *pool, tried uint64) int {
@@ -170,59 +193,65 @@
 	return best
 }
 
-// inZone returns an endpoint with a free slot, or with full any one, and whether the zone has usable endpoints.
-func (r *search) inZone(z *zone, full bool) (*member, bool) {
+// inZone returns an endpoint with a free slot, or with full any one.
+func (r *search) inZone(z *zone, full bool) *member {
 	r.mean = z.average()
 	if r.affine {
 		return r.byPrefix(z, full)
 	}
 	m := r.byLoad(z)
 	if m == nil || full || r.free(m) {
-		return m, m != nil
+		return m
 	}
-	return r.anyFree(z), true
+	return r.anyFree(z)
 }
 
 // byPrefix returns the first endpoint in the prefix's ranking whose load is within the bound. The ranking is the
 // same on all instances, so a prefix stays on few endpoints.
-func (r *search) byPrefix(z *zone, full bool) (*member, bool) {
-	load, slots, free := r.survey(z)
-	if slots == 0 || (!free && !full) {
-		return nil, slots != 0
+func (r *search) byPrefix(z *zone, full bool) *member {
+	s := r.last
+	if r.kept != z {
+		s = r.survey(z)
 	}
-	bound := max(r.view.bound*load/slots, r.view.floor)
+	bound := max(r.view.bound*s.load/max(1, s.slots), r.view.floor)
 	if !full {
 		bound = min(bound, 1)
 	}
 	if m := r.ranked(z, bound); m != nil {
-		return m, true
+		return m
 	}
 	if full {
-		return r.byLoad(z), true
+		return r.byLoad(z)
 	}
-	return r.anyFree(z), true
+	return r.anyFree(z)
 }
 
-// survey sums the load and the slots of a zone's usable members and reports whether one has a free slot. It is
-// kept apart from byPrefix because the compiler then holds the sums in registers.
-func (r *search) survey(z *zone) (load, slots float64, free bool) {
-	now, fade, exclude, mean := r.now, r.view.fade, r.exclude, r.mean
+// survey is what a zone's usable members have together.
+type survey struct {
+	load, slots float64
+	free        bool // one has a free slot
+}
+
+// survey is kept apart from byPrefix because the compiler then holds the sums in registers.
+func (r *search) survey(z *zone) (s survey) {
+	now, fade, exclude, mean := r.now, r.view.fade, r.exclude, z.average()
 	for i := range z.members {
 		m := &z.members[i]
 		l := unusable
 		if m.count.open(now) && (!exclude || !r.excluded(m.handle)) {
 			l = m.count.load(now, fade, mean)
-			load += l
-			slots += m.slots
+			s.load += l
+			s.slots += m.slots
 			if l+1 <= m.slots {
-				free = true
+				s.free = true
 			}
 		}
 		if i < kept {
 			r.loads[i] = l
 		}
 	}
-	return load, slots, free
+	r.kept, r.last = z, s
+	return s
 }
 
 // ranked returns the usable member with the highest score whose utilisation with one more request is within the
--- a/internal/core/endpoint/counter.go
+++ b/internal/core/endpoint/counter.go
@@ -20,7 +20,9 @@
 	nextAt      atomic.Int64  // earliest next request while returning, nanoseconds since the epoch
 	report      atomic.Uint64 // reported load of other instances, float64 bits
 	reportedAt  atomic.Int64  // nanoseconds since the epoch
-	_           [24]byte
+	allowed     atomic.Int64  // outstanding requests while returning
+	wait        atomic.Int64  // reported wait for the first token in nanoseconds, negative if it is not stated
+	_           [8]byte
 }
 
 // load returns own outstanding requests plus the load of other instances: the reported one, which fades linearly
@@ -41,10 +43,18 @@
 	c.reportedAt.Store(at.UnixNano())
 }
 
-// open reports whether the endpoint takes a request now. A returning one takes one at a time, with a gap.
+func (c *counter) setWait(r Report) {
+	if !r.Waits {
+		c.wait.Store(-1)
+		return
+	}
+	c.wait.Store(int64(r.Wait))
+}
+
+// open reports whether the endpoint takes a request now. A returning one takes few at a time, with a gap.
 func (c *counter) open(now int64) bool {
 	g := c.gate.Load()
-	return g == gateOpen || (g > 0 && now >= c.nextAt.Load() && c.outstanding.Load() == 0)
+	return g == gateOpen || (g > 0 && now >= c.nextAt.Load() && c.outstanding.Load() < c.allowed.Load())
 }
 
 func (c *counter) barred() bool { return c.gate.Load() == gateBarred }
--- a/internal/core/endpoint/event.go
+++ b/internal/core/endpoint/event.go
@@ -12,11 +12,13 @@
 
 // Report is what an endpoint says about itself in an answer or a probe.
 type Report struct {
-	Time     time.Time // when the endpoint measured it; zero means that there is no report
-	Load     int       // requests running or waiting, from all instances
-	Slots    int       // requests that it runs at once; 0 means not stated
-	Versions []string  // versions that it serves; nil means not stated
-	Adapters []string  // adapters loaded now
+	Time     time.Time     // when the endpoint measured it; zero means that there is no report
+	Load     int           // requests running or waiting, from all instances
+	Waits    bool          // whether Wait is stated
+	Wait     time.Duration // for a slot and for earlier prompts, as a request that arrives now would have it
+	Slots    int           // requests that it runs at once; 0 means not stated
+	Versions []string      // versions that it serves; nil means not stated
+	Adapters []string      // adapters loaded now
 	Leaving  bool
 }
 
--- a/internal/core/endpoint/health.go
+++ b/internal/core/endpoint/health.go
@@ -39,6 +39,7 @@
 		return
 	}
 	e.goods++
+	e.count.allowed.Store(int64(e.goods) + 1)
 	e.gap = max(1, e.gap/2)
 	if e.goods >= t.settings.ReturnAnswers {
 		e.state, e.since = stateLive, now
@@ -103,9 +104,12 @@
 // is lengthened by a share that differs between instances, so that their probes do not arrive together.
 func (t *Table) ejection(e *entry) time.Duration {
 	d := float64(t.settings.EjectBase) * math.Exp2(float64(e.level-1))
-	d = min(d, float64(t.settings.EjectMax))
-	draw := float64(mix(t.settings.Seed^e.seed^uint64(e.level))>>11) / (1 << 53)
-	return time.Duration(d * (1 + t.settings.Jitter*draw))
+	return t.jittered(e, time.Duration(min(d, float64(t.settings.EjectMax))), uint64(e.level))
+}
+
+func (t *Table) jittered(e *entry, d time.Duration, salt uint64) time.Duration {
+	draw := float64(mix(mix(t.settings.Seed)^e.seed^salt)>>11) / (1 << 53)
+	return time.Duration(float64(d) * (1 + t.settings.Jitter*draw))
 }
 
 // mayEject reports whether error statuses may eject one more endpoint of each of its pools.
@@ -145,12 +149,16 @@
 		return
 	}
 	if !ev.OK {
-		t.eject(now, e, false)
+		// A failed probe costs little, so a dead endpoint is probed at an even pace; the ejection time grows only
+		// for one that fails again after its return.
+		e.byError = false
+		e.until = now.Add(t.jittered(e, t.settings.ProbeEvery, uint64(now.UnixNano())))
 		return
 	}
 	e.state, e.since, e.returned, e.byError = stateReturning, now, now, false
 	e.gap = max(1, int64(t.settings.TrickleGap)*int64(t.settings.Fleet))
 	e.count.nextAt.Store(0)
+	e.count.allowed.Store(1)
 	t.place(e)
 }
 
--- a/internal/core/endpoint/naive_test.go
+++ b/internal/core/endpoint/naive_test.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		own := float64(e.count.outstanding.Load())
-		if e.state == stateReturning && (own > 0 || q.Now.UnixNano() < e.count.nextAt.Load()) {
+		if e.state == stateReturning && (own >= float64(e.goods+1) || q.Now.UnixNano() < e.count.nextAt.Load()) {
 			continue
 		}
 		load := e.count.load(q.Now.UnixNano(), 0.5/float64(t.settings.ReportHalf), means[e.zone])
@@ -50,10 +50,27 @@
 		}
 		return 1
 	})
-	for _, n := range names {
-		if slices.ContainsFunc(zones[n], func(m naiveMember) bool { return m.free }) {
-			return naiveRank(t, q, zones[n], 1)
+	usage := func(n string) (u float64) {
+		var load, slots float64
+		for _, m := range zones[n] {
+			load, slots = load+m.load, slots+slotsOf(t, m.e)
 		}
+		return load / slots
+	}
+	free := slices.DeleteFunc(slices.Clone(names), func(n string) bool {
+		return !slices.ContainsFunc(zones[n], func(m naiveMember) bool { return m.free })
+	})
+	if len(free) > 0 {
+		best := free[0]
+		if u := usage(best); u >= t.settings.ZoneFull {
+			for _, n := range free[1:] {
+				if usage(n) < min(t.settings.ZoneFull, u-t.settings.ZoneGap) {
+					best = n
+					break
+				}
+			}
+		}
+		return naiveRank(t, q, zones[best], 1)
 	}
 	if len(names) == 0 {
 		return 0, false
--- a/internal/core/endpoint/overload_test.go
+++ b/internal/core/endpoint/overload_test.go
@@ -44,7 +44,7 @@
 // headroom, and an organisation below its demand has no lower level than one of the same priority.
 func TestFairShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &pressure{users: map[string]*usage{}}
+		p := &pressure{users: map[string]*usage{}, perShed: 0.5}
 		n := rapid.IntRange(1, 8).Draw(t, "organisations")
 		demand := 0.0
 		for i := range n {
@@ -52,21 +52,21 @@
 				Organisation: fmt.Sprint(i), Share: rapid.IntRange(0, 5).Draw(t, "share"),
 				Priority: rapid.IntRange(0, 1).Draw(t, "priority"),
 			})
-			u.running, u.shed = rapid.IntRange(0, 20).Draw(t, "running"), float64(rapid.IntRange(0, 20).Draw(t, "shed"))
+			u.mean, u.shed = rapid.Float64Range(0, 20).Draw(t, "mean"), rapid.Float64Range(0, 20).Draw(t, "shed")
 			demand += p.demand(u)
 		}
 		budget := rapid.Float64Range(1, 100).Draw(t, "budget")
-		p.divide(budget, AdmissionSettings{})
+		p.divide(budget)
 		used := 0.0
 		for _, u := range p.users {
-			used += min(u.limit, p.demand(u))
+			used += min(u.level, p.demand(u))
 			for _, o := range p.users {
-				below := u.limit < p.demand(u)-1e-9
-				if below && o.priority == u.priority && u.limit/u.share < min(o.limit, p.demand(o))/o.share-1e-9 {
-					t.Fatalf("%s has %.2f per share, %s has %.2f", u.name, u.limit/u.share, o.name, o.limit/o.share)
+				below := u.level < p.demand(u)-1e-9
+				if below && o.priority == u.priority && u.level/u.share < min(o.level, p.demand(o))/o.share-1e-9 {
+					t.Fatalf("%s has %.2f per share, %s has %.2f", u.name, u.level/u.share, o.name, o.level/o.share)
 				}
-				if below && o.priority < u.priority && o.limit >= 1+1e-9 {
-					t.Fatalf("priority %d gets %.2f while priority %d lacks", o.priority, o.limit, u.priority)
+				if below && o.priority < u.priority && min(o.level, p.demand(o)) > 1e-9 {
+					t.Fatalf("priority %d gets %.2f while priority %d lacks", o.priority, o.level, u.priority)
 				}
 			}
 		}
@@ -103,7 +103,9 @@
 				a.Done("m@1", "top", time.Second)
 				a.Admit(epoch, Arrival{Pool: "m@1", Organisation: "top", Priority: 2})
 			}
-			a.Update(epoch, "m@1", c.slots, c.load)
+			for i := range 100 {
+				a.Update(epoch.Add(time.Duration(i)*time.Second), "m@1", c.slots, c.load)
+			}
 			org := map[int]string{0: "low", 1: "high", 2: "top"}[c.priority]
 			got := a.Admit(epoch, Arrival{Pool: "m@1", Organisation: org, Priority: c.priority, Deadline: epoch.Add(c.deadline)})
 			if got != c.want {
--- a/internal/core/endpoint/settings.go
+++ b/internal/core/endpoint/settings.go
@@ -11,6 +11,8 @@
 	LoadBound  float64       // an endpoint keeps a prefix up to this multiple of the pool's mean utilisation
 	LoadFloor  float64       // utilisation below which an endpoint always keeps its prefixes
 	ReportHalf time.Duration // age at which a reported load counts half, and the mean of its zone the other half
+	ZoneFull   float64       // utilisation from which a zone gives work to a zone below it
+	ZoneGap    float64       // difference in utilisation that a zone needs to take it
 	Hints      int           // cache hints remembered; rounded up to a power of two
 
 	ErrorStatuses int           // consecutive error statuses before an ejection
@@ -20,6 +22,7 @@
 	Jitter        float64       // share by which an ejection time is lengthened at most
 	Calm          time.Duration // healthy time that takes back one doubling
 	ProbeTimeout  time.Duration // time for a probe before it counts as failed
+	ProbeEvery    time.Duration // time between probes of an endpoint that does not answer them
 	ReturnAnswers int           // answers in a row before a returning endpoint counts as live
 	TrickleGap    time.Duration // fleet-wide gap between first requests to a returning endpoint
 
@@ -35,6 +38,8 @@
 		LoadBound:     1.5,
 		LoadFloor:     0.75,
 		ReportHalf:    time.Second,
+		ZoneFull:      0.7,
+		ZoneGap:       0.2,
 		Hints:         1 << 16,
 		ErrorStatuses: 5,
 		ErrorShare:    0.34,
@@ -43,6 +48,7 @@
 		Jitter:        0.5,
 		Calm:          time.Minute,
 		ProbeTimeout:  time.Second,
+		ProbeEvery:    2 * time.Second,
 		ReturnAnswers: 5,
 		TrickleGap:    10 * time.Millisecond,
 		DropAfter:     15 * time.Second,
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
@@ -24,8 +25,9 @@
 	handles  map[Handle]*entry
 	last     Handle
 	hints    *hints
-	now      time.Time // of the last event
-	view     *View     // nil when an event made it out of date
+	means    map[string]*atomic.Uint64 // reported load by pool and zone, float64 bits
+	now      time.Time                 // of the last event
+	view     *View                     // nil when an event made it out of date
 	actions  []Action
 }
 
@@ -54,14 +56,13 @@
 
 // NewTable returns an empty table.
 func NewTable(s Settings) *Table {
-	return &Table{settings: s, handles: map[Handle]*entry{}, hints: newHints(s.Hints)}
+	return &Table{settings: s, handles: map[Handle]*entry{}, hints: newHints(s.Hints), means: map[string]*atomic.Uint64{}}
 }
 
 // View returns the current snapshot; it is built again only after an event changed an endpoint's place in it.
 func (t *Table) View() *View {
 	if t.view == nil {
 		t.view = t.build()
-		t.view.settle(t.now)
 	}
 	return t.view
 }
@@ -236,6 +237,7 @@
 	}
 	e.reportedAt = r.Time
 	e.count.setReport(r.Load, r.Time)
+	e.count.setWait(r)
 	if r.Slots != 0 && r.Slots != e.slots {
 		e.slots, t.view = r.Slots, nil
 	}
--- a/internal/core/endpoint/view.go
+++ b/internal/core/endpoint/view.go
@@ -8,6 +8,13 @@
 	"time"
 )
 
+// Weight of a zone's last mean against a fresh report, and the share of it kept at each Tick: it halves in about 7 s
+// at 100 ms, longer than reports fade and short against a change of the load.
+const (
+	meanWeight = 0.5
+	meanKeep   = 0.99
+)
+
 // View is an immutable snapshot of the endpoints that take new work; the load counters in it are live.
 type View struct {
 	versions map[string]*pool
@@ -15,6 +22,8 @@
 	hints    *hints
 	bound    float64
 	floor    float64
+	zoneFull float64
+	zoneGap  float64
 	fade     float64
 }
 
@@ -84,6 +93,30 @@
 	return slots, load
 }
 
+// Wait returns the mean wait for the first token that a pool's endpoints report, each weighted by its freshness; it is
+// false when none states one.
+func (v *View) Wait(version, service string, now time.Time) (time.Duration, bool) {
+	p := v.pool(version, service)
+	if p == nil {
+		return 0, false
+	}
+	sum, weights := 0.0, 0.0
+	for _, z := range p.zones {
+		for i := range z.members {
+			c := z.members[i].count
+			w := min(1, 1-float64(now.UnixNano()-c.reportedAt.Load())*v.fade)
+			if wait := c.wait.Load(); wait >= 0 && w > 0 && !c.barred() {
+				sum += w * float64(wait)
+				weights += w
+			}
+		}
+	}
+	if weights == 0 {
+		return 0, false
+	}
+	return time.Duration(sum / weights), true
+}
+
 func (v *View) pool(version, service string) *pool {
 	if service != "" {
 		return v.services[service]
@@ -94,18 +127,21 @@
 func (t *Table) build() *View {
 	v := &View{
 		versions: map[string]*pool{}, services: map[string]*pool{}, hints: t.hints,
-		bound: t.settings.LoadBound, floor: t.settings.LoadFloor, fade: 0.5 / float64(t.settings.ReportHalf),
+		bound: t.settings.LoadBound, floor: t.settings.LoadFloor,
+		zoneFull: t.settings.ZoneFull, zoneGap: t.settings.ZoneGap, fade: 0.5 / float64(t.settings.ReportHalf),
 	}
+	old := t.means
+	t.means = make(map[string]*atomic.Uint64, len(old))
 	for _, e := range t.order {
 		if !e.takes() {
 			continue
 		}
 		m := e.member(t.settings.Slots)
 		if e.service != "" {
-			add(v.services, e.service, m)
+			t.add(v.services, old, "service/", e.service, m)
 		}
 		for _, n := range e.versions {
-			add(v.versions, n, m)
+			t.add(v.versions, old, "version/", n, m)
 		}
 	}
 	return v
@@ -114,9 +150,10 @@
 func (z *zone) average() float64 { return math.Float64frombits(z.mean.Load()) }
 
 // settle stores the mean of the zone's reported loads, each weighted by its freshness. An endpoint without a fresh
-// report counts as loaded as the others: taking it as idle sends every instance there at once.
+// report counts as loaded as the others: taking it as idle sends every instance there at once. The last mean counts
+// too, because an instance that sheds gets few reports and would take the zone as idle without it.
 func (z *zone) settle(now int64, fade float64) {
-	sum, weights := 0.0, 0.0
+	sum, weights := meanWeight*meanKeep*z.average(), meanWeight
 	for i := range z.members {
 		c := z.members[i].count
 		w := min(1, 1-float64(now-c.reportedAt.Load())*fade)
@@ -125,10 +162,7 @@
 			weights += w
 		}
 	}
-	if weights > 0 {
-		sum /= weights
-	}
-	z.mean.Store(math.Float64bits(sum))
+	z.mean.Store(math.Float64bits(sum / weights))
 }
 
 // settle renews the means of all pools; views share the zones' means with the traffic goroutines.
@@ -142,7 +176,8 @@
 	}
 }
 
-func add(pools map[string]*pool, name string, m member) {
+// add puts a member into its pool. It takes over the zone's mean from the last view.
+func (t *Table) add(pools map[string]*pool, old map[string]*atomic.Uint64, kind, name string, m member) {
 	p := pools[name]
 	if p == nil {
 		p = &pool{}
@@ -152,7 +187,11 @@
 	i := slices.IndexFunc(p.zones, func(z zone) bool { return z.name == m.info.zone })
 	if i < 0 {
 		i = len(p.zones)
-		p.zones = append(p.zones, zone{name: m.info.zone, hash: hashText(m.info.zone), mean: &atomic.Uint64{}})
+		key := kind + name + "/" + m.info.zone
+		if t.means[key] = old[key]; t.means[key] == nil {
+			t.means[key] = &atomic.Uint64{}
+		}
+		p.zones = append(p.zones, zone{name: m.info.zone, hash: hashText(m.info.zone), mean: t.means[key]})
 	}
 	p.zones[i].members = append(p.zones[i].members, m)
 }
--- a/internal/measure/pool_model.go
+++ b/internal/measure/pool_model.go
@@ -73,16 +73,17 @@
 
 // poolEngine is a model of an engine with continuous batching and a prefix cache.
 type poolEngine struct {
-	index, zone int
-	running     int
-	queue       []*poolRequest
-	live        []*poolRequest // in a slot
-	deaths      int
-	prefillFree time.Duration
-	order       *list.List // cached prefixes, most recently used first
-	cached      map[uint64]*list.Element
-	reported    int
-	reportedAt  time.Duration
+	index, zone  int
+	running      int
+	queue        []*poolRequest
+	live         []*poolRequest // in a slot
+	deaths       int
+	prefillFree  time.Duration
+	order        *list.List // cached prefixes, most recently used first
+	cached       map[uint64]*list.Element
+	reported     int
+	reportedAt   time.Duration
+	reportedWait time.Duration
 }
 
 // poolTimer is a pending event of the model.
@@ -212,10 +213,18 @@
 func (m *poolModel) measureLoad() {
 	for _, e := range m.engines {
 		e.reported, e.reportedAt = e.running+len(e.queue), m.now
+		e.reportedWait = max(0, e.prefillFree-m.now) + m.queueWait(e)
 	}
 	m.after(m.settings.ReportEvery, m.measureLoad)
 }
 
+// queueWait estimates how long the queue of an engine takes: its requests start as slots become free.
+func (m *poolModel) queueWait(e *poolEngine) time.Duration {
+	perToken := m.settings.TokenBase + time.Duration(m.settings.Slots)*m.settings.TokenStep
+	perSlot := time.Duration(m.settings.Output*float64(perToken)) / time.Duration(m.settings.Slots)
+	return time.Duration(len(e.queue)) * perSlot
+}
+
 func (m *poolModel) delay(r *poolRequest) time.Duration {
 	if m.engines[r.engine].zone == r.instance%m.settings.Zones {
 		return delaySameZone
--- a/internal/measure/pool_result.go
+++ b/internal/measure/pool_result.go
@@ -20,7 +20,7 @@
 	latencies     []time.Duration // to the first token
 	organisations [4]struct{ requests, good int }
 
-	attemptsAt, requestsAt, goodAt, firstAt []int // by second of the whole history
+	attemptsAt, requestsAt, goodAt, firstAt, firstsAt []int // by second of the whole history
 }
 
 func (p *poolResult) arrived(m *poolModel, r *poolRequest) {
@@ -31,7 +31,12 @@
 	}
 }
 
-func (p *poolResult) attempt(m *poolModel, _ *poolRequest) { count(&p.attemptsAt, m.now) }
+func (p *poolResult) attempt(m *poolModel, r *poolRequest) {
+	count(&p.attemptsAt, m.now)
+	if r.attempts == 1 {
+		count(&p.firstsAt, m.now)
+	}
+}
 
 func (p *poolResult) refused(r *poolRequest) {
 	if r.measured {
--- a/internal/measure/pool_router.go
+++ b/internal/measure/pool_router.go
@@ -83,6 +83,7 @@
 	unbudgeted bool // retries without a ratio, for comparison
 	noHints    bool
 	noPrefix   bool
+	noWaits    bool // engines do not report the wait for the first token
 	random     *rand.Rand
 	instances  []*tabledInstance
 	ejections  []int // by second
@@ -142,6 +143,9 @@
 	for _, n := range t.instances {
 		t.step(m, n, endpoint.Tick{})
 		slots, load := n.table.View().Capacity(poolVersion, "", t.now(m))
+		if wait, ok := n.table.View().Wait(poolVersion, "", t.now(m)); ok {
+			n.admission.Reported(t.now(m), poolVersion, wait)
+		}
 		n.admission.Update(t.now(m), poolVersion, slots, load)
 	}
 	m.after(poolTick, func() { t.tick(m) })
@@ -175,7 +179,10 @@
 }
 
 func (t *tabled) report(m *poolModel, e *poolEngine) endpoint.Report {
-	return endpoint.Report{Time: virtualStart.Add(e.reportedAt + 1), Load: e.reported, Slots: m.settings.Slots}
+	return endpoint.Report{
+		Time: virtualStart.Add(e.reportedAt + 1), Load: e.reported, Slots: m.settings.Slots,
+		Waits: !t.noWaits, Wait: e.reportedWait,
+	}
 }
 
 func (t *tabled) arrival(m *poolModel, r *poolRequest) endpoint.Arrival {
