--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -14,6 +14,10 @@
 // kept is how many loads of one zone a search keeps between its two passes; it reads further ones again.
 const kept = 128
 
+// overflowZones is how many zones with usable endpoints are searched. Prefixes and draws spread over all zones, so
+// a fleet in overload finds free slots wherever they are, and a full fleet costs no search of every zone.
+const overflowZones = 4
+
 // unusable marks a member that takes no request; it lies below every load.
 const unusable = -1.0
 
@@ -144,12 +148,15 @@
 func (r *search) zone(p *pool) (*zone, bool) {
 	var usable, free *zone
 	var used float64
-	tried := uint64(0)
+	tried, seen := uint64(0), 0
 	for range p.zones {
 		i := r.nextZone(p, tried)
 		tried |= 1 << i
 		z := &p.zones[i]
 		s := r.survey(z)
+		if s.slots != 0 {
+			seen++
+		}
 		switch {
 		case s.slots == 0:
 		case !s.free:
@@ -164,6 +171,9 @@
 		case s.load/s.slots < min(r.view.zoneFull, used-r.view.zoneGap):
 			return z, false
 		}
+		if seen == overflowZones {
+			break
+		}
 	}
 	if free != nil {
 		return free, false
@@ -178,14 +188,18 @@
 	if key == 0 {
 		key = uint64(r.query.Draws[0] * (1 << 53))
 	}
+	if tried == 0 {
+		for i := range p.zones {
+			if p.zones[i].name == r.query.Zone {
+				return i
+			}
+		}
+	}
 	best, score := 0, uint64(0)
 	for i := range p.zones {
 		if tried&(1<<i) != 0 {
 			continue
 		}
-		if p.zones[i].name == r.query.Zone {
-			return i
-		}
 		if s := mix(key ^ p.zones[i].hash); s >= score {
 			best, score = i, s
 		}
--- a/internal/core/endpoint/naive_test.go
+++ b/internal/core/endpoint/naive_test.go
@@ -50,6 +50,7 @@
 		}
 		return 1
 	})
+	names = names[:min(len(names), overflowZones)]
 	usage := func(n string) (u float64) {
 		var load, slots float64
 		for _, m := range zones[n] {
