--- a/internal/core/suspect/alone.go
+++ b/internal/core/suspect/alone.go
@@ -5,58 +5,88 @@
 	"time"
 )
 
-// Lease is a suspect that runs on an endpoint.
+// Lease is a suspect's claim on an endpoint.
 type Lease struct {
 	Content  Content `json:"content"`
 	Endpoint uint64  `json:"endpoint"` // hash of the identifier
+	Started  bool    `json:"started,omitempty"`
 }
 
-// peerHold is what a peer said it runs, until it says otherwise or the time is over.
+// hold is a lease of this instance.
+type hold struct {
+	endpoint uint64
+	since    time.Time
+	started  bool
+}
+
+// peerHold is what a peer said it claims, until it says otherwise or the time is over.
 type peerHold struct {
 	leases []Lease
 	until  time.Time
 }
 
-// Occupied reports whether a suspect runs on an endpoint, here or at a peer.
+// Occupied reports whether a suspect has a claim on an endpoint, here or at a peer.
 func (r *Register) Occupied(now time.Time, endpoint string) bool {
 	e := hashEndpoint(endpoint)
-	return r.leased(now, func(l Lease) bool { return l.Endpoint == e })
-}
-
-// leased reports whether a suspect that matches runs here or at a peer.
-func (r *Register) leased(now time.Time, match func(Lease) bool) bool {
-	for c, e := range r.running {
-		if match(Lease{c, e}) {
+	for _, h := range r.running {
+		if h.endpoint == e {
 			return true
 		}
 	}
-	for _, h := range r.leases {
-		if now.Before(h.until) && slices.ContainsFunc(h.leases, match) {
+	return r.leased(now, func(_ string, l Lease) bool { return l.Endpoint == e })
+}
+
+// leased reports whether a peer's lease matches.
+func (r *Register) leased(now time.Time, match func(peer string, l Lease) bool) bool {
+	for n, h := range r.leases {
+		if now.Before(h.until) && slices.ContainsFunc(h.leases, func(l Lease) bool { return match(n, l) }) {
 			return true
 		}
 	}
 	return false
 }
 
-// Acquire lets a suspect start on an endpoint, unless the same content runs already or another suspect runs there.
-// The caller waits, within its deadline, when the result is false.
+// Acquire claims an endpoint for a suspect, unless the same content has a claim already or another suspect has one
+// there. Tell the peers (Digest) at once, wait Settings.Settle and call Confirm before sending. When the result is
+// false the caller waits, within its deadline.
 func (r *Register) Acquire(now time.Time, c Content, endpoint string) bool {
-	e := hashEndpoint(endpoint)
-	if r.Judge(now, c) == Refuse || r.leased(now, func(l Lease) bool { return l.Content == c || l.Endpoint == e }) {
+	if _, busy := r.running[c]; busy || r.Judge(now, c) == Refuse || r.Occupied(now, endpoint) ||
+		r.leased(now, func(_ string, l Lease) bool { return l.Content == c }) {
+		return false
+	}
+	r.running[c] = hold{endpoint: hashEndpoint(endpoint), since: now}
+	return true
+}
+
+// Confirm reports whether a claimed suspect may start now. Two instances can claim one endpoint, or endpoints for one
+// content, before they hear of each other; then the one that started, else the one with the lower name, keeps its
+// claim. When the result is false the claim is gone and the caller judges the content again.
+func (r *Register) Confirm(now time.Time, c Content) bool {
+	h, ok := r.running[c]
+	if !ok {
+		return false
+	}
+	lost := r.leased(now, func(peer string, l Lease) bool {
+		return (l.Content == c || l.Endpoint == h.endpoint) && (l.Started || peer < r.settings.Instance)
+	})
+	if lost || now.Sub(h.since) < r.settings.Settle || r.Judge(now, c) == Refuse {
+		delete(r.running, c)
 		return false
 	}
-	r.running[c] = e
+	h.started = true
+	r.running[c] = h
 	return true
 }
 
 // Release ends a suspect's run. One that finished alone is cleared: it did not crash its endpoint. Call Death
 // before Release when the endpoint died.
 func (r *Register) Release(now time.Time, c Content, finished bool) {
-	if _, ok := r.running[c]; !ok {
+	h, ok := r.running[c]
+	if !ok {
 		return
 	}
 	delete(r.running, c)
-	if m := r.marks[c]; m != nil && finished {
+	if m := r.marks[c]; m != nil && finished && h.started {
 		m.Cleared = now
 		r.view = nil
 	}
--- a/internal/core/suspect/bound_test.go
+++ b/internal/core/suspect/bound_test.go
@@ -34,11 +34,18 @@
 	refused bool
 }
 
+// claim is a suspect that waits for its start.
+type claim struct {
+	job      *job
+	endpoint int
+}
+
 // fleet is a plain model of instances that send requests to endpoints, some of which a poison content crashes.
 type fleet struct {
 	registers []*Register
 	running   [][]*job // by endpoint
 	waiting   []*job
+	claims    []claim
 	jobs      []*job
 	now       time.Time
 	lost      int
@@ -69,6 +76,7 @@
 		}
 	}
 	f.waiting = wait
+	f.confirm()
 }
 
 func (f *fleet) send(j *job, at int) bool {
@@ -85,15 +93,29 @@
 	for i := range f.running {
 		e := (at + i) % len(f.running)
 		if r.Acquire(f.now, j.content, name(e)) {
-			j.alone = true
-			f.running[e] = append(f.running[e], j)
-			f.gossip()
+			f.claims = append(f.claims, claim{j, e})
 			return true
 		}
 	}
 	return false
 }
 
+// confirm starts the claims that hold after the peers heard of them.
+func (f *fleet) confirm() {
+	f.gossip()
+	f.now = f.now.Add(DefaultSettings("").Settle)
+	for _, c := range f.claims {
+		if f.registers[c.job.from].Confirm(f.now, c.job.content) {
+			c.job.alone = true
+			f.running[c.endpoint] = append(f.running[c.endpoint], c.job)
+			continue
+		}
+		f.waiting = append(f.waiting, c.job)
+	}
+	f.claims = nil
+	f.gossip()
+}
+
 // finish ends all jobs of an endpoint: it dies when one is poison, otherwise they succeed.
 func (f *fleet) finish(e int) {
 	l := f.running[e]
--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -11,14 +11,14 @@
 type Report struct {
 	Instance string  `json:"instance"`
 	Marks    []Mark  `json:"marks,omitempty"`
-	Alone    []Lease `json:"alone,omitempty"` // its suspects that run now
+	Alone    []Lease `json:"alone,omitempty"` // claims of its suspects
 }
 
 // Digest returns what peers need to know. It is sorted, so equal registers give equal reports.
 func (r *Register) Digest() Report {
 	p := Report{Instance: r.settings.Instance}
 	for _, c := range slices.Sorted(maps.Keys(r.running)) {
-		p.Alone = append(p.Alone, Lease{c, r.running[c]})
+		p.Alone = append(p.Alone, Lease{c, r.running[c].endpoint, r.running[c].started})
 	}
 	for _, m := range r.marks {
 		c := *m
--- a/internal/core/suspect/register.go
+++ b/internal/core/suspect/register.go
@@ -14,6 +14,7 @@
 	RefuseFor  time.Duration // time for which a content seen at two deaths is refused
 	SameDeath  time.Duration // reports on one endpoint this close together are one death
 	MassDeaths int           // this many endpoints dying within SameDeath are a common failure, not one request's
+	Settle     time.Duration // time from a claim on an endpoint to the start, in which peers hear of it
 	LeaseFor   time.Duration // time for which a peer's statement about endpoints with suspects holds
 	Contents   int           // contents remembered at most
 	Deaths     int           // recent deaths remembered at most
@@ -27,6 +28,7 @@
 		RefuseFor:  15 * time.Minute,
 		SameDeath:  3 * time.Second,
 		MassDeaths: 4,
+		Settle:     250 * time.Millisecond,
 		LeaseFor:   30 * time.Second,
 		Contents:   1 << 14,
 		Deaths:     1 << 8,
@@ -39,7 +41,7 @@
 // Verdicts.
 const (
 	Run    Verdict = iota // on any endpoint
-	Alone                 // after Acquire, on an endpoint on which no other suspect runs
+	Alone                 // after Acquire and Confirm, on an endpoint on which no other suspect runs
 	Refuse                // not at all; "not run" is true
 )
 
@@ -65,7 +67,7 @@
 	settings Settings
 	marks    map[Content]*Mark
 	recent   []Death             // local deaths, oldest first, one for each endpoint
-	running  map[Content]uint64  // suspects running alone here, with their endpoints
+	running  map[Content]hold    // claims of suspects here
 	leases   map[string]peerHold // by peer
 	view     *View
 }
@@ -73,7 +75,7 @@
 // New returns an empty register.
 func New(s Settings) *Register {
 	return &Register{
-		settings: s, marks: map[Content]*Mark{}, running: map[Content]uint64{}, leases: map[string]peerHold{},
+		settings: s, marks: map[Content]*Mark{}, running: map[Content]hold{}, leases: map[string]peerHold{},
 	}
 }
 
--- a/internal/core/suspect/register_test.go
+++ b/internal/core/suspect/register_test.go
@@ -26,14 +26,22 @@
 		"other content": {func(r *Register) { r.Death(epoch, "a", 8); r.Death(epoch, "b", 8) }, 0, Run},
 		"finished alone": {func(r *Register) {
 			r.Death(epoch, "a", 7)
-			r.Acquire(at(time.Second), 7, "b")
+			r.Acquire(epoch, 7, "b")
+			r.Confirm(at(time.Second), 7)
 			r.Release(at(2*time.Second), 7, true)
 		}, 2 * time.Second, Run},
 		"cancelled alone": {func(r *Register) {
 			r.Death(epoch, "a", 7)
-			r.Acquire(at(time.Second), 7, "b")
+			r.Acquire(epoch, 7, "b")
+			r.Confirm(at(time.Second), 7)
 			r.Release(at(2*time.Second), 7, false)
 		}, 2 * time.Second, Alone},
+		"released before the start": {func(r *Register) {
+			r.Death(epoch, "a", 7)
+			r.Acquire(epoch, 7, "b")
+			r.Confirm(at(s.Settle/2), 7)
+			r.Release(at(2*time.Second), 7, true)
+		}, 2 * time.Second, Alone},
 		"suspicion ends": {func(r *Register) { r.Death(epoch, "a", 7) }, s.SuspectFor, Run},
 		"refusal ends":   {func(r *Register) { r.Death(epoch, "a", 7); r.Death(epoch, "b", 7) }, s.RefuseFor, Run},
 		"zone dies": {func(r *Register) {
