--- a/internal/core/membership/merge.go
+++ b/internal/core/membership/merge.go
@@ -140,9 +140,12 @@
 		return []Action{Changed{Peer: p.Member, To: Alive}}
 	}
 	if d.Incarnation > p.incarnation {
+		// The first incarnation of a listed peer is no news: every instance reads the list.
+		if p.incarnation > 0 {
+			t.spread(p)
+		}
 		p.incarnation, p.reporters = d.Incarnation, nil
 		p.Address, p.Zone = d.Address, d.Zone
-		t.spread(p)
 		if d.State == Alive || d.State == Left {
 			return t.set(now, p, d.State)
 		}
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -64,6 +64,9 @@
 // Batcher returns the instances that append for the own one, the first choice first, or none.
 func (v *View) Batcher(class string, limit int) []Member {
 	l := v.Batchers(class, limit)
+	if i := slices.IndexFunc(l, func(m Member) bool { return m.ID == v.Self.ID }); i >= 0 {
+		return l[i : i+1]
+	}
 	return rank(l, "appends "+class, v.Self.ID, len(l))
 }
 
--- a/internal/peer/bill.go
+++ b/internal/peer/bill.go
@@ -42,13 +42,15 @@
 	return p
 }
 
-func (n *names) bill(b record.Bill) *peerpb.Bill {
+func (n *names) bill(holder string, b record.Bill) *peerpb.Bill {
 	p := n.id(BillID{b.Organisation, b.Key})
 	p.Profile, p.Service, p.Product = n.of(b.Profile), n.of(b.Service), n.of(b.Version)
 	p.Input, p.Output, p.Cost = b.Input, b.Output, int64(b.Cost)
-	p.Instance = n.of(b.Instance)
+	if b.Instance != holder {
+		p.Instance = n.of(b.Instance)
+	}
 	if !b.Issued.IsZero() {
-		p.IssuedNs = b.Issued.UnixNano()
+		p.IssuedUs = b.Issued.UnixMicro()
 	}
 	return p
 }
@@ -57,7 +59,7 @@
 	n := newNames()
 	r := &peerpb.HoldBillsRequest{Version: version, Holder: holder}
 	for _, b := range hold {
-		r.Hold = append(r.Hold, n.bill(b))
+		r.Hold = append(r.Hold, n.bill(holder, b))
 	}
 	for _, id := range drop {
 		r.Drop = append(r.Drop, n.id(id))
@@ -66,13 +68,16 @@
 	return r
 }
 
-func decodeBills(table []string, l []*peerpb.Bill) ([]record.Bill, error) {
+func decodeBills(holder string, table []string, l []*peerpb.Bill) ([]record.Bill, error) {
 	bills := make([]record.Bill, 0, len(l))
 	for _, p := range l {
 		b, err := decodeBill(table, p)
 		if err != nil {
 			return nil, err
 		}
+		if b.Instance == "" {
+			b.Instance = holder
+		}
 		bills = append(bills, b)
 	}
 	return bills, nil
@@ -102,8 +107,8 @@
 		}
 		b.Key = u.String()
 	}
-	if ns := p.GetIssuedNs(); ns != 0 {
-		b.Issued = time.Unix(0, ns).UTC()
+	if us := p.GetIssuedUs(); us != 0 {
+		b.Issued = time.UnixMicro(us).UTC()
 	}
 	if bad || b.Organisation == "" || b.Key == "" {
 		return b, fmt.Errorf("bill has no organisation, no key or an unknown name")
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -16,26 +16,35 @@
 const (
 	appendBatch   = 2000            // records in one append
 	appendTimeout = 5 * time.Second // of one append
-	relayDelay    = 3 * time.Millisecond
-	batcherTries  = 2 // batchers tried before the instance appends for itself
+	// relayShare is the part of a batcher's interval that a record waits for others on the way to the batcher.
+	// One call costs about as much as three bills.
+	relayShare   = 16
+	relayDelay   = 3 * time.Millisecond // at least
+	batcherTries = 2                    // batchers tried before the instance appends for itself
 )
 
-// Group says how the records of a stream share appends.
+// Group says how the records of a stream share appends; a batcher appends every Batchers / Appends seconds.
 type Group struct {
-	Batchers int           // instances that append for the fleet
-	Interval time.Duration // between the appends of a batcher
-	Local    time.Duration // between the appends of an instance that appends for itself
+	Batchers int           // largest number of instances that append for the fleet
+	Appends  float64       // a second, over the fleet
+	Local    time.Duration // between the appends of an instance of a small fleet, which appends for itself
 }
 
 // DefaultGroups returns the groups by stream, or by prefix up to a dash. Appends of the fleet a second:
-// bills 100 / 1 s = 100, claims 16 partitions / 200 ms = 80; 20 of 200 remain for config, grants and leases.
+// bills 100, claims 5 on each of 16 partitions; 20 of 200 remain for config, grants and leases.
+// 400 batchers keep the bills that one of them takes for others below 3 KB/s; see docs/decisions/0043.
 func DefaultGroups() map[string]Group {
 	return map[string]Group{
-		"bills":  {Batchers: 100, Interval: time.Second, Local: 100 * time.Millisecond},
-		"claims": {Batchers: 1, Interval: 200 * time.Millisecond},
+		"bills":  {Batchers: 400, Appends: 100, Local: 100 * time.Millisecond},
+		"claims": {Batchers: 1, Appends: 5},
 	}
 }
 
+// interval returns the time between the appends of each of n batchers.
+func (g Group) interval(n int) time.Duration {
+	return time.Duration(float64(n) / g.Appends * float64(time.Second))
+}
+
 // group returns the group of a stream; a stream without one is appended at once, by each instance for itself.
 func (s *Service) group(stream string) Group {
 	if g, ok := s.s.Groups[stream]; ok {
@@ -172,10 +181,14 @@
 // Interval returns how long an append of a stream waits for other records; it is what NewGrouper takes.
 func (s *Service) Interval(stream string) time.Duration {
 	g := s.group(stream)
-	if len(s.batchers(stream)) == 0 {
+	if g.Batchers == 0 {
+		return 0
+	}
+	n := len(s.View().Batchers(stream, g.Batchers))
+	if n == 0 {
 		return g.Local
 	}
-	return g.Interval
+	return g.interval(n)
 }
 
 // relay gathers records for a batcher for a few milliseconds.
@@ -219,7 +232,9 @@
 
 func (r *relay) send(s *Service, to membership.Member, stream, key string, b *relayed) {
 	defer close(b.done)
-	t := time.NewTimer(relayDelay)
+	g := s.group(stream)
+	interval := g.interval(g.Batchers)
+	t := time.NewTimer(max(relayDelay, interval/relayShare))
 	defer t.Stop()
 	select {
 	case <-s.ctx.Done():
@@ -234,8 +249,7 @@
 		return
 	}
 	req := &peerpb.AppendBatchRequest{Version: version, Stream: stream, Records: b.records}
-	timeout := appendTimeout + s.group(stream).Interval
-	b.err = s.pool.call(s.ctx, "append", to.Address, timeout, func(ctx context.Context, c peerpb.PeerClient) error {
+	b.err = s.pool.call(s.ctx, "append", to.Address, appendTimeout+interval, func(ctx context.Context, c peerpb.PeerClient) error {
 		reply, err := c.AppendBatch(ctx, req)
 		b.offsets = reply.GetOffsets()
 		return err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -112,11 +112,11 @@
 	if h.s.h.Bills == nil {
 		return nil, status.Error(codes.Unimplemented, "no bills are held here")
 	}
-	bills, err := decodeBills(r.GetNames(), r.GetHold())
+	bills, err := decodeBills(r.GetHolder(), r.GetNames(), r.GetHold())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	drop, err := decodeBills(r.GetNames(), r.GetDrop())
+	drop, err := decodeBills(r.GetHolder(), r.GetNames(), r.GetDrop())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -124,6 +124,9 @@
 		h.s.h.Bills.ReleaseBills(r.GetHolder(), identify(drop))
 	}
 	if len(bills) > 0 {
+		if !h.s.holders.admit(time.Now(), r.GetHolder(), r.GetLastResort()) {
+			return nil, status.Error(codes.ResourceExhausted, "enough holders have their copies here")
+		}
 		if err := h.s.h.Bills.HoldBills(ctx, r.GetHolder(), bills); err != nil {
 			return nil, status.Error(codes.ResourceExhausted, err.Error())
 		}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -92,6 +92,7 @@
 	address netip.AddrPort
 	outbox  outbox
 	relay   relay
+	holders holders
 }
 
 // New returns a service that isn't started.
--- a/internal/peer/witness.go
+++ b/internal/peer/witness.go
@@ -17,8 +17,10 @@
 	holdDelay     = 3 * time.Millisecond // a bill waits this long for others
 	holdBatch     = 1000                 // bills in one message
 	releaseDelay  = time.Second
-	witnessTries  = 3 // peers tried in turn
-	witnessMemory = 3 // former witnesses that are still told what they may drop
+	holderLimit   = 2           // holders with copies at one witness, so that no hash makes one a hot spot
+	holderMemory  = time.Minute // since the last copy, until a holder counts no more
+	witnessTries  = 3           // peers tried in turn
+	witnessMemory = 3           // former witnesses that are still told what they may drop
 )
 
 // Witness copies bills to a peer in another availability zone.
@@ -140,13 +142,51 @@
 		return
 	}
 	g.err = &Error{Op: "hold bill", Kind: ErrNoPeer}
-	for _, m := range s.View().Witnesses(witnessTries) {
-		if g.err = s.hold(m, bills); g.err == nil {
+	l := s.outbox.prefer(s.View().Witnesses(witnessTries))
+	for i := range 2 * len(l) {
+		m := l[i%len(l)]
+		if g.err = s.hold(m, bills, i >= len(l)); g.err == nil {
 			s.outbox.chosen(m)
 			return
 		}
-		s.log.Warn("peer: Witness took no copy.", zap.String("peer", m.ID), zap.Error(g.err))
+		s.log.Debug("peer: Witness took no copy.", zap.String("peer", m.ID), zap.Error(g.err))
 	}
+	s.log.Warn("peer: No witness took the copies.", zap.Int("bills", len(bills)), zap.Error(g.err))
+}
+
+// prefer puts the witness in use first, if it is still a candidate.
+func (o *outbox) prefer(l []membership.Member) []membership.Member {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	i := slices.IndexFunc(l, func(m membership.Member) bool { return m.ID == o.witness.ID })
+	if i > 0 {
+		l[0], l[i] = l[i], l[0]
+	}
+	return l
+}
+
+// holders bounds how many instances keep their copies here.
+type holders struct {
+	lock sync.Mutex
+	seen map[string]time.Time
+}
+
+func (h *holders) admit(now time.Time, holder string, lastResort bool) bool {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	if h.seen == nil {
+		h.seen = map[string]time.Time{}
+	}
+	for id, at := range h.seen {
+		if now.Sub(at) > holderMemory {
+			delete(h.seen, id)
+		}
+	}
+	if _, known := h.seen[holder]; !known && !lastResort && len(h.seen) >= holderLimit {
+		return false
+	}
+	h.seen[holder] = now
+	return true
 }
 
 // sendReleases sends the releases that went out with no copies.
@@ -166,15 +206,16 @@
 		if s.budget.bulk(s.ctx) != nil {
 			return
 		}
-		if err := s.hold(m, nil); err != nil {
+		if err := s.hold(m, nil, false); err != nil {
 			s.log.Warn("peer: Witness was not told what it may drop.", zap.String("peer", m.ID), zap.Error(err))
 		}
 	}
 }
 
-func (s *Service) hold(to membership.Member, bills []record.Bill) error {
+func (s *Service) hold(to membership.Member, bills []record.Bill, lastResort bool) error {
 	drop := s.outbox.drops(to.ID)
 	req := encodeBills(s.s.ID, bills, drop)
+	req.LastResort = lastResort
 	return s.pool.call(s.ctx, "hold bill", to.Address, s.s.Timeout, func(ctx context.Context, c peerpb.PeerClient) error {
 		_, err := c.HoldBills(ctx, req)
 		return err
