--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -253,6 +253,13 @@
 			"log down for one": func(t *rapid.T) {
 				f.nodes[id.Draw(t, "who")].logDown = true
 			},
+			"split with the log on one side": func(t *rapid.T) {
+				k := rapid.IntRange(1, n).Draw(t, "size")
+				f.split(func(i int) bool { return i < k })
+				for i, id := range f.ids {
+					f.nodes[id].logDown = i < k
+				}
+			},
 			"log down":   func(*rapid.T) { f.logs(true) },
 			"log up":     func(*rapid.T) { f.logs(false) },
 			"change":     func(t *rapid.T) { f.accept(id.Draw(t, "through")) },
--- a/internal/measure/capacity_test.go
+++ b/internal/measure/capacity_test.go
@@ -36,3 +36,16 @@
 		t.Errorf("measured %+v", p)
 	}
 }
+
+// Guards against a comparison in which one way doesn't transfer the whole state.
+func TestRebuild(t *testing.T) {
+	o := RebuildOptions{Claims: 6000, Size: 100, Kept: 20}
+	n, _, err := fromLog(context.Background(), o)
+	if err != nil || n != 600_000 {
+		t.Errorf("read %d bytes from the log, %v", n, err)
+	}
+	n, _, err = fromPeer(context.Background(), o)
+	if err != nil || n < 120_000 {
+		t.Errorf("took %d bytes from a peer, %v", n, err)
+	}
+}
