Export bills in parts of about 10,000

Cause: the operators' API returned every bill from an offset on in one reply, which at 26,000 bills/s is more than an instance may hold, and always set End to Next, so the command never asked for a second part. Change: ledger.ExportPage stops after the record with the limit's last bill and returns the end of the stream; a record is not split, because only its border is an offset.

--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -159,17 +159,20 @@
 // Void gives the key back.
 func (t ticket) Void() { t.t.Void() }
 
+// exportLimit is the number of bills after which a part of an export ends; a bill takes about 300 bytes of JSON.
+const exportLimit = 10_000
+
 // export returns a part of the bills.
 func (l *ledgers) export(ctx context.Context, from uint64) (client.BillsReply, error) {
 	out := client.BillsReply{Bills: []record.Bill{}}
-	next, err := ledger.Export(ctx, l.log, platform.Offset(from), func(e ledger.Exported) error {
+	s, err := ledger.ExportPage(ctx, l.log, platform.Offset(from), exportLimit, func(e ledger.Exported) error {
 		out.Bills = append(out.Bills, e.Bill)
 		return nil
 	})
 	if err != nil {
 		return out, fmt.Errorf("export: %w", err)
 	}
-	out.Next, out.End = uint64(next), uint64(next)
+	out.Next, out.End = uint64(s.Next), uint64(s.End)
 	return out, nil
 }
 
--- a/internal/ledger/export.go
+++ b/internal/ledger/export.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/bill"
@@ -20,32 +21,46 @@
 	Unproven bool `json:"unproven,omitempty"`
 }
 
+// Span is a read part of a stream: Next is the offset to continue from, End the end of the stream as last read.
+type Span struct{ Next, End platform.Offset }
+
 // Export calls fn with each bill that counts from an offset to the end of the stream and returns the next offset.
 // Two exports over adjoining offsets together return each bill once. The error is an *Error or that of fn.
 func Export(ctx context.Context, log platform.Log, from platform.Offset, fn func(Exported) error) (platform.Offset, error) {
+	s, err := ExportPage(ctx, log, from, math.MaxInt, fn)
+	return s.Next, err
+}
+
+// ExportPage does as Export and stops after the record that holds the limit's last bill; a record is never split,
+// because only the border of a record is an offset to continue from.
+func ExportPage(ctx context.Context, log platform.Log, from platform.Offset, limit int, fn func(Exported) error) (Span, error) {
+	here := Span{Next: from, End: from}
 	p, err := read(ctx, log, billStream, from, 1, 0)
 	switch {
 	case trimmed(err):
-		return from, &Error{Op: "export", Kind: ErrTrimmed, Err: fmt.Errorf("offset %d, oldest is %d", from, p.First)}
+		return here, &Error{Op: "export", Kind: ErrTrimmed, Err: fmt.Errorf("offset %d, oldest is %d", from, p.First)}
 	case err != nil:
-		return from, &Error{Op: "export", Kind: ErrLogUnavailable, Err: err}
+		return here, &Error{Op: "export", Kind: ErrLogUnavailable, Err: err}
 	case len(p.Entries) == 0:
-		return from, nil
+		return here, nil
 	}
 	first := p.Entries[0].Time
 	// One more nanosecond lets the bound of findTime lie below the look-back of the first record.
 	start, err := findTime(ctx, log, billStream, func(time.Time) time.Time { return first.Add(-bill.LookBack - 1) })
 	if err != nil {
-		return from, &Error{Op: "export", Kind: ErrLogUnavailable, Err: err}
+		return here, &Error{Op: "export", Kind: ErrLogUnavailable, Err: err}
 	}
-	x := exporter{log: log, from: from, before: start.before, fold: bill.NewFold(uint64(start.offset)), fn: fn}
+	x := exporter{log: log, from: from, left: limit, before: start.before, fold: bill.NewFold(uint64(start.offset)), fn: fn}
 	err = x.run(ctx)
-	return max(from, platform.Offset(x.fold.Next())), err
+	next := max(from, platform.Offset(x.fold.Next()))
+	return Span{Next: next, End: max(next, x.end)}, err
 }
 
 type exporter struct {
 	log    platform.Log
 	from   platform.Offset
+	left   int             // bills until the export stops
+	end    platform.Offset // of the stream, as last read
 	before time.Time
 	fold   *bill.Fold
 	fn     func(Exported) error
@@ -57,8 +72,9 @@
 		if err != nil {
 			return &Error{Op: "export", Kind: ErrLogUnavailable, Err: err}
 		}
+		x.end = p.Next
 		for _, e := range p.Entries {
-			if err := x.entry(e); err != nil {
+			if err := x.entry(e); err != nil || x.left <= 0 {
 				return err
 			}
 		}
@@ -86,6 +102,7 @@
 		if err != nil {
 			return err
 		}
+		x.left--
 	}
 	return nil
 }
