Let a suspect start only after peers could object

Cause: two instances could run the same suspect, or two suspects on one endpoint, before they heard of each other. Change: the claim on an endpoint is told to peers, and confirmed after the settling time; the encoding of suspects has a property test.

--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -74,7 +74,7 @@
 // Sizes of the parts of an encoded report, in bytes.
 const (
 	headSize  = 2
-	leaseSize = 8 + 8
+	leaseSize = 8 + 8 + 1
 	markSize  = 8 + 8 + 1
 	deathSize = 8 + 8 + 1
 )
@@ -91,6 +91,7 @@
 	for _, l := range alone {
 		b = binary.BigEndian.AppendUint64(b, uint64(l.Content))
 		b = binary.BigEndian.AppendUint64(b, l.Endpoint)
+		b = append(b, flag(l.Started))
 	}
 	for _, m := range r.Marks {
 		if len(b)+markSize+len(m.Deaths)*deathSize > limit {
--- /dev/null
+++ b/internal/instance/digest_test.go
@@ -0,0 +1,52 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
+)
+
+// Guards against suspects that peers never hear of: a report is cut to the limit, not left out, keeps the contents at
+// two deaths, and reads back as written.
+func TestSuspectsEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := suspect.Report{Alone: []suspect.Lease{}}
+		for n := range rapid.IntRange(0, 3).Draw(t, "leases") {
+			r.Alone = append(r.Alone, suspect.Lease{Content: suspect.Content(n), Endpoint: rapid.Uint64().Draw(t, "endpoint"), Started: rapid.Bool().Draw(t, "started")})
+		}
+		twice := 0
+		for n := range rapid.IntRange(0, 40).Draw(t, "marks") {
+			m := suspect.Mark{Content: suspect.Content(n), Cleared: time.UnixMilli(rapid.Int64Range(0, 1<<40).Draw(t, "cleared"))}
+			for range rapid.IntRange(1, 2).Draw(t, "deaths") {
+				m.Deaths = append(m.Deaths, suspect.Death{
+					Endpoint: rapid.Uint64().Draw(t, "at"), At: time.UnixMilli(rapid.Int64Range(0, 1<<40).Draw(t, "time")),
+					Mass: rapid.Bool().Draw(t, "mass"),
+				})
+			}
+			twice += len(m.Deaths) - 1
+			r.Marks = append(r.Marks, m)
+		}
+		limit := rapid.SampledFrom([]int{512, 4096}).Draw(t, "limit")
+		b := encodeSuspects(r, limit)
+		if len(b) > limit {
+			t.Fatalf("%d bytes, limit is %d", len(b), limit)
+		}
+		got, err := decodeSuspects(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(r.Alone, got.Alone); d != "" {
+			t.Fatal(d)
+		}
+		if d := cmp.Diff(r.Marks[:len(got.Marks)], got.Marks); d != "" && len(got.Marks) > 0 {
+			t.Fatal(d)
+		}
+		if room := (limit - headSize - 3*leaseSize) / (markSize + 2*deathSize); len(got.Marks) < min(twice, room) {
+			t.Fatalf("%d marks read back, %d have two deaths and %d fit", len(got.Marks), twice, room)
+		}
+	})
+}
--- a/internal/instance/suspects.go
+++ b/internal/instance/suspects.go
@@ -12,8 +12,9 @@
 // suspects notes which contents run on which endpoint. Requests of many goroutines meet here, so the register is
 // guarded by a lock; requests that are no suspects only read its view.
 type suspects struct {
-	view atomic.Pointer[suspect.View]
-	tell func() // peers, before a suspect runs again
+	view   atomic.Pointer[suspect.View]
+	tell   func()        // peers, before a suspect runs again
+	settle time.Duration // from a claim until it can be confirmed
 
 	mu       sync.Mutex
 	register *suspect.Register
@@ -21,7 +22,7 @@
 }
 
 func newSuspects(s suspect.Settings) *suspects {
-	u := &suspects{register: suspect.New(s), running: map[string]map[suspect.Content]int{}}
+	u := &suspects{settle: s.Settle, register: suspect.New(s), running: map[string]map[suspect.Content]int{}}
 	u.view.Store(u.register.View())
 	return u
 }
@@ -44,30 +45,49 @@
 }
 
 // Start notes a request on an endpoint. It returns false if the request is a suspect that can't run there alone.
+// A suspect starts only after peers had time to object to its claim.
 func (u *suspects) Start(digest uint64, endpoint string) bool {
-	started, alone := u.start(suspect.Content(digest), endpoint)
-	if alone {
-		u.tell()
+	c := suspect.Content(digest)
+	started, alone := u.start(c, endpoint)
+	if !alone {
+		return started
 	}
-	return started
+	claimed := time.Now()
+	u.tell()
+	time.Sleep(time.Until(claimed.Add(u.settle)))
+	return u.confirm(c, endpoint)
 }
 
+// start counts a request in, or claims the endpoint for a suspect.
 func (u *suspects) start(c suspect.Content, endpoint string) (started, alone bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
 	if u.register.Judge(now, c) == suspect.Alone {
-		if alone = u.register.Acquire(now, c, endpoint); !alone {
-			return false, false
-		}
+		return false, u.register.Acquire(now, c, endpoint)
 	}
+	u.count(c, endpoint)
+	return true, false
+}
+
+func (u *suspects) confirm(c suspect.Content, endpoint string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.register.Confirm(time.Now(), c) {
+		return false
+	}
+	u.count(c, endpoint)
+	return true
+}
+
+// count notes that a content runs on an endpoint; u.mu is held.
+func (u *suspects) count(c suspect.Content, endpoint string) {
 	m := u.running[endpoint]
 	if m == nil {
 		m = map[suspect.Content]int{}
 		u.running[endpoint] = m
 	}
 	m[c]++
-	return true, alone
 }
 
 // End notes that a request left an endpoint.
