--- a/internal/trial/fault_test.go
+++ b/internal/trial/fault_test.go
@@ -25,7 +25,7 @@
 		s.Zones = []string{"a", "b", "c"}
 	}
 	if s.Versions == nil {
-		s.Versions = []string{"small@1", "large@1"}
+		s.Versions = []string{"small@1", "large@1", unlisted}
 	}
 	s.Services = []string{"booking", "print"}
 	adjust := s.Adjust
@@ -273,7 +273,7 @@
 	}
 	eventually(t, "one bill for each answer", func() bool { return len(w.billed(t, "replacement-a")) == want })
 	s, err := w.Operator("replacement-c").Status(t.Context())
-	if err != nil || len(s.Versions) != 2 {
+	if err != nil || len(s.Versions) != 3 {
 		t.Errorf("got %d versions, %v", len(s.Versions), err)
 	}
 }
@@ -363,3 +363,44 @@
 	cut.set(false)
 	eventually(t, "ready again", func() bool { return status() == http.StatusOK })
 }
+
+// Guards session-version on the whole path: a session keeps its version while a newer one takes over, on every
+// instance, and moves only when its version is withdrawn, which the answer says.
+func TestSessionKeepsVersion(t *testing.T) {
+	w := newTestWorld(t, Settings{Engines: 1, Versions: []string{"small@1", "small@2", "large@1", unlisted}})
+	turn := func(n int, session string) answered {
+		a := w.ask(t.Context(), w.bases()[n%3], chat{
+			org: "lysror-1", profile: "lysror-intake", prompt: fmt.Sprintf("Turn %d tokens=12 ", n), session: session,
+		})
+		if !a.whole {
+			t.Fatalf("turn %d: %v %+v", n, a.err, a.refused)
+		}
+		return a
+	}
+	a := turn(0, "new")
+	o := w.Operator("instance-a")
+	if err := RollOut(t.Context(), o, "small@2", nil); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.inForce(t.Context(), o); err != nil {
+		t.Fatal(err)
+	}
+	for n := range 6 {
+		if a = turn(n, a.session); a.version != "small@1" || a.moved != "" {
+			t.Errorf("turn %d ran on %s (%s)", n, a.version, a.moved)
+		}
+	}
+	if b := turn(0, "new"); b.version != "small@2" {
+		t.Errorf("a new session runs on %s", b.version)
+	}
+	s := &scenario{w: w}
+	if err := s.withdraw(t.Context(), o, "small@1"); err != nil {
+		t.Fatal(err)
+	}
+	if a = turn(7, a.session); a.version != "small@2" || a.moved != "withdrawn" {
+		t.Errorf("after the withdrawal: %s (%s)", a.version, a.moved)
+	}
+	if a = turn(8, a.session); a.version != "small@2" || a.moved != "" {
+		t.Errorf("after the move: %s (%s)", a.version, a.moved)
+	}
+}
--- a/internal/trial/publish.go
+++ b/internal/trial/publish.go
@@ -15,14 +15,15 @@
 	"small@1": {Input: 100, Output: 400},
 	"small@2": {Input: 90, Output: 360},
 	"large@1": {Input: 1000, Output: 4000},
+	unlisted:  {Input: 1, Output: 1},
 }
 
 // shares are the true pass shares of the sample versions.
-var shares = map[string]float64{"small@1": 0.8, "small@2": 0.85, "large@1": 0.99}
+var shares = map[string]float64{"small@1": 0.8, "small@2": 0.85, "large@1": 0.99, unlisted: 1}
 
 // organisations are the sample organisations by name; the API key of each is "key-" and its name.
 var organisations = map[string]record.Organisation{
-	"lysror-1":   {Profiles: []string{"lysror-reports", "lysror-depot"}, Services: []string{"booking"}, Share: 4},
+	"lysror-1":   {Profiles: []string{"lysror-reports", "lysror-depot", "lysror-intake"}, Services: []string{"booking"}, Share: 4},
 	"lysror-2":   {Profiles: []string{"lysror-reports", "lysror-depot"}, Services: []string{"booking"}, Share: 1},
 	"kallisto-1": {Profiles: []string{"kallisto-proofs"}, Services: []string{"print"}, Share: 2},
 	"kallisto-2": {Profiles: []string{"kallisto-proofs"}, Services: []string{"print"}, Share: 1},
@@ -42,6 +43,10 @@
 		Allow: []string{"small@*", "large@*"}, Safe: "large@*", Quality: record.Quality{MinScore: 0.7, Share: 0.9},
 		MaxCost: 60_000_000, Weights: record.Weights{Cost: 1, Latency: 10}, Deadline: record.Duration(10 * time.Second), MaxTokens: 500,
 	},
+	"lysror-intake": {
+		Allow: []string{"small@*"}, Safe: "small@*", Quality: record.Quality{MinScore: 0.3, Share: 0.9},
+		MaxCost: 60_000_000, Weights: record.Weights{Cost: 1}, Deadline: record.Duration(10 * time.Second), MaxTokens: 500,
+	},
 	"kallisto-proofs": {
 		Allow: []string{"small@*", "large@*"}, Safe: "large@*", Quality: record.Quality{MinScore: 0.7, Share: 0.95},
 		MaxCost: 60_000_000, Weights: record.Weights{Cost: 1, Latency: 5000}, Deadline: record.Duration(10 * time.Second), MaxTokens: 800,
@@ -54,7 +59,7 @@
 		w.Platform.Rater.SetShare(v, s)
 	}
 	o := w.Operator("instance-" + w.s.Zones[0])
-	for _, n := range []string{"small@1", "large@1"} {
+	for _, n := range []string{"small@1", "large@1", unlisted} {
 		if err := RollOut(ctx, o, n, nil); err != nil {
 			return err
 		}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -18,7 +18,7 @@
 const (
 	loadWorkers = 12
 	loadTime    = 5 * time.Second
-	// unlisted is a version that every engine serves and no profile allows.
+	// unlisted is an active version that every engine serves, the cheapest one, and no profile allows.
 	unlisted = "private@1"
 )
 
@@ -135,7 +135,7 @@
 func (s *scenario) disturb(ctx context.Context) error {
 	base := s.w.Members["instance-a"].Callers
 	turn := func(token string) answered {
-		return s.b.add(s.w.ask(ctx, base, chat{org: "lysror-2", profile: "lysror-depot", prompt: "Turn tokens=12 ", session: token}))
+		return s.b.add(s.w.ask(ctx, base, chat{org: "lysror-1", profile: "lysror-intake", prompt: "Turn tokens=12 ", session: token}))
 	}
 	first := turn("new")
 	pause(ctx, 500*time.Millisecond)
--- a/internal/trial/work.go
+++ b/internal/trial/work.go
@@ -38,7 +38,7 @@
 type answered struct {
 	key, org, profile string
 	version           string
-	session           string
+	session, moved    string
 	text              string
 	whole             bool
 	refused           *client.ErrorDetail
@@ -111,6 +111,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	a.version, a.session = res.Header.Get(client.HeaderVersion), res.Header.Get(client.HeaderSession)
+	a.moved = res.Header.Get(client.HeaderSessionChanged)
 	if res.StatusCode != http.StatusOK {
 		a.refusal(res.Body)
 		return a
