--- a/internal/core/endpoint/choose_test.go
+++ b/internal/core/endpoint/choose_test.go
@@ -76,3 +76,21 @@
 		t.View()
 	}
 }
+
+func BenchmarkTick(b *testing.B) {
+	t := tableOf(fleetOf(4500, 19))
+	b.ReportAllocs()
+	for b.Loop() {
+		t.Step(epoch, Tick{})
+	}
+}
+
+func BenchmarkAnswered(b *testing.B) {
+	t := tableOf(fleetOf(4500, 19))
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		t.Step(now, Answered{Endpoint: 7, Started: now, Report: Report{Time: now, Load: 3, Slots: 32}})
+	}
+}
