Wait for peers before requests of a mass death run again

When copies of one poison content kill several endpoints at once, their deaths look like a common failure and the copies ran again 20 ms later, before peers could tell that the content was on several endpoints. Such contents now count as suspects for the settling time.

--- a/internal/core/suspect/register.go
+++ b/internal/core/suspect/register.go
@@ -187,7 +187,10 @@
 	switch age := now.Sub(last); {
 	case n >= maxDeaths && age < s.RefuseFor:
 		return Refuse
-	case n == 0 || mass || age >= s.SuspectFor:
+	case n == 0 || age >= s.SuspectFor:
+		return Run
+	case mass && age >= s.Settle:
+		// Before that, peers may still report that the content was on several of the dead endpoints.
 		return Run
 	default:
 		return Alone
