--- a/internal/measure/suspect.go
+++ b/internal/measure/suspect.go
@@ -32,7 +32,7 @@
 		if c.change != nil {
 			c.change(m)
 		}
-		m.after(suspectRates.warm, func() { m.poison(true) })
+		m.after(suspectRates.warm, m.poison)
 		gossip := "-"
 		if c.gossip > 0 {
 			gossip = c.gossip.String()
@@ -58,7 +58,7 @@
 					if !together && i > 0 {
 						d = suspectRates.crash + suspectRates.resend
 					}
-					m.after(d, func() { m.poison(true) })
+					m.after(d, m.poison)
 				}
 			})
 			t.Rows = append(t.Rows, m.run(10*time.Minute).row(fmt.Sprint(n), first))
--- a/internal/measure/suspect_model.go
+++ b/internal/measure/suspect_model.go
@@ -62,7 +62,6 @@
 	instance int
 	attempts int
 	alone    bool
-	again    bool          // its caller sends it again after a failure
 	waiting  time.Duration // since when it waits for an endpoint
 	died     bool          // an endpoint died under it
 }
@@ -121,12 +120,12 @@
 	m.try(&suspectRequest{content: m.next, instance: m.random.IntN(suspectInstances), waiting: m.now})
 }
 
-// poison sends the poison content to any instance under a new key.
-func (m *suspectModel) poison(again bool) {
+// poison sends the poison content to any instance under a new key; its caller sends it again after each failure.
+func (m *suspectModel) poison() {
 	if m.now > m.end {
 		return
 	}
-	m.try(&suspectRequest{content: poisonContent, instance: m.random.IntN(suspectInstances), again: again, waiting: m.now})
+	m.try(&suspectRequest{content: poisonContent, instance: m.random.IntN(suspectInstances), waiting: m.now})
 }
 
 // try starts an attempt, refuses the request or waits for a lone endpoint.
@@ -264,7 +263,7 @@
 		m.result.innocentLost++
 		return
 	}
-	m.sendAgain(r)
+	m.sendAgain()
 }
 
 func (m *suspectModel) refuse(r *suspectRequest) {
@@ -273,13 +272,11 @@
 		return
 	}
 	m.result.poisonRefused++
-	m.sendAgain(r)
+	m.sendAgain()
 }
 
-func (m *suspectModel) sendAgain(r *suspectRequest) {
-	if r.again {
-		m.after(suspectRates.resend, func() { m.poison(true) })
-	}
+func (m *suspectModel) sendAgain() {
+	m.after(suspectRates.resend, m.poison)
 }
 
 // spread tells the peers what an instance knows.
--- a/internal/measure/suspect_test.go
+++ b/internal/measure/suspect_test.go
@@ -12,7 +12,7 @@
 	run := func(defence bool) suspectResult {
 		m := newSuspectModel(1, 200*time.Millisecond)
 		m.defence = defence
-		m.after(suspectRates.warm, func() { m.poison(true) })
+		m.after(suspectRates.warm, m.poison)
 		return m.run(time.Minute).result
 	}
 	a := run(true)
