Forget the cache hints of an endpoint at every death

A death reported while the endpoint was ejected for another reason kept its hints, although its cache is empty after the restart.

--- a/internal/core/endpoint/health.go
+++ b/internal/core/endpoint/health.go
@@ -47,6 +47,9 @@
 }
 
 func (t *Table) fail(now time.Time, e *entry, ev Failed) {
+	if ev.Kind == FailDied {
+		t.hints.forget(e.handle) // a restarted engine has an empty cache
+	}
 	// Requests that were under way at the ejection fail one by one; they count once. A zero start counts.
 	if e.state == stateOut || (!ev.Started.IsZero() && ev.Started.Before(e.returned)) {
 		t.place(e)
@@ -62,9 +65,6 @@
 		if (e.errors >= t.settings.ErrorStatuses || e.state == stateReturning) && t.mayEject(e) {
 			t.eject(now, e, true)
 		}
-	case FailDied:
-		t.hints.forget(e.handle) // a restarted engine has an empty cache
-		t.eject(now, e, false)
 	case FailSilent:
 		t.eject(now, e, false)
 		if e.level == 1 {
