Keep leases at two words, clear by finishing alone, and resize admission

The running path encodes a lease as two words and calls Release without Confirm; neither may break when this is merged. Which claims have started is a list of its own in the report. Admission takes a new number of instances.

--- a/internal/core/endpoint/admission.go
+++ b/internal/core/endpoint/admission.go
@@ -96,6 +96,9 @@
 	return &Admission{settings: s, pools: map[string]*pressure{}}
 }
 
+// Resize states the number of instances that share the endpoints.
+func (a *Admission) Resize(fleet int) { a.settings.Fleet = fleet }
+
 // Update takes over a pool's slots and estimated load (View.Capacity) and divides this instance's part among the
 // organisations; call it for each pool about every 100 ms.
 func (a *Admission) Update(now time.Time, pool string, slots, load float64) {
--- a/internal/core/suspect/alone.go
+++ b/internal/core/suspect/alone.go
@@ -9,7 +9,6 @@
 type Lease struct {
 	Content  Content `json:"content"`
 	Endpoint uint64  `json:"endpoint"` // hash of the identifier
-	Started  bool    `json:"started,omitempty"`
 }
 
 // hold is a lease of this instance.
@@ -21,8 +20,9 @@
 
 // peerHold is what a peer said it claims, until it says otherwise or the time is over.
 type peerHold struct {
-	leases []Lease
-	until  time.Time
+	leases  []Lease
+	started []Content // of the leases
+	until   time.Time
 }
 
 // Occupied reports whether a suspect has a claim on an endpoint, here or at a peer.
@@ -33,14 +33,20 @@
 			return true
 		}
 	}
-	return r.leased(now, func(_ string, l Lease) bool { return l.Endpoint == e })
+	return r.leased(now, func(l Lease, _ bool) bool { return l.Endpoint == e })
 }
 
-// leased reports whether a peer's lease matches.
-func (r *Register) leased(now time.Time, match func(peer string, l Lease) bool) bool {
+// leased reports whether a peer's lease matches; first says that it goes before a claim of this instance that has
+// not started.
+func (r *Register) leased(now time.Time, match func(l Lease, first bool) bool) bool {
 	for n, h := range r.leases {
-		if now.Before(h.until) && slices.ContainsFunc(h.leases, func(l Lease) bool { return match(n, l) }) {
-			return true
+		if !now.Before(h.until) {
+			continue
+		}
+		for _, l := range h.leases {
+			if match(l, n < r.settings.Instance || slices.Contains(h.started, l.Content)) {
+				return true
+			}
 		}
 	}
 	return false
@@ -51,7 +57,7 @@
 // false the caller waits, within its deadline.
 func (r *Register) Acquire(now time.Time, c Content, endpoint string) bool {
 	if _, busy := r.running[c]; busy || r.Judge(now, c) == Refuse || r.Occupied(now, endpoint) ||
-		r.leased(now, func(_ string, l Lease) bool { return l.Content == c }) {
+		r.leased(now, func(l Lease, _ bool) bool { return l.Content == c }) {
 		return false
 	}
 	r.running[c] = hold{endpoint: hashEndpoint(endpoint), since: now}
@@ -66,9 +72,7 @@
 	if !ok {
 		return false
 	}
-	lost := r.leased(now, func(peer string, l Lease) bool {
-		return (l.Content == c || l.Endpoint == h.endpoint) && (l.Started || peer < r.settings.Instance)
-	})
+	lost := r.leased(now, func(l Lease, first bool) bool { return first && (l.Content == c || l.Endpoint == h.endpoint) })
 	if lost || now.Sub(h.since) < r.settings.Settle || r.Judge(now, c) == Refuse {
 		delete(r.running, c)
 		return false
@@ -78,15 +82,14 @@
 	return true
 }
 
-// Release ends a suspect's run. One that finished alone is cleared: it did not crash its endpoint. Call Death
-// before Release when the endpoint died.
+// Release ends a suspect's claim. One that finished alone is cleared: it did not crash its endpoint. One that never
+// started, was cancelled or failed has not finished. Call Death before Release when the endpoint died.
 func (r *Register) Release(now time.Time, c Content, finished bool) {
-	h, ok := r.running[c]
-	if !ok {
+	if _, ok := r.running[c]; !ok {
 		return
 	}
 	delete(r.running, c)
-	if m := r.marks[c]; m != nil && finished && h.started {
+	if m := r.marks[c]; m != nil && finished {
 		m.Cleared = now
 		r.view = nil
 	}
