--- a/internal/core/suspect/alone.go
+++ b/internal/core/suspect/alone.go
@@ -9,6 +9,7 @@
 type Lease struct {
 	Content  Content `json:"content"`
 	Endpoint uint64  `json:"endpoint"` // hash of the identifier
+	Started  bool    `json:"started,omitempty"`
 }
 
 // hold is a lease of this instance.
@@ -20,9 +21,8 @@
 
 // peerHold is what a peer said it claims, until it says otherwise or the time is over.
 type peerHold struct {
-	leases  []Lease
-	started []Content // of the leases
-	until   time.Time
+	leases []Lease
+	until  time.Time
 }
 
 // Occupied reports whether a suspect has a claim on an endpoint, here or at a peer.
@@ -33,20 +33,14 @@
 			return true
 		}
 	}
-	return r.leased(now, func(l Lease, _ bool) bool { return l.Endpoint == e })
+	return r.leased(now, func(_ string, l Lease) bool { return l.Endpoint == e })
 }
 
-// leased reports whether a peer's lease matches; first says that it goes before a claim of this instance that has
-// not started.
-func (r *Register) leased(now time.Time, match func(l Lease, first bool) bool) bool {
+// leased reports whether a peer's lease matches.
+func (r *Register) leased(now time.Time, match func(peer string, l Lease) bool) bool {
 	for n, h := range r.leases {
-		if !now.Before(h.until) {
-			continue
-		}
-		for _, l := range h.leases {
-			if match(l, n < r.settings.Instance || slices.Contains(h.started, l.Content)) {
-				return true
-			}
+		if now.Before(h.until) && slices.ContainsFunc(h.leases, func(l Lease) bool { return match(n, l) }) {
+			return true
 		}
 	}
 	return false
@@ -57,7 +51,7 @@
 // false the caller waits, within its deadline.
 func (r *Register) Acquire(now time.Time, c Content, endpoint string) bool {
 	if _, busy := r.running[c]; busy || r.Judge(now, c) == Refuse || r.Occupied(now, endpoint) ||
-		r.leased(now, func(l Lease, _ bool) bool { return l.Content == c }) {
+		r.leased(now, func(_ string, l Lease) bool { return l.Content == c }) {
 		return false
 	}
 	r.running[c] = hold{endpoint: hashEndpoint(endpoint), since: now}
@@ -72,7 +66,9 @@
 	if !ok {
 		return false
 	}
-	lost := r.leased(now, func(l Lease, first bool) bool { return first && (l.Content == c || l.Endpoint == h.endpoint) })
+	lost := r.leased(now, func(peer string, l Lease) bool {
+		return (l.Content == c || l.Endpoint == h.endpoint) && (l.Started || peer < r.settings.Instance)
+	})
 	if lost || now.Sub(h.since) < r.settings.Settle || r.Judge(now, c) == Refuse {
 		delete(r.running, c)
 		return false
--- a/internal/core/suspect/exchange.go
+++ b/internal/core/suspect/exchange.go
@@ -9,20 +9,16 @@
 
 // Report is what an instance tells its peers about suspects.
 type Report struct {
-	Instance string    `json:"instance"`
-	Marks    []Mark    `json:"marks,omitempty"`
-	Alone    []Lease   `json:"alone,omitempty"`   // claims of its suspects
-	Started  []Content `json:"started,omitempty"` // those of them that run
+	Instance string  `json:"instance"`
+	Marks    []Mark  `json:"marks,omitempty"`
+	Alone    []Lease `json:"alone,omitempty"` // claims of its suspects
 }
 
 // Digest returns what peers need to know. It is sorted, so equal registers give equal reports.
 func (r *Register) Digest() Report {
 	p := Report{Instance: r.settings.Instance}
 	for _, c := range slices.Sorted(maps.Keys(r.running)) {
-		p.Alone = append(p.Alone, Lease{c, r.running[c].endpoint})
-		if r.running[c].started {
-			p.Started = append(p.Started, c)
-		}
+		p.Alone = append(p.Alone, Lease{c, r.running[c].endpoint, r.running[c].started})
 	}
 	for _, m := range r.marks {
 		c := *m
@@ -55,7 +51,7 @@
 		delete(r.leases, p.Instance)
 		return
 	}
-	r.leases[p.Instance] = peerHold{p.Alone, p.Started, now.Add(r.settings.LeaseFor)}
+	r.leases[p.Instance] = peerHold{p.Alone, now.Add(r.settings.LeaseFor)}
 }
 
 // View is an immutable snapshot of the suspects for traffic goroutines.
