--- a/internal/core/suspect/alone.go
+++ b/internal/core/suspect/alone.go
@@ -78,15 +78,14 @@
 	return true
 }
 
-// Release ends a suspect's run. One that finished alone is cleared: it did not crash its endpoint. Call Death
-// before Release when the endpoint died.
+// Release ends a suspect's claim. One that finished alone is cleared: it did not crash its endpoint. One that never
+// started, was cancelled or failed has not finished. Call Death before Release when the endpoint died.
 func (r *Register) Release(now time.Time, c Content, finished bool) {
-	h, ok := r.running[c]
-	if !ok {
+	if _, ok := r.running[c]; !ok {
 		return
 	}
 	delete(r.running, c)
-	if m := r.marks[c]; m != nil && finished && h.started {
+	if m := r.marks[c]; m != nil && finished {
 		m.Cleared = now
 		r.view = nil
 	}
