Strengthen tests that stayed green when their mechanism was removed

Cause: with single mechanisms removed on a scratch copy, six tests stayed green: silent peers ignored, an empty list taken, lost peers not probed, unbounded deltas, a late lease reader that trusts its fold, a holder without a margin, and the last ready engine taken away.

The last one showed that a pool of one engine and one slot never loaded the current version; every version now gets an engine, the current one first.

--- a/internal/core/loading/desire.go
+++ b/internal/core/loading/desire.go
@@ -87,7 +87,7 @@
 			cmp.Compare(a.ID, b.ID))
 	})
 	out := map[string]bool{}
-	for _, e := range l[:min(n, len(l))] {
+	for _, e := range l[:max(0, min(n, len(l)))] {
 		out[e.ID] = true
 	}
 	return out
--- a/internal/core/loading/plan.go
+++ b/internal/core/loading/plan.go
@@ -49,13 +49,22 @@
 // assign returns the versions that each engine shall hold, at most as many as it has slots.
 func assign(wants []Want, pool Pool, live []Engine) map[string][]string {
 	target := map[string][]string{}
-	// Versions that few engines hold choose first; the ones on every engine take what is left.
-	for _, w := range slices.Backward(wants) {
-		room := slices.DeleteFunc(slices.Clone(live), func(e Engine) bool { return len(target[e.ID]) >= pool.Slots })
-		for id := range place(w.Version, w.Engines, room) {
-			target[id] = append(target[id], w.Version)
+	add := func(version string, n int) {
+		has := func(e Engine) bool { return slices.Contains(target[e.ID], version) }
+		full := func(e Engine) bool { return len(target[e.ID]) >= pool.Slots }
+		room := slices.DeleteFunc(slices.Clone(live), func(e Engine) bool { return has(e) || full(e) })
+		for id := range place(version, n, room) {
+			target[id] = append(target[id], version)
 		}
 	}
+	// Every version gets an engine, the current one first. Of the rest, versions that few engines hold choose first
+	// and the ones on every engine take what is left.
+	for _, w := range wants {
+		add(w.Version, min(1, w.Engines))
+	}
+	for _, w := range slices.Backward(wants) {
+		add(w.Version, w.Engines-1)
+	}
 	return target
 }
 
--- a/internal/core/membership/table_test.go
+++ b/internal/core/membership/table_test.go
@@ -18,6 +18,20 @@
 	os.Exit(m.Run())
 }
 
+// checks sets the number of random cases for a test; the seed stays fixed.
+func checks(t *testing.T, n string) {
+	t.Helper()
+	f := flag.Lookup("rapid.checks")
+	old := f.Value.String()
+	if old != f.DefValue {
+		return // chosen on the command line
+	}
+	if err := f.Value.Set(n); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Value.Set(old) })
+}
+
 // Guards against a change of the freshness rule: each row is one case of docs/decisions/0041.
 func TestFresh(t *testing.T) {
 	// Every fleet has run for 8 s with a working log before the fault; it is judged 12 s after it.
@@ -64,6 +78,10 @@
 			3, func(f *fleet) { f.logs(true); f.listed = nil },
 			Freshness{Ready: true, Ground: ByOutage},
 		},
+		"outage, a silent host and a list that is empty": {
+			3, func(f *fleet) { f.logs(true); f.nodes["i2"].silent = true; f.listed = nil },
+			Freshness{Ground: Unheard, Peer: "i2"},
+		},
 		"outage and a list that misses live peers": {
 			3, func(f *fleet) { f.logs(true); f.listed = f.listed[:1] },
 			Freshness{Ready: true, Ground: ByOutage},
--- a/internal/measure/role.go
+++ b/internal/measure/role.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 )
 
 // The target size of the design page, and what the derivation assumes; rates are a second.
@@ -28,7 +29,8 @@
 	pollBytes        = 300.0 // of an empty read of the log
 )
 
-// base is what an instance of the target size needs by the fits, without and with the load.
+// base is what an instance of the target size needs, without and with the load: the fitted value or the largest
+// measured one, whichever is higher, so that a quantity that falls over the range is not extrapolated downwards.
 type base struct{ idleBytes, loadBytes, idleCore, loadCore, memory, calls float64 }
 
 func extrapolate(ps []point) base {
@@ -42,7 +44,7 @@
 		if len(xs) < 2 {
 			return math.NaN()
 		}
-		return fit(xs, ys).at(targetSize)
+		return max(fit(xs, ys).at(targetSize), slices.Max(ys))
 	}
 	return base{
 		idleBytes: at(func(p point) float64 { return p.idleBytes }),
--- /dev/null
+++ b/internal/peer/codec_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/membership"
+)
+
+// Guards against probes that grow with the fleet: after a mass replacement every entry waits to be spread.
+func TestProbesAreBounded(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	self := membership.Member{ID: "instance-0000", Zone: "zone-0", Address: netip.MustParseAddrPort("10.0.0.1:4000")}
+	s := membership.Default(self, 1)
+	tab := membership.NewTable(now, s)
+	m := membership.Message{From: self}
+	m.From.ID = "instance-0001"
+	for i := range 700 {
+		m.Deltas = append(m.Deltas, membership.Delta{
+			Member: membership.Member{ID: fmt.Sprintf("instance-1%03d", i), Zone: "zone-1", Address: self.Address},
+			State:  membership.Alive, Incarnation: uint64(now.Unix()),
+		})
+	}
+	tab.Step(now, membership.Received{Message: m})
+	empty := proto.Size(encodeState(membership.Message{From: self, Incarnation: uint64(now.Unix()), Read: true, ReadAge: time.Hour, Next: 1 << 40, ReadNext: 1 << 40}))
+	got := tab.Message(now, "x")
+	if n := len(got.Deltas); n < 5 {
+		t.Errorf("a message carries %d of 700 changes", n)
+	}
+	if n := proto.Size(encodeState(got)); n > empty+s.DeltaBytes {
+		t.Errorf("message of %d bytes, want at most %d", n, empty+s.DeltaBytes)
+	}
+}
+
+// Guards against a field that gets lost between instances, and against a read that looks younger than it is.
+func TestStateRoundTrip(t *testing.T) {
+	m := membership.Message{
+		From:        membership.Member{ID: "a", Zone: "z", Address: netip.MustParseAddrPort("[2001:db8::1]:7"), Leaving: true},
+		Incarnation: 5, Left: true, Next: 9, Read: true, ReadAge: 1500 * time.Microsecond, ReadNext: 8,
+		Deltas: []membership.Delta{{
+			Member: membership.Member{ID: "b", Zone: "y", Address: netip.MustParseAddrPort("10.0.0.1:4000")},
+			State:  membership.Gone, Incarnation: 3, Reporters: []string{"a", "c"},
+		}},
+	}
+	got := decodeState(encodeState(m))
+	if got.ReadAge < m.ReadAge {
+		t.Errorf("age %v became %v", m.ReadAge, got.ReadAge)
+	}
+	got.ReadAge = m.ReadAge
+	if !reflect.DeepEqual(got, m) {
+		t.Errorf("got %+v, want %+v", got, m)
+	}
+}
