Let copies share calls when the budget is scarce

Cause: 34 bills a second and instance need about 12 KB/s with one call for each copy, more than the budget; copies then waited in line.

--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -36,6 +36,7 @@
 	idleCPU, loadCPU       float64 // share of a core
 	memory                 float64 // bytes
 	throughLog, throughAll time.Duration
+	holdMedian, holdLate   time.Duration
 	appends                float64 // a second, of the fleet
 	failed                 int64   // bills and claims that were not appended
 }
@@ -59,9 +60,10 @@
 		Name: "capacity: measured per instance",
 		Columns: []string{
 			"instances", "idle B/s", "idle messages/s", "loaded B/s", "loaded B/s, most", "idle core %", "loaded core %", "memory KB",
-			"known through log ms", "known through one reader ms", "appends/s, fleet", "failed",
+			"known through log ms", "known through one reader ms", "appends/s, fleet", "copy p50 ms", "copy p99 ms", "failed",
 		},
 		Notes: []string{
+			fmt.Sprintf("budget %d B/s for each instance", o.Budget),
 			fmt.Sprintf("loaded: %.1f bills of 40 B and %.2f claims of 120 B a second and instance, each bill with a witness copy and a release", o.Bills, o.Claims),
 			"bytes are those of the connections, both directions, in all of an instance's traffic with peers",
 			"processor time is of the whole process divided by the instances: it includes the log stand-in and the load generator",
@@ -73,12 +75,14 @@
 			fmt.Sprint(p.size), number(p.idleBytes), number(p.idleCalls), number(p.loadBytes), number(p.loadMost),
 			fmt.Sprintf("%.2f", 100*p.idleCPU), fmt.Sprintf("%.2f", 100*p.loadCPU), number(p.memory / 1000),
 			fmt.Sprint(p.throughLog.Milliseconds()), fmt.Sprint(p.throughAll.Milliseconds()),
-			number(p.appends), fmt.Sprint(p.failed),
+			number(p.appends), number(millis(p.holdMedian)), number(millis(p.holdLate)), fmt.Sprint(p.failed),
 		})
 	}
 	return t
 }
 
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 func number(v float64) string { return fmt.Sprintf("%.0f", v) }
 
 // line is a least-squares fit y = a + b x.
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -47,6 +48,7 @@
 	group   *peer.Grouper
 	applied atomic.Uint64
 	failed  *atomic.Int64
+	holds   *holdTimes
 }
 
 type measuredFleet struct {
@@ -58,15 +60,41 @@
 	work    sync.WaitGroup
 	follow  atomic.Int64 // members below this index read the log
 	failed  atomic.Int64
+	holds   holdTimes
+}
+
+// holdTimes collects how long copies to witnesses take.
+type holdTimes struct {
+	lock sync.Mutex
+	h    *hdrhistogram.Histogram
+}
+
+func (t *holdTimes) reset() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	t.h = hdrhistogram.New(1, time.Minute.Microseconds(), 2)
+}
+
+func (t *holdTimes) record(d time.Duration) {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	_ = t.h.RecordValue(min(d, time.Minute).Microseconds())
+}
+
+func (t *holdTimes) quantile(q float64) time.Duration {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	return time.Duration(t.h.ValueAtQuantile(q)) * time.Microsecond
 }
 
 func startFleet(ctx context.Context, n int, o CapacityOptions) (*measuredFleet, error) {
 	f := &measuredFleet{log: standin.NewLog(time.Now), scope: tally.NewTestScope("", nil)}
 	f.ctx, f.stop = context.WithCancel(ctx)
 	f.follow.Store(int64(n))
+	f.holds.reset()
 	list := standin.NewList()
 	for i := range n {
-		m := &member{failed: &f.failed}
+		m := &member{failed: &f.failed, holds: &f.holds}
 		m.group = peer.NewGrouper(f.log, join, func(stream string) time.Duration { return m.Interval(stream) })
 		s := peer.DefaultSettings(fmt.Sprintf("instance-%04d", i), fmt.Sprintf("zone-%d", i%7), netip.MustParseAddrPort("127.0.0.1:0"))
 		s.Seed, s.Budget = o.Seed+uint64(i), o.Budget
@@ -147,9 +175,11 @@
 }
 
 func (m *member) bill(ctx context.Context, b record.Bill) {
+	began := time.Now()
 	if err := m.Witness().Hold(ctx, b); err != nil {
 		m.failed.Add(1)
 	}
+	m.holds.record(time.Since(began))
 	m.append(ctx, "bills", billSize)
 	m.Witness().Release([]peer.BillID{{Organisation: b.Organisation, Key: b.Key}})
 }
@@ -250,8 +280,10 @@
 		close(done)
 	}()
 	pause(ctx, o.Warm)
+	f.holds.reset()
 	before = f.read()
 	pause(ctx, o.Measure)
+	p.holdMedian, p.holdLate = f.holds.quantile(50), f.holds.quantile(99)
 	p.loadBytes, p.loadMost, _, p.loadCPU, p.appends = rates(before, f.read())
 	cancel()
 	<-done
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -240,12 +240,13 @@
 	case <-s.ctx.Done():
 	case <-t.C:
 	}
+	b.err = s.budget.bulk(s.ctx) // the group stays open meanwhile
 	r.lock.Lock()
 	if r.open[key] == b {
 		delete(r.open, key)
 	}
 	r.lock.Unlock()
-	if b.err = s.budget.bulk(s.ctx); b.err != nil {
+	if b.err != nil {
 		return
 	}
 	req := &peerpb.AppendBatchRequest{Version: version, Stream: stream, Records: b.records}
--- a/internal/peer/witness.go
+++ b/internal/peer/witness.go
@@ -137,8 +137,11 @@
 	case <-s.ctx.Done():
 	case <-t.C:
 	}
+	// The group stays open while it waits for the budget: the scarcer the budget, the more bills share a call.
+	err := s.budget.bulk(s.ctx)
 	bills := s.outbox.take(g)
-	if g.err = s.budget.bulk(s.ctx); g.err != nil {
+	if err != nil {
+		g.err = err
 		return
 	}
 	g.err = &Error{Op: "hold bill", Kind: ErrNoPeer}
