Name the candidates of a duty, test a trimmed stream of leases

Cause: 770 instances would append an acquisition when a lease lapses, and nothing tested the keeper over a trimmed stream.

Change: View.Candidate, and tests of candidates, of a trimmed stream and of a judgement that lapsed during a pause.

--- a/internal/core/membership/table_test.go
+++ b/internal/core/membership/table_test.go
@@ -184,6 +184,21 @@
 	})
 }
 
+// Guards against a duty that no instance asks for, or all.
+func TestCandidates(t *testing.T) {
+	f := newFleet(30)
+	f.run(3*time.Second, nil)
+	n := 0
+	for _, id := range f.ids {
+		if f.nodes[id].t.View().Candidate("roll-out/m@1", 3) {
+			n++
+		}
+	}
+	if n != 3 {
+		t.Errorf("%d instances ask, want 3", n)
+	}
+}
+
 func without(t *rapid.T, was, now []Member, lost string) {
 	var want []Member
 	for _, m := range was {
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -70,6 +70,15 @@
 	return rank(l, "appends "+class, v.Self.ID, len(l))
 }
 
+// Candidate reports whether the own instance is among the n that may ask for a duty.
+func (v *View) Candidate(duty string, n int) bool {
+	if v.Left || v.Self.Leaving {
+		return false
+	}
+	l := append(v.usable(func(Peer) bool { return true }), v.Self)
+	return slices.ContainsFunc(rank(l, "duty", duty, n), func(m Member) bool { return m.ID == v.Self.ID })
+}
+
 func (v *View) usable(ok func(Peer) bool) []Member {
 	l := make([]Member, 0, len(v.Peers)+1)
 	for _, p := range v.Peers {
--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/lease"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/loading"
 	"github.com/cassiaspoke/cassiaspoke/internal/standin"
 )
@@ -37,7 +38,7 @@
 }
 
 // keep runs a keeper that wants the duty d; work reports grants until its context ends.
-func (h *holders) keep(t *testing.T, id string, work func(context.Context, *Grant) error) context.CancelFunc {
+func (h *holders) keep(t *testing.T, id string, work func(context.Context, *Grant) error) *kept {
 	t.Helper()
 	s := DefaultKeeperSettings(id)
 	s.Term, s.Poll = 400*time.Millisecond, 20*time.Millisecond
@@ -50,7 +51,12 @@
 		stopReading()
 	})
 	h.stops = append(h.stops, stop)
-	return stop
+	return &kept{k, stop}
+}
+
+type kept struct {
+	*Keeper
+	stop context.CancelFunc
 }
 
 func newHolders(t *testing.T) *holders {
@@ -68,7 +74,7 @@
 func TestKeeperHandsOver(t *testing.T) {
 	h := newHolders(t)
 	var first, second atomic.Pointer[Grant]
-	stop := h.keep(t, "a", func(ctx context.Context, g *Grant) error {
+	a := h.keep(t, "a", func(ctx context.Context, g *Grant) error {
 		first.Store(g)
 		<-ctx.Done()
 		return nil
@@ -84,7 +90,7 @@
 	if second.Load() != nil && first.Load().Acts() {
 		t.Error("two holders may act")
 	}
-	stop()
+	a.stop()
 	eventually(t, "b holds the duty under a higher token", func() bool {
 		return second.Load() != nil && second.Load().Token > first.Load().Token
 	})
@@ -113,6 +119,35 @@
 	eventually(t, "a holds the duty again", func() bool { return grants.Load() > held && last.Load().Acts() })
 }
 
+// Guards against a reader of a trimmed stream that takes a lease before it can know who holds it.
+func TestKeeperWaitsAfterTrimming(t *testing.T) {
+	var ahead atomic.Int64
+	h := newHolders(t)
+	h.log = standin.NewLog(func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) })
+	for range 5 {
+		if _, err := h.log.Append(context.Background(), stream, []byte("{}")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	h.log.Trim(stream, 4)
+	var held atomic.Bool
+	k := h.keep(t, "a", func(ctx context.Context, _ *Grant) error {
+		held.Store(true)
+		<-ctx.Done()
+		return nil
+	})
+	eventually(t, "a has read the stream", func() bool {
+		k.lock.Lock()
+		defer k.lock.Unlock()
+		return k.book.Next() == 5 && !k.book.Now().IsZero()
+	})
+	if held.Load() || h.log.Appends() != 5 {
+		t.Errorf("held is %v after %d appends", held.Load(), h.log.Appends())
+	}
+	ahead.Store(int64(lease.MaxTerm))
+	eventually(t, "a takes the duty after the longest term", held.Load)
+}
+
 // bench is a pool of engines that load at once.
 type bench struct {
 	lock    sync.Mutex
@@ -160,7 +195,7 @@
 	weights.Set(standin.Faults{LoseReplies: 1})
 	// The first holder stops after its first load.
 	stopped := make(chan struct{})
-	stop := h.keep(t, "a", func(ctx context.Context, g *Grant) error {
+	a := h.keep(t, "a", func(ctx context.Context, g *Grant) error {
 		inner, cancel := context.WithCancel(ctx)
 		defer cancel()
 		go func() {
@@ -175,7 +210,7 @@
 		return err
 	})
 	<-stopped
-	stop()
+	a.stop()
 	h.keep(t, "b", l.Run)
 	eventually(t, "the next holder completes the roll-out", func() bool { return b.loaded() == 3 })
 	b.lock.Lock()
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// Guards against a process that resumes after a pause and serves on a judgement from before it.
+func TestOldJudgementLapses(t *testing.T) {
+	s := New(DefaultSettings("i1", "z", loopback), Hooks{}, zap.NewNop(), tally.NoopScope)
+	s.fresh.Store(&membership.Freshness{Ready: true, Ground: membership.ByLog, Until: time.Now().Add(-time.Second)})
+	if f := s.Fresh(); f.Ready || f.Ground != membership.Lapsed {
+		t.Errorf("judged %+v", f)
+	}
+	s.fresh.Store(&membership.Freshness{Ready: true, Ground: membership.ByLog, Until: time.Now().Add(time.Hour)})
+	if !s.Fresh().Ready {
+		t.Error("a judgement in force is not taken")
+	}
+}
+
 // authority signs certificates for loopback.
 type authority struct {
 	cert *x509.Certificate
