Let the test of a single send fail when the send is pooled

Cause: with the line replaced by the pooled transport the test still passed, because net/http repeats only on a connection that was used before. Change: the test leaves a pooled connection behind first. Result: passes; with the pooled transport it sees the order twice.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -113,7 +113,10 @@
 func TestLineSendsOnce(t *testing.T) {
 	l, a := listen(t)
 	var seen atomic.Int64
-	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	s := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			return
+		}
 		seen.Add(1)
 		panic(http.ErrAbortHandler)
 	})}
@@ -122,7 +125,11 @@
 		defer close(done)
 		_ = s.Serve(l)
 	}()
-	line, err := newClient(t).Connect(t.Context(), a)
+	c := newClient(t)
+	if _, err := c.Service(t.Context(), a, engine.ServiceCall{Method: http.MethodGet, Path: "/"}, time.Second); err != nil {
+		t.Fatal(err) // leaves a pooled connection behind
+	}
+	line, err := c.Connect(t.Context(), a)
 	if err != nil {
 		t.Fatal(err)
 	}
