--- a/internal/measure/cascade_world.go
+++ b/internal/measure/cascade_world.go
@@ -88,6 +88,7 @@
 var cascadeCases = []cascadeCase{
 	{"steady state", 1, -1, false},
 	{"medium turns bad", 1, 1, false},
+	{"safe version (large) turns bad", 1, 2, false},
 	{"ratings away", 1, -1, true},
 	{"2x load", 2, -1, false},
 }
