--- a/internal/core/suspect/register_test.go
+++ b/internal/core/suspect/register_test.go
@@ -69,3 +69,38 @@
 		})
 	}
 }
+
+// TestConfirm guards the rule by which two instances that claim at once agree: exactly one of them starts.
+func TestConfirm(t *testing.T) {
+	for name, c := range map[string]struct {
+		peer   string // of instance "m"
+		lease  Lease
+		deaths int // that the peer reports of the content
+		want   bool
+	}{
+		"no conflict":                   {"a", Lease{Content: 8, Endpoint: hashEndpoint("y")}, 1, true},
+		"same endpoint, lower name":     {"a", Lease{Content: 8, Endpoint: hashEndpoint("x")}, 1, false},
+		"same endpoint, higher name":    {"z", Lease{Content: 8, Endpoint: hashEndpoint("x")}, 1, true},
+		"same endpoint, peer's started": {"z", Lease{Content: 8, Endpoint: hashEndpoint("x"), Started: true}, 1, false},
+		"same content, lower name":      {"a", Lease{Content: 7, Endpoint: hashEndpoint("y")}, 1, false},
+		"same content, higher name":     {"z", Lease{Content: 7, Endpoint: hashEndpoint("y")}, 1, true},
+		"seen at another death":         {"z", Lease{Content: 8, Endpoint: hashEndpoint("y")}, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(DefaultSettings("m"))
+			r.Death(epoch, "d1", 7)
+			if !r.Acquire(epoch, 7, "x") {
+				t.Fatal("the claim is refused")
+			}
+			p := Report{Instance: c.peer, Alone: []Lease{c.lease}, Marks: []Mark{{Content: 7}}}
+			for i := range c.deaths {
+				p.Marks[0].Deaths = append(p.Marks[0].Deaths, Death{Endpoint: hashEndpoint([]string{"d1", "d2"}[i]), At: epoch})
+			}
+			now := epoch.Add(time.Second)
+			r.Merge(now, p)
+			if got := r.Confirm(now, 7); got != c.want {
+				t.Errorf("confirmed is %v, want %v", got, c.want)
+			}
+		})
+	}
+}
