Require two words for a refusal that the instance did not see itself

Change: refusals are counted apart from missing answers; indirect probes respect the budget; benchmarks print the capacity tables.

Result: go test -race passes; TestRefusalNeedsSecondWord fails with the former rule, because the state was gone after the first word.

--- a/internal/core/membership/event.go
+++ b/internal/core/membership/event.go
@@ -32,7 +32,7 @@
 	Peer     string
 	Sent     time.Time
 	Answered bool
-	Refused  bool
+	Refused  []string // helpers that were refused the connection
 	Denied   []string // helpers that got no answer either
 }
 
--- a/internal/core/membership/fleet_test.go
+++ b/internal/core/membership/fleet_test.go
@@ -179,7 +179,7 @@
 			f.probe(o, a.Peer)
 			e.Answered = true
 		case f.nodes[a.Peer.ID].refuses && !f.cut[[2]string{h.ID, a.Peer.ID}]:
-			e.Refused = true
+			e.Refused = append(e.Refused, h.ID)
 		default:
 			e.Denied = append(e.Denied, h.ID)
 		}
--- a/internal/core/membership/merge.go
+++ b/internal/core/membership/merge.go
@@ -58,13 +58,22 @@
 
 func (p *peer) delta() Delta {
 	d := Delta{Member: p.Member, State: p.state, Incarnation: p.incarnation}
-	d.Reporters = slices.Clone(p.reporters[:min(quorum, len(p.reporters))])
+	d.Reporters = slices.Clone(p.words())
 	return d
 }
 
+// words returns who vouches for the state, as many as it takes.
+func (p *peer) words() []string {
+	l := p.reporters
+	if p.state == Gone {
+		l = p.refusers
+	}
+	return l[:min(quorum, len(l))]
+}
+
 func (p *peer) size() int {
 	n := len(p.ID) + len(p.Zone) + deltaOverhead
-	for _, r := range p.reporters[:min(quorum, len(p.reporters))] {
+	for _, r := range p.words() {
 		n += len(r) + 2
 	}
 	return n
@@ -144,7 +153,7 @@
 		if p.incarnation > 0 {
 			t.spread(p)
 		}
-		p.incarnation, p.reporters = d.Incarnation, nil
+		p.incarnation, p.reporters, p.refusers = d.Incarnation, nil, nil
 		p.Address, p.Zone = d.Address, d.Zone
 		if d.State == Alive || d.State == Left {
 			return t.set(now, p, d.State)
@@ -164,12 +173,11 @@
 	case Suspect, Silent:
 		return t.suspect(now, p, t.others(d.Reporters))
 	case Gone:
-		if p.state >= Gone {
-			return nil
-		}
-		l := t.suspect(now, p, t.others(d.Reporters))
-		if len(p.reporters) >= t.quorum(p) {
-			l = append(l, t.set(now, p, Gone)...)
+		var l []Action
+		for _, r := range t.others(d.Reporters) {
+			if p.state < Gone {
+				l = append(l, t.refused(now, p, r)...)
+			}
 		}
 		return l
 	}
--- a/internal/core/membership/probe.go
+++ b/internal/core/membership/probe.go
@@ -155,8 +155,7 @@
 	}
 	l := t.evidence(now, e.Sent, e.Message)
 	if e.Message.From.ID != e.Peer {
-		p.reporters = add(p.reporters, t.s.Self.ID)
-		return append(l, t.set(now, p, Gone)...)
+		return append(l, t.refused(now, p, t.s.Self.ID)...)
 	}
 	return append(l, t.alive(now, p, e.Sent)...)
 }
@@ -168,7 +167,7 @@
 	if p.state == Left {
 		return nil
 	}
-	p.reporters = nil
+	p.reporters, p.refusers = nil, nil
 	return t.set(now, p, Alive)
 }
 
@@ -178,8 +177,7 @@
 		return nil
 	}
 	if e.Refused {
-		p.reporters = add(p.reporters, t.s.Self.ID)
-		return t.set(now, p, Gone)
+		return t.refused(now, p, t.s.Self.ID)
 	}
 	if p.state > Suspect {
 		return nil
@@ -207,11 +205,22 @@
 		return nil
 	case e.Answered:
 		return t.alive(now, p, e.Sent)
-	case e.Refused:
-		p.reporters = add(p.reporters, t.s.Self.ID)
-		return t.set(now, p, Gone)
 	}
-	return t.suspect(now, p, append([]string{t.s.Self.ID}, e.Denied...))
+	l := t.suspect(now, p, append([]string{t.s.Self.ID}, e.Denied...))
+	for _, r := range e.Refused {
+		l = append(l, t.refused(now, p, r)...)
+	}
+	return l
+}
+
+// refused folds that somebody was refused a connection. The own word is enough, another's needs a second one:
+// a filter on one way may refuse for a host that runs.
+func (t *Table) refused(now time.Time, p *peer, by string) []Action {
+	p.refusers = add(p.refusers, by)
+	if by != t.s.Self.ID && len(p.refusers) < t.quorum(p) {
+		return t.suspect(now, p, []string{by})
+	}
+	return t.set(now, p, Gone)
 }
 
 func (t *Table) suspect(now time.Time, p *peer, reporters []string) []Action {
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -77,7 +77,7 @@
 	Leaving bool
 }
 
-// Delta is one change of the table; Reporters got no answer, for Suspect, Silent and Gone. Two are enough to confirm.
+// Delta is one change of the table; Reporters got no answer, or for Gone were refused. Two are enough to confirm.
 type Delta struct {
 	Member
 	State       State
@@ -106,7 +106,8 @@
 	heard       time.Time // when the probe that was answered last was sent
 	probed      time.Time // when the last probe was due
 	partner     time.Time // since when it is a partner; zero if it is none
-	reporters   []string
+	reporters   []string  // got no answer
+	refusers    []string  // were refused a connection, or found another instance at the address
 	listed      bool
 	delisted    bool // was on the platform's list and no longer is
 	unsent      int  // messages that still have to carry the entry
--- a/internal/core/membership/table_test.go
+++ b/internal/core/membership/table_test.go
@@ -154,6 +154,28 @@
 	}
 }
 
+// Guards against a peer taken for gone because a filter refuses for it on another instance's way.
+func TestRefusalNeedsSecondWord(t *testing.T) {
+	f := newFleet(5)
+	f.run(3*time.Second, nil)
+	tab := f.nodes["i0"].t
+	is := func(want State) {
+		t.Helper()
+		if got := tab.peers["i1"].state; got != want {
+			t.Errorf("i1 is %s, want %s", got, want)
+		}
+	}
+	tab.Step(f.now, Helped{Peer: "i1", Refused: []string{"i2"}, Denied: []string{"i4"}})
+	is(Suspect)
+	d := Delta{Member: f.nodes["i1"].Member, State: Gone, Incarnation: tab.peers["i1"].incarnation}
+	d.Reporters = []string{"i2", "i0"}
+	tab.Step(f.now, Received{Message{From: f.nodes["i2"].Member, Incarnation: 1, Deltas: []Delta{d}}})
+	is(Suspect)
+	d.Reporters = []string{"i3"}
+	tab.Step(f.now, Received{Message{From: f.nodes["i3"].Member, Incarnation: 1, Deltas: []Delta{d}}})
+	is(Gone)
+}
+
 // Guards against evidence that waited in a socket buffer while the process was paused.
 func TestRequestsAreNoEvidence(t *testing.T) {
 	f := newFleet(2)
--- /dev/null
+++ b/internal/measure/capacity_bench_test.go
@@ -0,0 +1,43 @@
+package measure
+
+import (
+	"context"
+	"os"
+	"testing"
+)
+
+// BenchmarkCapacity prints the tables behind docs/CAPACITY.md.
+func BenchmarkCapacity(b *testing.B) {
+	fleets := map[string]func(o *CapacityOptions){
+		"demand": func(*CapacityOptions) {},
+		"budget": func(o *CapacityOptions) { o.Budget, o.Sizes = targetBytes, []int{9, 27, 81} },
+	}
+	for name, change := range fleets {
+		b.Run(name, func(b *testing.B) {
+			o := DefaultCapacity()
+			change(&o)
+			for range b.N {
+				ts, err := Capacity(context.Background(), o)
+				printAll(b, ts, err)
+			}
+		})
+	}
+	b.Run("rebuild", func(b *testing.B) {
+		for range b.N {
+			t, err := Rebuild(context.Background(), DefaultRebuild())
+			printAll(b, []Table{t}, err)
+		}
+	})
+}
+
+func printAll(b *testing.B, ts []Table, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, t := range ts {
+		if err := t.Print(os.Stdout); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/membership"
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
 )
 
 // Guards against probes that grow with the fleet: after a mass replacement every entry waits to be spread.
@@ -37,6 +38,36 @@
 	}
 }
 
+// digests exchanges fixed digests.
+type digests struct {
+	health, suspects []byte
+	merged           chan [2]string
+}
+
+func (d *digests) Digests() (health, suspects []byte) { return d.health, d.suspects }
+
+func (d *digests) Merge(peer string, health, suspects []byte) {
+	select {
+	case d.merged <- [2]string{peer, string(health) + "/" + string(suspects)}:
+	default:
+	}
+}
+
+// Guards against digests that don't arrive, and against one that is too large and blows up every probe.
+func TestDigestsTravelWithProbes(t *testing.T) {
+	list := standin.NewList()
+	a := &digests{health: []byte("h"), suspects: make([]byte, maxDigest+1), merged: make(chan [2]string, 1)}
+	b := &digests{health: []byte("g"), suspects: []byte("s"), merged: make(chan [2]string, 1)}
+	start(t, 1, list, Hooks{Digests: a}, nil)
+	start(t, 2, list, Hooks{Digests: b}, nil)
+	if got := <-a.merged; got != [2]string{"i2", "g/s"} {
+		t.Errorf("a merged %v", got)
+	}
+	if got := <-b.merged; got != [2]string{"i1", "h/"} {
+		t.Errorf("b merged %v", got)
+	}
+}
+
 // Guards against a field that gets lost between instances, and against a read that looks younger than it is.
 func TestStateRoundTrip(t *testing.T) {
 	m := membership.Message{
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -135,6 +135,10 @@
 
 // askHelpers asks all helpers at once and reports the outcome.
 func (s *Service) askHelpers(a membership.AskHelpers) {
+	if !s.budget.probe() {
+		s.scope.Counter("control-deferred").Inc(1)
+		return // a later probe fails again and asks
+	}
 	e := membership.Helped{Peer: a.Peer.ID, Sent: time.Now()}
 	type answer struct {
 		helper string
@@ -151,7 +155,7 @@
 		case r.reply.GetAnswered():
 			e.Answered = true
 		case r.reply.GetRefused():
-			e.Refused = true
+			e.Refused = append(e.Refused, r.helper)
 		default:
 			e.Denied = append(e.Denied, r.helper)
 		}
