Bill a key once when its call comes again after the fold forgot it

Cause: a bill fold remembers bills for 12 minutes, but an order is replayed, and billed again under its key, for 15 minutes and in a log outage longer. Change: the holder takes the key's time of issue as the bill's, so that such a bill is appended with a check and its holder finds the first copy. The soak still finds other cases, which are looked at next.

--- a/internal/core/bill/holder.go
+++ b/internal/core/bill/holder.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/claim"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
@@ -53,10 +54,12 @@
 func (h *Holder) Cancel() { h.admitted-- }
 
 // Add takes a bill, also above the bound: the work it charges for is done. It reports whether the bill is new.
+// The bill counts as issued when its key was, so that a copy made after the fold has forgotten the first one needs a check.
 func (h *Holder) Add(now time.Time, b record.Bill) bool {
 	if _, ok := h.bills[b.ID()]; ok {
 		return false
 	}
+	b.Issued = firstIssue(b)
 	h.bills[b.ID()] = &held{bill: b, due: now}
 	h.order = append(h.order, b.ID())
 	return true
@@ -151,6 +154,18 @@
 	h.order = l
 }
 
+// firstIssue returns when the first bill under a key can have been issued. An order is replayed, and billed again under
+// its key, for as long as its outcome is known. Other keys stand for one request only while they are this young: the
+// caller chooses them, and a key from long ago must not make the stream unable to prove that the bill is the first.
+func firstIssue(b record.Bill) time.Time {
+	t, err := claim.Issued(b.Key)
+	old := b.Service == "" && b.Issued.Sub(t) > claim.Window+HoldBound
+	if err != nil || old || t.After(b.Issued) {
+		return b.Issued
+	}
+	return t
+}
+
 func needsCheck(now time.Time, b record.Bill) bool {
 	d := now.Sub(b.Issued)
 	return d > checkAge || d < -Skew/2
