Measure policies and capacity from the command line; let admission follow the engines' waits

Cause: the measurements could only be called from Go, and admission never saw how long a request waits at the engines, so its level did not adapt. Change: measure policy and measure capacity; engines state their wait with each answer; a suspect's start is told to peers. Result: go test -race ./internal/instance ./internal/answer ./internal/command passes; the whole path fails in one case (an engine that answers with another version), which is looked at next.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -183,7 +183,7 @@
 func tableReport(r engine.Report, now time.Time) endpoint.Report {
 	out := endpoint.Report{Leaving: r.Leaving, Versions: r.Versions}
 	if r.Slots > 0 {
-		out.Time, out.Load, out.Slots = now, r.Outstanding, r.Slots
+		out.Time, out.Load, out.Slots, out.Waits, out.Wait = now, r.Outstanding, r.Slots, r.Waits, r.Wait
 	}
 	return out
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,6 +30,7 @@
 			serveCommand(),
 			tryCommand(),
 			standinCommand(),
+			measureCommand(),
 			checkCommand(),
 			profileCommand(),
 			organisationCommand(),
--- a/internal/core/composed/node_test.go
+++ b/internal/core/composed/node_test.go
@@ -268,8 +268,11 @@
 				continue
 			}
 			_, ok, gone := o.ask(peer)
-			e.Answered, e.Refused = e.Answered || ok, e.Refused || gone
-			if !ok && !gone {
+			e.Answered = e.Answered || ok
+			switch {
+			case gone:
+				e.Refused = append(e.Refused, m.ID)
+			case !ok:
 				e.Denied = append(e.Denied, m.ID)
 			}
 		}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -54,6 +54,8 @@
 	Outstanding int
 	Slots       int // 0 if the endpoint reported no load
 	Versions    []string
+	Waits       bool // whether the endpoint stated Wait
+	Wait        time.Duration
 	Leaving     bool
 }
 
@@ -242,12 +244,25 @@
 		r.Outstanding, _ = strconv.Atoi(o)
 		r.Slots, _ = strconv.Atoi(s)
 	}
+	r.Wait, r.Waits = parseWait(h.Get(HeaderWait))
 	if v := h.Get(HeaderVersions); v != "" {
 		r.Versions = strings.Split(v, ",")
 	}
 	return r
 }
 
+func parseWait(text string) (time.Duration, bool) {
+	d, err := time.ParseDuration(text)
+	return d, err == nil && d >= 0
+}
+
+// Report returns what the engine told in reply to a probe.
+func (l Load) Report() Report {
+	r := Report{Outstanding: l.Outstanding, Slots: l.Slots, Versions: l.Versions, Leaving: l.Leaving}
+	r.Wait, r.Waits = parseWait(l.Wait)
+	return r
+}
+
 // dialKind returns ErrRefused if no connection was made, and other if bytes may have been sent.
 func dialKind(err error, other ErrorKind) ErrorKind {
 	var o *net.OpError
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -3,6 +3,7 @@
 // Header names between the router and endpoints.
 const (
 	HeaderLoad     = "Endpoint-Load"     // "outstanding/slots" at the time of the engine's last report
+	HeaderWait     = "Endpoint-Wait"     // how long a request waits for a slot now, as text such as "15ms"
 	HeaderLeaving  = "Endpoint-Leaving"  // "true" once the endpoint takes no new work
 	HeaderVersions = "Endpoint-Versions" // versions that the engine serves, separated by commas
 	HeaderRequest  = "Cassiaspoke-Request"
@@ -78,6 +79,7 @@
 type Load struct {
 	ID          string   `json:"id"`
 	Outstanding int      `json:"outstanding"`
+	Wait        string   `json:"wait,omitempty"` // as in HeaderWait
 	Slots       int      `json:"slots"`
 	Versions    []string `json:"versions"`
 	Leaving     bool     `json:"leaving,omitempty"`
--- a/internal/instance/admission.go
+++ b/internal/instance/admission.go
@@ -24,15 +24,22 @@
 	c.admitting.Lock()
 	defer c.admitting.Unlock()
 	for n := range c.catalog.Load().Versions {
-		slots, load := v.Capacity(n, "", now)
-		c.admission.Update(now, n, slots, load)
+		c.measurePool(v, now, n, "")
 	}
 	for _, n := range c.services {
-		slots, load := v.Capacity("", n, now)
-		c.admission.Update(now, n, slots, load)
+		c.measurePool(v, now, "", n)
 	}
 }
 
+func (c *control) measurePool(v *endpoint.View, now time.Time, version, service string) {
+	name := version + service // one of them is empty
+	if w, ok := v.Wait(version, service, now); ok {
+		c.admission.Reported(now, name, w)
+	}
+	slots, load := v.Capacity(version, service, now)
+	c.admission.Update(now, name, slots, load)
+}
+
 // Admit decides about a request before any work is sent.
 func (c *control) Admit(a gateway.Arrival) (func(), error) {
 	start, o := time.Now(), a.Organisation
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -129,7 +129,10 @@
 		l, err := c.engines.Probe(ctx, a.Address)
 		p := endpoint.Probed{Endpoint: a.Endpoint, OK: err == nil}
 		if err == nil {
-			p.Report = endpoint.Report{Time: time.Now(), Load: l.Outstanding, Slots: l.Slots, Versions: l.Versions, Leaving: l.Leaving}
+			r := l.Report()
+			p.Report = endpoint.Report{
+				Time: time.Now(), Load: r.Outstanding, Slots: r.Slots, Versions: r.Versions, Leaving: r.Leaving, Waits: r.Waits, Wait: r.Wait,
+			}
 		}
 		c.scope.Tagged(map[string]string{"ok": okText(err)}).Counter("probes").Inc(1)
 		c.post(p)
--- a/internal/instance/suspects.go
+++ b/internal/instance/suspects.go
@@ -55,7 +55,9 @@
 	claimed := time.Now()
 	u.tell()
 	time.Sleep(time.Until(claimed.Add(u.settle)))
-	return u.confirm(c, endpoint)
+	started = u.confirm(c, endpoint)
+	u.tell() // that it started, or that the claim is gone
+	return started
 }
 
 // start counts a request in, or claims the endpoint for a suspect.
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -44,7 +44,7 @@
 	merged           chan [2]string
 }
 
-func (d *digests) Digests() (health, suspects []byte) { return d.health, d.suspects }
+func (d *digests) Digests(int) (health, suspects []byte) { return d.health, d.suspects }
 
 func (d *digests) Merge(peer string, health, suspects []byte) {
 	select {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -59,6 +59,7 @@
 	leaving  bool
 	cache    []string
 	load     int
+	wait     time.Duration // of the latest request for a slot
 	loadAt   time.Time
 	running  int
 	served   map[string]int
@@ -172,12 +173,14 @@
 		return
 	}
 	defer e.done()
+	begin := time.Now()
 	select {
 	case e.slots <- struct{}{}:
 		defer func() { <-e.slots }()
 	case <-r.Context().Done():
 		return
 	}
+	e.waited(time.Since(begin))
 	e.loadHeaders(w)
 	a := newAnswer(q, f)
 	if f.Poison != "" && strings.Contains(a.prompt, f.Poison) {
@@ -212,6 +215,12 @@
 	return e.f, http.StatusOK
 }
 
+func (e *Engine) waited(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.wait = d.Round(time.Millisecond)
+}
+
 func (e *Engine) done() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/enginecontrol.go
+++ b/internal/standin/enginecontrol.go
@@ -20,6 +20,7 @@
 		e.load, e.loadAt = e.running, time.Now()
 	}
 	w.Header().Set(engine.HeaderLoad, fmt.Sprintf("%d/%d", e.load, e.o.Slots))
+	w.Header().Set(engine.HeaderWait, e.wait.String())
 	w.Header().Set(engine.HeaderVersions, strings.Join(e.versions, ","))
 	if e.leaving {
 		w.Header().Set(engine.HeaderLeaving, "true")
@@ -29,7 +30,7 @@
 func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	l := engine.Load{
-		ID: e.o.ID, Outstanding: e.running, Slots: e.o.Slots,
+		ID: e.o.ID, Outstanding: e.running, Slots: e.o.Slots, Wait: e.wait.String(),
 		Versions: slices.Clone(e.versions), Leaving: e.leaving,
 	}
 	e.mu.Unlock()
