--- /dev/null
+++ b/internal/core/claim/claimant_test.go
@@ -0,0 +1,63 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// drawEvent returns any event, also ones that a driver must not send.
+func drawEvent(t *rapid.T) Event {
+	verdicts := []Verdict{Won, Won, Won, Taken, Expired, Early, Incomplete}
+	holders := []*Holder{nil, nil, {Attempt: "other", Until: base.Add(time.Minute)}, {Attempt: "other", Outcome: &record.Outcome{Unknown: true}}}
+	e := Event{
+		Kind:    rapid.SampledFrom([]EventKind{Start, Ruled, Tick, Tick, Abandon, Send, Send, Finish, Lose}).Draw(t, "event"),
+		Holder:  rapid.SampledFrom(holders).Draw(t, "holder"),
+		Ruling:  Ruling{Attempt: "own", Verdict: rapid.SampledFrom(verdicts).Draw(t, "verdict")},
+		LogNow:  base,
+		Outcome: &record.Outcome{Status: 200},
+	}
+	e.Ruling.Holder = Holder{Attempt: "other", Until: base.Add(time.Minute)}
+	return e
+}
+
+// Guards against a second send, a send after "not run", a void after a send, and a result other than an outcome or
+// "unknown" after a send, for events in any order.
+func TestClaimantSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		resend := rapid.Bool().Draw(t, "resend")
+		c := NewClaimant(Settings{Retry: time.Second, Wait: 5 * time.Second}, Request{
+			Organisation: "lys", Key: testKey(base, 1), Attempt: "own", Deadline: base.Add(4 * time.Second), Resend: resend,
+		})
+		now, sends, notRun, won := base, 0, false, false
+		c.Step(now, Event{Kind: Start})
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			before, e := c.Phase(), drawEvent(t)
+			o := c.Step(now, e)
+			won = won || (before == Claiming && e.Kind == Ruled && e.Ruling.Verdict == Won)
+			if o.Allow {
+				sends++
+			}
+			voids := o.Keep != nil && o.Keep.Kind == record.ClaimVoid
+			switch {
+			case o.Allow && (notRun || !now.Before(base.Add(4*time.Second))):
+				t.Fatalf("sent after %v, not run %v", now.Sub(base), notRun)
+			case o.Allow && !won && !resend:
+				t.Fatal("sent without a claim that won")
+			case sends > 1 && !resend:
+				t.Fatal("sent twice")
+			case sends > 0 && (voids || o.Result == NotRun):
+				t.Fatalf("after a send: %+v", o)
+			case sends > 0 && o.Result != "" && o.Result != Finished && o.Result != OutcomeUnknown:
+				t.Fatalf("result %s after a send", o.Result)
+			case before == Closed && (o.Result != "" || o.Keep != nil || o.Append != nil):
+				t.Fatalf("a closed attempt does %+v", o)
+			}
+			notRun = notRun || o.Result == NotRun
+		}
+	})
+}
--- a/internal/ledger/biller.go
+++ b/internal/ledger/biller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -248,7 +247,7 @@
 }
 
 func (b *Biller) append(l []record.Bill, check *record.BillCheck) error {
-	data, err := json.Marshal(record.BillBatch{ID: uuid.NewString(), Check: check, Bills: l})
+	data, err := record.BillBatch{ID: uuid.NewString(), Check: check, Bills: l}.MarshalBinary()
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/check.go
+++ b/internal/ledger/check.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,7 +87,7 @@
 // decodeBills returns no bills for a record that can't be read; every reader drops the same record.
 func decodeBills(data []byte) record.BillBatch {
 	var b record.BillBatch
-	if json.Unmarshal(data, &b) != nil {
+	if b.UnmarshalBinary(data) != nil {
 		return record.BillBatch{}
 	}
 	return b
