--- a/internal/ledger/bill_history_test.go
+++ b/internal/ledger/bill_history_test.go
@@ -43,7 +43,7 @@
 		skew := c.Span(-20*time.Second, 20*time.Second)
 		s := BillSettings{Bound: 4}.filled()
 		node := &billNode{Node: c.Node(), sim: c, biller: &Biller{
-			ctx: context.Background(), settings: s,
+			ctx: context.Background(), settings: s, spawn: func(f func()) { f() },
 			options: Options{Log: history.Log{Sim: c.Sim}, Instance: fmt.Sprint(n), Now: func() time.Time { return c.Now.Add(skew) }}.filled(),
 			holder:  bill.NewHolder(s.Bound, s.Retry), copies: bill.NewWitness(s.WitnessBound, s.Silence),
 			waiting: map[record.BillID]chan struct{}{},
--- a/internal/ledger/biller.go
+++ b/internal/ledger/biller.go
@@ -64,6 +64,7 @@
 	settings BillSettings
 	witness  Witness
 	wg       sync.WaitGroup
+	spawn    func(func()) // starts a goroutine; histories run the function at once instead
 
 	mu      sync.Mutex
 	holder  *bill.Holder
@@ -80,7 +81,8 @@
 		copies:  bill.NewWitness(s.WitnessBound, s.Silence),
 		waiting: map[record.BillID]chan struct{}{},
 	}
-	b.wg.Go(b.appendLoop)
+	b.spawn = b.wg.Go
+	b.spawn(b.appendLoop)
 	return b
 }
 
@@ -269,14 +271,20 @@
 			close(c)
 			delete(b.waiting, k)
 		}
+		b.options.Recorder.Event("bill-confirmed", "organisation", k.Organisation, "key", k.Key)
 	}
 	b.mu.Unlock()
 	b.options.Scope.Counter("bills").Inc(int64(len(l)))
 	if r, ok := b.witness.(Releaser); ok {
-		ctx, cancel := context.WithTimeout(b.ctx, appendTimeout)
-		defer cancel()
-		if err := r.Release(ctx, l); err != nil {
-			b.options.Logger.Debug("ledger: witness was not told of appended bills", zap.Error(err))
-		}
+		b.spawn(func() { b.release(r, l) })
+	}
+}
+
+// release runs apart from the append loop: a silent witness must not delay the next bills.
+func (b *Biller) release(r Releaser, l []record.BillID) {
+	ctx, cancel := context.WithTimeout(b.ctx, appendTimeout)
+	defer cancel()
+	if err := r.Release(ctx, l); err != nil {
+		b.options.Logger.Debug("ledger: witness was not told of appended bills", zap.Error(err))
 	}
 }
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -269,15 +270,23 @@
 			continue
 		}
 		for _, r := range l {
-			if p, ok := w.wallets[r.Account.Organisation]; ok {
-				p.Observe(w.now(), r)
-			}
+			w.observe(r)
 		}
 	}
 	w.end = w.fold.Next() >= uint64(g.Next)
 	return nil
 }
 
+func (w *Wallet) observe(r entitlement.Ruling) {
+	if p, ok := w.wallets[r.Account.Organisation]; ok {
+		p.Observe(w.now(), r)
+	}
+	if r.Grant.Holder == w.holder {
+		w.options.Recorder.Event("grant-ruled", "organisation", r.Account.Organisation, "unit", string(r.Account.Unit),
+			"kind", string(r.Grant.Kind), "asked", strconv.FormatInt(r.Grant.Amount, 10), "given", strconv.FormatInt(r.Given, 10))
+	}
+}
+
 // decodeGrants returns no grants for a record that can't be read; every reader drops the same record.
 func decodeGrants(data []byte) record.GrantBatch {
 	var b record.GrantBatch
