Drop silent holders from the grants of long periods

Change: above 32 holders the fold drops those silent for 1 h, and only holders active in the last 10 min count for the size of a take.

--- a/internal/core/bill/holder.go
+++ b/internal/core/bill/holder.go
@@ -112,35 +112,6 @@
 	return done
 }
 
-// Failed makes bills due again after the retry delay.
-func (h *Holder) Failed(now time.Time, l []record.Bill) {
-	for _, b := range l {
-		if k, ok := h.bills[b.ID()]; ok {
-			k.due = now.Add(h.retry)
-		}
-	}
-}
-
-// Next returns when the next bill is due; ok is false when there is none.
-func (h *Holder) Next() (t time.Time, ok bool) {
-	for _, b := range h.bills {
-		if !ok || b.due.Before(t) {
-			t, ok = b.due, true
-		}
-	}
-	return t, ok
-}
-
-// Bills returns all bills that are not confirmed, oldest first.
-func (h *Holder) Bills() []record.Bill {
-	h.compact()
-	l := make([]record.Bill, 0, len(h.order))
-	for _, k := range h.order {
-		l = append(l, h.bills[k].bill)
-	}
-	return l
-}
-
 func (h *Holder) compact() {
 	l := h.order[:0]
 	for _, k := range h.order {
--- a/internal/core/entitlement/fold.go
+++ b/internal/core/entitlement/fold.go
@@ -22,13 +22,23 @@
 	Given     int64 // by a take
 	Remaining int64 // of the limit in the period of the record's time
 	Index     int64 // period of the record's time
-	Holders   int   // holders that took or returned in the period
+	Holders   int   // holders with a record in the last 10 min of the period
 }
 
+const (
+	// manyHolders is the number of holders from which silent ones are dropped; a long period sees many restarts.
+	manyHolders = 32
+	// silentFor is how long a holder must be silent to be dropped. What it still holds stays spent.
+	silentFor = time.Hour
+	// activeFor is how long after its latest record a holder counts as one that may need a part of the remainder.
+	activeFor = 10 * time.Minute
+)
+
 // share is what one holder took in the current period.
 type share struct {
 	Granted int64  `json:"granted"`
 	Seq     uint64 `json:"seq"`
+	At      int64  `json:"at"` // log time of the latest record, in seconds since 1970
 }
 
 // account is the state of one limit in the period of its latest record.
@@ -173,7 +183,7 @@
 		if g.Seq <= s.Seq {
 			return r, false
 		}
-		s.Seq = g.Seq
+		s.Seq, s.At = g.Seq, f.now.Unix()
 		if g.Kind == record.GrantTake {
 			r.Given = min(g.Amount, max(0, amount-a.Granted))
 			s.Granted += r.Given
@@ -185,10 +195,24 @@
 		}
 		a.Holders[g.Holder] = s
 	}
-	r.Remaining, r.Holders = max(0, amount-a.Granted), len(a.Holders)
+	r.Remaining, r.Holders = max(0, amount-a.Granted), a.active(f.now)
 	return r, true
 }
 
+// active returns the number of active holders and drops silent ones. A record of a dropped holder can't exceed the limit:
+// a copy of a take is bounded by the remainder, and a return by what the holder is known to have.
+func (a *account) active(now time.Time) int {
+	n, many := 0, len(a.Holders) > manyHolders
+	for h, s := range a.Holders {
+		if d := now.Unix() - s.At; d <= int64(activeFor.Seconds()) {
+			n++
+		} else if many && d > int64(silentFor.Seconds()) {
+			delete(a.Holders, h)
+		}
+	}
+	return n
+}
+
 // organisation takes over the limits of a higher revision; a lower revision gets the limits in force.
 func (f *Fold) organisation(g record.Grant) *organisation {
 	o, ok := f.state.Organisations[g.Organisation]
--- a/internal/core/entitlement/fold_test.go
+++ b/internal/core/entitlement/fold_test.go
@@ -126,6 +126,25 @@
 	})
 }
 
+// Guards against a state that grows with each restart in a long period, and against takes that shrink with it.
+func TestFoldDropsSilentHolders(t *testing.T) {
+	f, month := NewFold(0), record.Duration(720*time.Hour)
+	start := time.Unix(0, Index(base, month)*int64(month))
+	for n := range uint64(2000) {
+		at := start.Add(time.Duration(n) * 3 * time.Minute) // 480 restarts a day
+		r, err := f.Apply(n, at, record.GrantBatch{Grants: []record.Grant{{
+			Kind: record.GrantTake, Organisation: "lys", Holder: at.String(), Seq: 1, Unit: record.UnitTokens, Period: month,
+			Index: Index(at, month), Amount: 1, Revision: 1, Limits: []record.Limit{{Unit: record.UnitTokens, Amount: 1500, Period: month}},
+		}}})
+		if err != nil || len(r) != 1 || r[0].Given != min(1, max(0, 1500-int64(n))) || r[0].Holders > 4 {
+			t.Fatalf("offset %d: %+v, %v", n, r, err)
+		}
+	}
+	if n := len(f.state.Organisations["lys"].Accounts[0].Holders); n > manyHolders+1 {
+		t.Errorf("%d holders are remembered", n)
+	}
+}
+
 // Guards against readers that follow different snapshots when two were written without knowledge of the past.
 func TestFoldBlindSnapshots(t *testing.T) {
 	take := func(h string) record.GrantBatch {
