Give every setting an effect or remove it

Cause: settings were checked and documented, but several reached no part. Wired: platform.timeout bounds each call of all four platform clients (a read that waits gets its wait on top); freshness.bound sets the window of the peers' freshness judgement (2s at least: the log is read once a second); endpoints.hedge-share sends late lookups at services to a second endpoint within the hedge budget; the endpoint table follows the number of instances in the peer view. Removed: grants.* (the wallet sizes grants by measured use and the remaining limit, which fixed shares would contradict); claims.window and claims.partitions (constants that all instances share); endpoints.leaving-bound (the bound is an invariant; the list interval is now limited to 2s so that a read that takes a second longer keeps it); engines.checks-fencing (no instance sends commands to engines yet); services[].checks-fencing (a fencing token does not tell whether an earlier call ran, so it can't permit another send; honours-keys does). Admission and the retry budget still take the fleet size only when they are made.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -210,17 +210,15 @@
 func mapSettings(s settings.Settings) instance.Options {
 	o := instance.Default(s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.Region)
 	h := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
-	o.Log = platform.NewHTTP(string(s.Platform.Log), h)
-	o.Rater = platform.NewHTTP(string(s.Platform.Rating), h)
-	o.Weights = platform.NewHTTP(string(s.Platform.Weights), h)
-	o.List = platform.NewHTTP(string(s.Platform.Instances), h)
+	remote := func(u settings.URL) *platform.HTTP { return platform.NewHTTP(string(u), h, s.Platform.Timeout) }
+	o.Log, o.Rater, o.Weights, o.List = remote(s.Platform.Log), remote(s.Platform.Rating), remote(s.Platform.Weights), remote(s.Platform.Instances)
 	o.OperatorKeys = certificate.NewKeys(s.Operators.Keys)
 	o.SessionLifetime = s.Sessions.Lifetime
 	l := s.Callers.Limits
 	o.HeaderBytes, o.HeaderTime, o.IdleTime = int(l.HeaderBytes), l.HeaderTimeout, l.IdleTimeout
 	o.Gateway.BodyBytes, o.Gateway.StreamBytes, o.Gateway.RequestTimeout = int64(l.BodyBytes), int64(l.StreamBytes), l.RequestTimeout
 	for _, v := range s.Services {
-		o.Gateway.Services[v.Name] = gateway.Service{HonoursKeys: v.HonoursKeys, ChecksFencing: v.ChecksFencing, Price: v.Price}
+		o.Gateway.Services[v.Name] = gateway.Service{HonoursKeys: v.HonoursKeys, Price: v.Price}
 	}
 	o.Engine.FirstToken, o.Engine.Progress = s.Engines.FirstTokenTimeout, s.Engines.ProgressTimeout
 	o.Catalog.Timeout = s.Platform.Timeout
@@ -229,7 +227,8 @@
 	e := s.Endpoints
 	o.ListEvery = e.ListInterval
 	o.Endpoints.ErrorStatuses, o.Endpoints.EjectBase, o.Endpoints.EjectMax = e.Ejection.Failures, e.Ejection.Base, e.Ejection.Max
-	o.Retries.Ratio = e.RetryShare
+	o.Retries.Ratio, o.Order.Hedge.Ratio = e.RetryShare, e.HedgeShare
+	o.Freshness = s.Freshness.Bound
 	o.Ledger = instance.Ledger{
 		Claims: ledger.ClaimSettings{Wait: s.Claims.Wait, FlushLoad: s.Claims.Flush},
 		Bills:  ledger.BillSettings{Flush: s.Bills.Flush, Bound: s.Bills.Buffer},
--- /dev/null
+++ b/internal/command/serve_test.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/instance"
+	"github.com/cassiaspoke/cassiaspoke/internal/settings"
+)
+
+// Guards against a setting that is read and has no effect: each one reaches the part that it belongs to.
+func TestMapSettings(t *testing.T) {
+	for name, c := range map[string]struct {
+		set func(s *settings.Settings)
+		ok  func(o instance.Options) bool
+	}{
+		"endpoints.hedge-share": {
+			func(s *settings.Settings) { s.Endpoints.HedgeShare = 0.07 },
+			func(o instance.Options) bool { return o.Order.Hedge.Ratio == 0.07 },
+		},
+		"endpoints.retry-share": {
+			func(s *settings.Settings) { s.Endpoints.RetryShare = 0.03 },
+			func(o instance.Options) bool { return o.Retries.Ratio == 0.03 },
+		},
+		"endpoints.list-interval": {
+			func(s *settings.Settings) { s.Endpoints.ListInterval = 123 * time.Millisecond },
+			func(o instance.Options) bool { return o.ListEvery == 123*time.Millisecond },
+		},
+		"freshness.bound": {
+			func(s *settings.Settings) { s.Freshness.Bound = 7 * time.Second },
+			func(o instance.Options) bool { return o.Freshness == 7*time.Second },
+		},
+		"claims.wait": {
+			func(s *settings.Settings) { s.Claims.Wait = time.Second },
+			func(o instance.Options) bool { return o.Ledger.Claims.Wait == time.Second },
+		},
+		"claims.flush": {
+			func(s *settings.Settings) { s.Claims.Flush = 20 * time.Millisecond },
+			func(o instance.Options) bool { return o.Ledger.Claims.FlushLoad == 20*time.Millisecond },
+		},
+		"services[].honours-keys": {
+			func(s *settings.Settings) { s.Services = []settings.Service{{Name: "print", HonoursKeys: true}} },
+			func(o instance.Options) bool { return o.Gateway.Services["print"].HonoursKeys },
+		},
+		"stop.drain-timeout": {
+			func(s *settings.Settings) { s.Stop.DrainTimeout = time.Hour },
+			func(o instance.Options) bool { return o.Drain == time.Hour },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings.Default()
+			c.set(&s)
+			if c.ok(mapSettings(settings.Default())) || !c.ok(mapSettings(s)) {
+				t.Error("the setting has no effect, or its default has the tested value")
+			}
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,9 +34,8 @@
 
 // Service is a plain service that callers may call by name.
 type Service struct {
-	HonoursKeys   bool
-	ChecksFencing bool
-	Price         record.Micros
+	HonoursKeys bool
+	Price       record.Micros
 }
 
 // Amounts are what a request uses of an organisation's limits.
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -54,6 +54,8 @@
 	driver     *rollout.Driver
 	closed     atomic.Pointer[closedVersions]
 	publish    func(record.Change)
+	fleet      func() int // instances that are believed to run
+	sized      int        // the size that the endpoint table has
 
 	admitting sync.Mutex
 	admission *endpoint.Admission
@@ -96,6 +98,7 @@
 		case e := <-c.queue:
 			c.step(time.Now(), e)
 		case now := <-t.C:
+			c.resize(now)
 			c.step(now, endpoint.Tick{})
 			c.judge(now, rollout.Tick{})
 			c.estimates.Store(c.beliefs.View(now))
@@ -104,6 +107,14 @@
 	}
 }
 
+// resize tells the endpoint table how many instances share the endpoints.
+func (c *control) resize(now time.Time) {
+	if n := c.fleet(); n != c.sized {
+		c.sized = n
+		c.step(now, endpoint.Resized{Fleet: n})
+	}
+}
+
 func (c *control) step(now time.Time, e any) {
 	switch e := e.(type) {
 	case endpoint.Event:
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"github.com/cassiaspoke/cassiaspoke/internal/answer"
 	"github.com/cassiaspoke/cassiaspoke/internal/catalog"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/membership"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
@@ -73,6 +74,7 @@
 	i.control.publish = i.publish
 	i.suspects.tell = i.tell
 	i.newPeers()
+	i.control.fleet = func() int { return i.peers.View().Size() }
 	i.ledger = newLedgers(i.ctx, o, i.peers.Witness())
 	retries := newRetries(o.Retries)
 	i.maker = answer.NewMaker(o.Answer, answer.Parts{
@@ -93,11 +95,16 @@
 	return i, nil
 }
 
+func peerSettings(o Options) peer.Settings {
+	s := peer.DefaultSettings(o.ID, o.Zone, o.Peers)
+	s.TLS = o.PeersTLS
+	s.ListEvery = o.ListEvery
+	s.Adjust = func(m *membership.Settings) { m.Window = o.Freshness }
+	return s
+}
+
 func (i *Instance) newPeers() {
-	s := peer.DefaultSettings(i.o.ID, i.o.Zone, i.o.Peers)
-	s.TLS = i.o.PeersTLS
-	s.ListEvery = i.o.ListEvery
-	i.peers = peer.New(s, peer.Hooks{
+	i.peers = peer.New(peerSettings(i.o), peer.Hooks{
 		List: i.o.List, Bills: billHolder{i}, Appender: nil, Snapshots: snapshots{i.config}, Digests: digests{i},
 	}, i.o.Logger, i.o.Scope.SubScope("peer"))
 }
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -57,6 +57,7 @@
 	Ledger    Ledger
 
 	ListEvery    time.Duration // between reads of the instance list
+	Freshness    time.Duration // age of the configuration at which the instance takes no work
 	HeaderBytes  int
 	HeaderTime   time.Duration
 	IdleTime     time.Duration
@@ -89,7 +90,7 @@
 		Cascade:   cascade.Defaults(),
 		RollOut:   rollout.Defaults(),
 		Suspects:  suspect.DefaultSettings(id),
-		ListEvery: time.Second, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
+		ListEvery: time.Second, Freshness: 5 * time.Second, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
 		BalancerWait: 5 * time.Second, Drain: 15 * time.Minute,
 		Logger: zap.NewNop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(),
 	}
--- a/internal/order/desk.go
+++ b/internal/order/desk.go
@@ -70,13 +70,14 @@
 	QueueStep time.Duration // between two tries for an endpoint
 	Lookup    time.Duration // of one attempt of a lookup
 	Order     time.Duration // of an order, from sending it to its reply
+	Hedge     endpoint.HedgeSettings
 }
 
 // DefaultSettings returns settings for an availability zone.
 func DefaultSettings(zone string) Settings {
 	return Settings{
 		Zone: zone, QueueWait: 2 * time.Second, QueueStep: 10 * time.Millisecond,
-		Lookup: 2 * time.Second, Order: 10 * time.Second,
+		Lookup: 2 * time.Second, Order: 10 * time.Second, Hedge: endpoint.DefaultHedge(),
 	}
 }
 
@@ -88,11 +89,12 @@
 	retries *endpoint.Retries
 	engines *engine.Client
 	events  Recorder
+	hedge   hedge
 }
 
 // NewDesk returns a desk.
 func NewDesk(s Settings, p Pool, c Claims, b *endpoint.Retries, e *engine.Client, r Recorder) *Desk {
-	return &Desk{s: s, pool: p, claims: c, retries: b, engines: e, events: r}
+	return &Desk{s: s, pool: p, claims: c, retries: b, engines: e, events: r, hedge: hedge{core: endpoint.NewHedge(s.Hedge)}}
 }
 
 // tries are the endpoints that a call has used up.
@@ -106,28 +108,22 @@
 	t.n++
 }
 
-// Lookup makes an idempotent call, on another endpoint after a failure.
+// Lookup makes an idempotent call, on another endpoint after a failure, and on a second one when the first is late.
 func (d *Desk) Lookup(ctx context.Context, c Call) (Reply, error) {
 	x, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	a := d.retries.First()
+	copies := d.hedge.first()
 	var t tries
 	for {
 		e, err := d.choose(x, c.Service, &t)
 		if err != nil {
 			return Reply{}, &Error{Op: "lookup", Kind: ErrCapacity, NotRun: t.n == 0, Err: err}
 		}
-		started := time.Now()
-		r, err := d.engines.Service(x, e.Address, d.wire(c), d.s.Lookup)
-		e.End()
-		d.report(e, c, started, r, err)
-		if err == nil && r.Status < http.StatusInternalServerError {
-			return reply(r), nil
-		}
+		r, err := d.hedged(x, c, e, &t, &copies)
 		if err == nil {
-			err = fmt.Errorf("status %d", r.Status)
+			return reply(r), nil
 		}
-		t.add(e.Endpoint)
 		switch {
 		case x.Err() != nil:
 			return Reply{}, &Error{Op: "lookup", Kind: ErrDeadline, Err: err}
@@ -265,7 +261,7 @@
 	default:
 		d.pool.Event(endpoint.Answered{Endpoint: e.Endpoint, Started: started, Report: endpoint.Report{Leaving: r.Report.Leaving}})
 	}
-	if err != nil {
+	if err != nil && (x == nil || x.Kind != engine.ErrCancelled) {
 		d.event("call-failed", c, e.ID, err)
 	}
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -17,13 +17,14 @@
 
 // HTTP is a client of the platform's services over HTTP and JSON.
 type HTTP struct {
-	base   string
-	client *http.Client
+	base    string
+	client  *http.Client
+	timeout time.Duration
 }
 
-// NewHTTP returns a client of the services at the base URL.
-func NewHTTP(base string, client *http.Client) *HTTP {
-	return &HTTP{base: base, client: client}
+// NewHTTP returns a client of the services at the base URL; timeout bounds each call, beyond the wait of a read.
+func NewHTTP(base string, client *http.Client, timeout time.Duration) *HTTP {
+	return &HTTP{base: base, client: client, timeout: timeout}
 }
 
 // AppendReply is the log's reply to an append.
@@ -55,8 +56,10 @@
 		"limit": {strconv.Itoa(limit)},
 		"wait":  {wait.String()},
 	}
+	x, cancel := context.WithTimeout(ctx, h.timeout+wait)
+	defer cancel()
 	var p Page
-	err := h.do(ctx, "read", http.MethodGet, "/v1/streams/"+url.PathEscape(stream)+"?"+q.Encode(), nil, &p)
+	err := h.send(x, "read", http.MethodGet, "/v1/streams/"+url.PathEscape(stream)+"?"+q.Encode(), nil, &p)
 	if err != nil {
 		return Page{}, err
 	}
@@ -92,6 +95,12 @@
 }
 
 func (h *HTTP) do(ctx context.Context, op, method, path string, body []byte, out any) error {
+	x, cancel := context.WithTimeout(ctx, h.timeout)
+	defer cancel()
+	return h.send(x, op, method, path, body, out)
+}
+
+func (h *HTTP) send(ctx context.Context, op, method, path string, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
 	if err != nil {
 		return &Error{Op: op, Kind: ErrProtocol, Err: err}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,7 +20,6 @@
 	Engines   Engines   `json:"engines"`
 	Claims    Claims    `json:"claims"`
 	Bills     Bills     `json:"bills"`
-	Grants    Grants    `json:"grants"`
 	Cascade   Cascade   `json:"cascade"`
 	Endpoints Endpoints `json:"endpoints"`
 	Freshness Freshness `json:"freshness"`
@@ -102,25 +101,21 @@
 
 // Service is a plain service that callers reach by name.
 type Service struct {
-	Name          string        `json:"name" validate:"required,max=64"`
-	HonoursKeys   bool          `json:"honours-keys"`   // runs a repeated Idempotency-Key only once
-	ChecksFencing bool          `json:"checks-fencing"` // rejects a call with an old fencing token
-	Price         record.Micros `json:"price" validate:"min=0"`
+	Name        string        `json:"name" validate:"required,max=64"`
+	HonoursKeys bool          `json:"honours-keys"` // runs a repeated Idempotency-Key only once
+	Price       record.Micros `json:"price" validate:"min=0"`
 }
 
-// Engines says how all model engines behave and how long to wait for them.
+// Engines says how long to wait for model engines.
 type Engines struct {
-	ChecksFencing     bool          `json:"checks-fencing"`
 	FirstTokenTimeout time.Duration `json:"first-token-timeout" validate:"min=100ms,max=10m"`
 	ProgressTimeout   time.Duration `json:"progress-timeout" validate:"min=100ms,max=10m"` // between two pieces of a stream
 }
 
-// Claims bounds the at-most-once record of calls; window and partitions must be equal on all instances.
+// Claims paces the at-most-once record of calls; its window and partitions are constants, equal on all instances.
 type Claims struct {
-	Window     time.Duration `json:"window" validate:"min=1m,max=15m"` // remembered claims of 15 min take 11 MB at target size
-	Wait       time.Duration `json:"wait" validate:"min=10ms,max=1m"`  // for the log before the answer is "not run"
-	Partitions int           `json:"partitions" validate:"min=1,max=16"`
-	Flush      time.Duration `json:"flush" validate:"min=1ms,max=1s"`
+	Wait  time.Duration `json:"wait" validate:"min=10ms,max=1m"` // for the log before the answer is "not run"
+	Flush time.Duration `json:"flush" validate:"min=1ms,max=1s"`
 }
 
 // Bills bounds how bills wait for the log.
@@ -129,13 +124,6 @@
 	Buffer int           `json:"buffer" validate:"min=100,max=1000000"` // bills; at the bound no billable work is taken
 }
 
-// Grants says how an instance takes parts of an organisation's budget.
-type Grants struct {
-	Share       float64       `json:"share" validate:"gt=0,max=1"`            // of what is left of a budget, taken at once
-	Refill      float64       `json:"refill" validate:"min=0,lt=1"`           // share of the last grant left when the next is taken
-	ReturnAfter time.Duration `json:"return-after" validate:"min=1s,max=24h"` // unused time after which a grant goes back
-}
-
 // Cascade tunes what is learned about versions.
 type Cascade struct {
 	HalfLife      time.Duration `json:"half-life" validate:"min=1m,max=720h"` // of an observation's weight
@@ -145,10 +133,11 @@
 
 // Endpoints tunes the choice among endpoints.
 type Endpoints struct {
-	LeavingBound time.Duration `json:"leaving-bound" validate:"min=100ms,max=5s"` // until a leaving endpoint gets no new work
-	ListInterval time.Duration `json:"list-interval" validate:"min=50ms,max=5s"`  // between reads of the instance list
+	// ListInterval is the time between reads of the instance list. A read may take a second longer than that, and a
+	// leaving endpoint must get no new work after 5 s.
+	ListInterval time.Duration `json:"list-interval" validate:"min=50ms,max=2s"`
 	Ejection     Ejection      `json:"ejection"`
-	HedgeShare   float64       `json:"hedge-share" validate:"min=0,max=0.2"` // of idempotent requests sent twice
+	HedgeShare   float64       `json:"hedge-share" validate:"min=0,max=0.2"` // of lookups at services that are sent twice
 	RetryShare   float64       `json:"retry-share" validate:"min=0,max=0.1"` // of retries to first attempts
 }
 
@@ -161,7 +150,8 @@
 
 // Freshness bounds how old the configuration may be while the instance is ready.
 type Freshness struct {
-	Bound time.Duration `json:"bound" validate:"min=100ms,max=17s"` // 17 s is the bound at target size
+	// Bound is at least two reads of the log, which wait a second each; 17 s is the bound at target size.
+	Bound time.Duration `json:"bound" validate:"min=2s,max=17s"`
 }
 
 // Stop paces a planned stop.
@@ -191,9 +181,8 @@
 		Platform:  Platform{Timeout: 2 * time.Second},
 		Sessions:  Sessions{Lifetime: 24 * time.Hour},
 		Engines:   Engines{FirstTokenTimeout: 10 * time.Second, ProgressTimeout: 5 * time.Second},
-		Claims:    Claims{Window: 15 * time.Minute, Wait: 2 * time.Second, Partitions: 16, Flush: 100 * time.Millisecond},
+		Claims:    Claims{Wait: 2 * time.Second, Flush: 100 * time.Millisecond},
 		Bills:     Bills{Flush: time.Second, Buffer: 100_000},
-		Grants:    Grants{Share: 0.1, Refill: 0.25, ReturnAfter: 10 * time.Minute},
 		Cascade:   Cascade{HalfLife: time.Hour, TrialShare: 0.02, RatingTimeout: 2 * time.Second},
 		Endpoints: defaultEndpoints(),
 		Freshness: Freshness{Bound: 5 * time.Second},
@@ -205,7 +194,6 @@
 
 func defaultEndpoints() Endpoints {
 	return Endpoints{
-		LeavingBound: 5 * time.Second,
 		ListInterval: time.Second,
 		Ejection:     Ejection{Failures: 3, Base: time.Second, Max: time.Minute},
 		HedgeShare:   0.02,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -41,8 +41,8 @@
 	if s.Callers.Limits.BodyBytes != 2*settings.MiB || s.Claims.Wait != 3*time.Second || s.Services[0].Price != 1500 {
 		t.Errorf("values of the file are not in %+v", s)
 	}
-	if s.Claims.Window != 15*time.Minute {
-		t.Errorf("window is %v, want the default", s.Claims.Window)
+	if s.Claims.Flush != 100*time.Millisecond {
+		t.Errorf("flush is %v, want the default", s.Claims.Flush)
 	}
 	if s.Platform.Log != "http://10.0.0.1:9000" || s.Sessions.Keys[0].SecretFile != "conf/k1.secret" {
 		t.Errorf("log is %s, secret file is %s", s.Platform.Log, s.Sessions.Keys[0].SecretFile)
@@ -72,7 +72,7 @@
 			"4:13: file: found a syntax error: invalid character '{' after object name, want JSON, with or without comments",
 		}},
 		"unknown field": {`"claims": {"wait": "3s"}`, `"claims": {"wiat": "3s"}`, []string{
-			`10:14: claims.wiat: found an unknown field, want one of window, wait, partitions, flush`,
+			`10:14: claims.wiat: found an unknown field, want one of wait, flush`,
 		}},
 		"wrong type": {`"honours-keys": true`, `"honours-keys": "yes"`, []string{
 			`9:52: services[0].honours-keys: found "yes", want true or false`,
@@ -120,8 +120,8 @@
 		"out of range": {`"2MiB"`, `"2GiB"`, []string{
 			`4:66: callers.limits.body-bytes: found "2GiB", want "64MiB" or less`,
 		}},
-		"window too long": {`"wait": "3s"`, `"window": "20m"`, []string{
-			`10:24: claims.window: found "20m", want 15m or less`,
+		"wait too long": {`"wait": "3s"`, `"wait": "20m"`, []string{
+			`10:22: claims.wait: found "20m", want 1m or less`,
 		}},
 		"key in place of its hash": {`"HASH"`, `"my-api-key"`, []string{
 			`5:78: operators.keys[0].hash: found 12 bytes of JSON, want a SHA-256 of 64 hexadecimal digits in lower case`,
@@ -138,9 +138,9 @@
 		"stop shorter than a request": {`"body-bytes": "2MiB"`, `"request-timeout": "30m"`, []string{
 			`2:1: stop.drain-timeout: found 15m0s by default, want callers.limits.request-timeout (30m0s) or more`,
 		}},
-		"several": {"\"wait\": \"3s\"},\n", "\"wait\": 3, \"partitions\": 99},\n  \"log\": {\"level\": \"loud\"},\n", []string{
+		"several": {"\"wait\": \"3s\"},\n", "\"wait\": 3, \"flush\": \"99s\"},\n  \"log\": {\"level\": \"loud\"},\n", []string{
 			`10:22: claims.wait: found 3, want duration text such as "5s"`,
-			`10:39: claims.partitions: found 99, want 16 or less`,
+			`10:34: claims.flush: found "99s", want 1s or less`,
 			`11:20: log.level: found "loud", want one of debug, info, warn, error`,
 		}},
 	}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -34,6 +34,7 @@
 const (
 	eventBuffer     = 1 << 16
 	readyTimeout    = 20 * time.Second
+	platformTimeout = 2 * time.Second
 	balancerNotices = 100 * time.Millisecond // from not ready until the balancer sends no more
 )
 
@@ -232,7 +233,7 @@
 
 func (w *World) options(id, zone string) instance.Options {
 	o := instance.Default(id, zone, "loopback")
-	p := platform.NewHTTP(w.base, w.http)
+	p := platform.NewHTTP(w.base, w.http, platformTimeout)
 	o.Log, o.Rater, o.Weights, o.List = p, p, p, p
 	o.SessionKeys = []session.Key{{ID: "k1", Secret: []byte("0123456789abcdef0123456789abcdef")}}
 	o.OperatorKeys = certificate.NewKeys([]settings.OperatorKey{{Name: "trial", Hash: settings.Hash(certificate.HashKey(OperatorKey))}})
