Carry the time line's clock over all calls and tell the story of a request

Cause: stamps did not travel between instances, so the merged time line followed the wall clocks, and it had no events between the arrival of a request and its bill. Change: one clock for each instance; hooks of internal/peer carry its stamps with all unary calls, the engine client with requests to engines and services, the gateway with replies. A caller's stamp is not accepted. Status counts the chat requests under way on each engine; the gauge bills-held is set after each append. Result: with wall clocks 40 s apart each request's events are in causal order over the holder and the witness (TestTimelineOrder). The endpoint table does not show its states, so ejected and returned are not noted and status shows the list's states only.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -72,10 +72,15 @@
 		return errReplan
 	}
 	started := time.Now()
-	a.m.event("sent", a.r, a.step.Version, c.ID, nil)
+	a.m.event(a.sending(), a.r, a.step.Version, c.ID, nil)
 	sent := a.r.sent
 	a.r.sent = true
+	first := true
 	res, err := a.m.p.Engines.Stream(ctx, c.Address, a.r.ID, a.chat(), func(s string) error {
+		if first {
+			first = false
+			a.m.event("first-token", a.r, a.step.Version, c.ID, nil)
+		}
 		if a.step.Rate {
 			a.tokens++
 			a.buffer.WriteString(s)
@@ -96,6 +101,14 @@
 	return a.fail(c, started, sent, err)
 }
 
+// sending names the event of an attempt: one that has text at hand is continued.
+func (a *attempt) sending() string {
+	if a.buffer.Len() > 0 || (!a.step.Rate && a.r.delivered.Len() > 0) {
+		return "continued"
+	}
+	return "sent"
+}
+
 func (a *attempt) fail(c endpoint.Choice, started time.Time, sent bool, err error) error {
 	var e *engine.Error
 	if !errors.As(err, &e) || e.Kind == engine.ErrCancelled {
--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -120,6 +120,7 @@
 	if err := m.plan(n); err != nil {
 		return nil, err
 	}
+	m.planned(n)
 	return &Plan{m: m, r: n}, nil
 }
 
@@ -226,6 +227,7 @@
 		if err := m.plan(r); err != nil {
 			return err
 		}
+		m.planned(r)
 	}
 	return &Error{Op: "run", Kind: ErrNotAllowed, Err: errReplan}
 }
@@ -295,6 +297,7 @@
 	defer cancel()
 	text, start := a.buffer.String(), time.Now()
 	score, err := m.p.Rater.Rate(x, RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text})
+	m.note("rated", r, o.Version, map[string]string{"score": fmt.Sprintf("%.2f", score), "want": fmt.Sprintf("%.2f", r.Profile.Quality.MinScore)}, err)
 	o.Rated, o.Score, o.Rating = err == nil, score, time.Since(start)
 	m.p.Planner.Observe(o)
 	if err != nil || score < r.Profile.Quality.MinScore {
@@ -351,9 +354,33 @@
 
 func draws() [2]float64 { return [2]float64{rand.Float64(), rand.Float64()} }
 
+// planned notes the steps of a request's plan.
+func (m *Maker) planned(r *run) {
+	l := make([]string, 0, len(r.steps))
+	for _, s := range r.steps {
+		l = append(l, s.Version)
+	}
+	f := map[string]string{"steps": strings.Join(l, " "), "profile": r.Profile.Name, "class": r.class}
+	if r.moved != "" {
+		f["moved"] = r.moved
+	}
+	m.note("planned", r, "", f, nil)
+}
+
+// note writes an event with fields.
+func (m *Maker) note(name string, r *run, version string, fields map[string]string, err error) {
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	m.p.Events.Write(timeline.Event{
+		Part: "answer", Name: name, Request: r.ID, Organisation: r.Organisation.Name, Version: version, Session: r.Session, Fields: fields,
+	})
+}
+
 func (m *Maker) event(name string, r *run, version, endpoint string, err error) {
 	e := timeline.Event{
 		Part: "answer", Name: name, Request: r.ID, Organisation: r.Organisation.Name, Version: version, Endpoint: endpoint,
+		Session: r.Session,
 	}
 	if err != nil {
 		e.Fields = map[string]string{"error": err.Error()}
--- a/internal/answer/request.go
+++ b/internal/answer/request.go
@@ -26,6 +26,7 @@
 	Token        *session.Token // nil without a session
 	NewSession   bool
 	Deadline     time.Time
+	Session      string // short identifier of the session for the time line; empty without one
 }
 
 // Planner holds what is believed about versions.
--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -139,7 +139,8 @@
 	if s.Events.File == "" {
 		return nil
 	}
-	w, err := timeline.Open(string(s.Events.File), s.Instance.ID, s.Events.Buffer, timeline.NewClock(time.Now), o.Scope)
+	o.Clock = timeline.NewClock(time.Now)
+	w, err := timeline.Open(string(s.Events.File), s.Instance.ID, s.Events.Buffer, o.Clock, o.Scope)
 	if err != nil {
 		return fmt.Errorf("events: %w", err)
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -29,8 +29,24 @@
 	FirstToken time.Duration // from sending a request to the first event
 	Progress   time.Duration // between two events of a stream
 	MaxBody    int64         // bytes of a plain service's reply
+	Clock      Carrier       // may be nil
 }
 
+// Carrier passes the stamps of the time line along with calls.
+type Carrier interface {
+	Outgoing(h http.Header)
+	Incoming(h http.Header)
+}
+
+// noStamps carries none.
+type noStamps struct{}
+
+// Outgoing adds nothing.
+func (noStamps) Outgoing(http.Header) {}
+
+// Incoming accepts nothing.
+func (noStamps) Incoming(http.Header) {}
+
 // Client calls engines and plain services.
 type Client struct {
 	s      Settings
@@ -40,6 +56,9 @@
 
 // NewClient returns a client with its own connections.
 func NewClient(s Settings) *Client {
+	if s.Clock == nil {
+		s.Clock = noStamps{}
+	}
 	d := &net.Dialer{Timeout: s.Dial}
 	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
 	fresh := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
@@ -82,6 +101,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequest, id)
+	c.s.Clock.Outgoing(req.Header)
 	start := time.Now()
 	res, err := c.pooled.Do(req)
 	if err != nil {
@@ -90,6 +110,7 @@
 	defer func() { _ = res.Body.Close() }()
 	s := stream{version: q.Model, text: text, watch: w, progress: c.s.Progress, start: start}
 	s.result.Report = report(res.Header)
+	c.s.Clock.Incoming(res.Header)
 	if res.StatusCode != http.StatusOK {
 		return s.result, statusError("stream", res)
 	}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -87,12 +87,14 @@
 	if err != nil {
 		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
 	}
+	c.s.Clock.Outgoing(req.Header)
 	h := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	res, err := h.Do(req)
 	if err != nil {
 		return ServiceReply{}, serviceError(ctx, x, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	c.s.Clock.Incoming(res.Header)
 	b, err := io.ReadAll(io.LimitReader(res.Body, c.s.MaxBody+1))
 	if err != nil {
 		return ServiceReply{}, serviceError(ctx, x, err)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -85,7 +85,9 @@
 	}
 	t.id = q.ID
 	q.Deadline = t.start.Add(min(time.Duration(p.Deadline), g.s.RequestTimeout))
-	return q, g.session(r, q, t)
+	err = g.session(r, q, t)
+	g.event("received", t, map[string]string{"profile": p.Name})
+	return q, err
 }
 
 func (g *Gateway) session(r *http.Request, q *answer.Request, t *task) error {
@@ -101,7 +103,8 @@
 	if err != nil {
 		return refuse("session", client.CodeBadRequest, "%w", err)
 	}
-	q.Token = &k
+	q.Token, q.Session = &k, timeline.SessionID(s)
+	t.session = q.Session
 	return nil
 }
 
@@ -115,6 +118,7 @@
 		return err
 	}
 	headers(w, g.p.Sessions, q.ID, s.start)
+	g.p.Clock.Outgoing(w.Header())
 	w.Header().Set("Content-Type", "application/json")
 	c := engine.Completion{
 		ID: q.ID, Object: "chat.completion", Created: t.start.Unix(), Model: res.Version, Usage: total(res.Usage),
@@ -128,6 +132,7 @@
 
 func (g *Gateway) streamed(ctx context.Context, w http.ResponseWriter, q *answer.Request, plan *answer.Plan, _ *task, worst record.Micros, used *Amounts) error {
 	s := newEvents(w, g.p.Sessions, q.ID, g.s.StreamBytes)
+	s.clock = g.p.Clock
 	res, err := plan.Run(ctx, s)
 	if err == nil {
 		err = g.bill(ctx, q, res, worst, used)
@@ -159,7 +164,7 @@
 		return &Error{Op: "bill", Kind: client.CodeLogUnavailable, Err: err}
 	}
 	g.p.Events.Write(timeline.Event{
-		Part: "gateway", Name: "billed", Request: q.ID, Organisation: b.Organisation, Version: b.Version,
+		Part: "gateway", Name: "billed", Request: q.ID, Organisation: b.Organisation, Version: b.Version, Session: q.Session,
 		Fields: map[string]string{"cost": fmt.Sprint(b.Cost), "steps": fmt.Sprint(res.Steps)},
 	})
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,7 @@
 	Admission Admission
 	Digest    func(r *answer.Request) uint64
 	Events    Recorder
+	Clock     *timeline.Clock // its stamps go out with replies
 	Metrics   http.Handler
 	Scope     tally.Scope
 	Logger    *zap.Logger
@@ -174,9 +175,10 @@
 
 // task is one authenticated request.
 type task struct {
-	id    string
-	org   profile.Organisation
-	start time.Time
+	id      string
+	session string // short identifier for the time line; empty without a session
+	org     profile.Organisation
+	start   time.Time
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, t *task, c *echo.Context) error
@@ -189,15 +191,14 @@
 		err := g.serve(h, w, r, t, c)
 		if err == nil {
 			g.count("answered", t)
+			g.event("answered", t, g.answered(w))
 			return nil
 		}
 		e := seen(err)
-		g.p.Events.Write(timeline.Event{
-			Part: "gateway", Name: "refused", Request: t.id, Organisation: t.org.Name,
-			Fields: map[string]string{"code": string(e.Kind), "error": e.Error()},
-		})
+		g.event("refused", t, map[string]string{"code": string(e.Kind), "error": e.Error()})
 		g.p.Scope.Tagged(map[string]string{"code": string(e.Kind)}).Counter("refusals").Inc(1)
 		if !errors.Is(err, errStarted) {
+			g.p.Clock.Outgoing(w.Header())
 			e.write(w)
 		}
 		return nil
@@ -236,6 +237,26 @@
 	return nil
 }
 
+// event writes an event of a request.
+func (g *Gateway) event(name string, t *task, fields map[string]string) {
+	g.p.Events.Write(timeline.Event{
+		Part: "gateway", Name: name, Request: t.id, Organisation: t.org.Name, Session: t.session, Fields: fields,
+	})
+}
+
+// answered returns the fields of an answer's event. Each answer gives a new token, so the event names the session
+// that the caller's next request will have.
+func (g *Gateway) answered(w http.ResponseWriter) map[string]string {
+	f := map[string]string{}
+	if v := w.Header().Get(client.HeaderVersion); v != "" {
+		f["version"] = v
+	}
+	if s := w.Header().Get(client.HeaderSession); s != "" {
+		f["next-session"] = timeline.SessionID(s)
+	}
+	return f
+}
+
 func (g *Gateway) count(name string, t *task) {
 	g.p.Scope.Counter(name).Inc(1)
 	g.p.Scope.Timer("latency").Record(time.Since(t.start))
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -14,6 +14,7 @@
 
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
 	"github.com/cassiaspoke/cassiaspoke/internal/order"
+	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
 	"github.com/cassiaspoke/cassiaspoke/pkg/client"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
@@ -60,6 +61,7 @@
 			used = Amounts{Cost: s.Price, Requests: 1}
 		}
 	}
+	g.p.Clock.Outgoing(w.Header())
 	if rep.ContentType != "" {
 		w.Header().Set("Content-Type", rep.ContentType)
 	}
@@ -105,6 +107,7 @@
 		q.ID = uuid.Must(uuid.NewV7()).String()
 	}
 	t.id = q.ID
+	g.event("received", t, map[string]string{"service": name, "method": r.Method})
 	return q, s, nil
 }
 
@@ -116,5 +119,8 @@
 	if err != nil {
 		return &Error{Op: "bill", Kind: client.CodeLogUnavailable, Err: err}
 	}
+	g.p.Events.Write(timeline.Event{
+		Part: "gateway", Name: "billed", Request: q.ID, Organisation: q.Organisation, Fields: map[string]string{"cost": fmt.Sprint(s.Price)},
+	})
 	return nil
 }
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -10,6 +10,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/answer"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
 	"github.com/cassiaspoke/cassiaspoke/pkg/client"
 )
 
@@ -58,6 +59,7 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	signer  signer
+	clock   *timeline.Clock
 	id      string
 	created int64
 	limit   int64
@@ -82,6 +84,7 @@
 func (e *events) Start(st answer.Started) error {
 	e.started = true
 	headers(e.w, e.signer, e.id, st)
+	e.clock.Outgoing(e.w.Header())
 	e.w.Header().Set("Content-Type", "text/event-stream")
 	e.w.Header().Set("Cache-Control", "no-store")
 	e.w.WriteHeader(http.StatusOK)
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -139,6 +139,7 @@
 		defer cancel()
 		l, err := c.engines.Probe(ctx, a.Address)
 		p := endpoint.Probed{Endpoint: a.Endpoint, OK: err == nil}
+		c.note("probed", a.ID, okText(err))
 		if err == nil {
 			p.Report = endpoint.Report{Time: time.Now(), Load: l.Outstanding, Slots: l.Slots, Versions: l.Versions, Leaving: l.Leaving}
 		}
@@ -147,6 +148,23 @@
 	})
 }
 
+func (c *control) note(name, id, ok string) {
+	c.events.Write(timeline.Event{Part: "endpoint", Name: name, Endpoint: id, Fields: map[string]string{"ok": ok}})
+}
+
+// noteLeaving notes the endpoints that a list calls leaving and the one before did not.
+func (c *control) noteLeaving(before, now []platform.Instance) {
+	known := make(map[string]bool, len(before))
+	for _, i := range before {
+		known[i.ID] = i.Leaving
+	}
+	for _, i := range now {
+		if i.Leaving && !known[i.ID] {
+			c.events.Write(timeline.Event{Part: "endpoint", Name: "leaving", Endpoint: i.ID})
+		}
+	}
+}
+
 func okText(err error) string {
 	if err != nil {
 		return "no"
@@ -170,7 +188,7 @@
 		cancel()
 		switch {
 		case err == nil:
-			c.listed.Store(&l)
+			c.noteLeaving(*c.listed.Swap(&l), l)
 			c.post(endpoint.Listed{Instances: l})
 		case c.ctx.Err() == nil:
 			c.logger.Warn("endpoints: The instance list can't be read; the last one stays.", zap.Error(err))
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("new instance: %w", err)
 	}
+	if o.Clock == nil {
+		o.Clock = timeline.NewClock(time.Now)
+	}
+	o.Engine.Clock = o.Clock
 	i := &Instance{o: o, started: time.Now(), engines: engine.NewClient(o.Engine), suspects: newSuspects(o.Suspects)}
 	i.ctx, i.cancel = context.WithCancelCause(context.Background())
 	i.control = newControl(i.ctx, o, i.engines, rand.Uint64())
@@ -84,7 +89,7 @@
 	desk := order.NewDesk(o.Order, i.control, i.ledger, retries, i.engines, o.Events)
 	i.gateway = gateway.New(o.Gateway, gateway.Parts{
 		Catalog: i.config.Catalog, Ready: i.Ready, Serving: i.serving, Sessions: signer, Maker: i.maker, Orders: desk,
-		Wallet: i.ledger, Biller: i.ledger, Admission: i.control, Digest: digest, Events: o.Events,
+		Wallet: i.ledger, Biller: i.ledger, Admission: i.control, Digest: digest, Events: o.Events, Clock: o.Clock,
 		Metrics: o.Metrics, Scope: o.Scope.SubScope("gateway"), Logger: o.Logger,
 	})
 	op := operator.New(operator.Parts{
@@ -104,11 +109,19 @@
 }
 
 func (i *Instance) newPeers() {
+	c := timeline.NewCarrier(i.o.Clock, func(err error) {
+		i.o.Logger.Warn("timeline: A peer's stamp is not accepted.", zap.Error(err))
+	})
 	i.peers = peer.New(peerSettings(i.o), peer.Hooks{
 		List: i.o.List, Bills: billHolder{i}, Appender: nil, Snapshots: snapshots{i.config}, Digests: digests{i},
+		Client: c.UnaryClient, Server: c.UnaryServer, Changed: i.peerChanged,
 	}, i.o.Logger, i.o.Scope.SubScope("peer"))
 }
 
+func (i *Instance) peerChanged(id, from, to string) {
+	i.o.Events.Write(timeline.Event{Part: "peer", Name: to, Fields: map[string]string{"peer": id, "from": from}})
+}
+
 func (i *Instance) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: i.o.HeaderBytes, ReadHeaderTimeout: i.o.HeaderTime, IdleTimeout: i.o.IdleTime,
@@ -193,6 +206,7 @@
 // applied takes over a new catalog; the follower calls it.
 func (i *Instance) applied(c *profile.Catalog) {
 	i.control.apply(c)
+	i.o.Events.Write(timeline.Event{Part: "instance", Name: "configuration", Fields: map[string]string{"next": strconv.FormatUint(c.Next, 10)}})
 	i.peers.Applied(platform.Offset(c.Next))
 }
 
--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -196,11 +196,15 @@
 type billHolder struct{ i *Instance }
 
 // HoldBills keeps copies until their bills are in the log.
-func (h billHolder) HoldBills(ctx context.Context, _ string, l []record.Bill) error {
+func (h billHolder) HoldBills(ctx context.Context, holder string, l []record.Bill) error {
 	for _, b := range l {
 		if err := h.i.ledger.bills.Hold(ctx, b); err != nil {
 			return fmt.Errorf("hold: %w", err)
 		}
+		h.i.o.Events.Write(timeline.Event{
+			Part: "ledger", Name: "bill-held", Request: b.Key, Organisation: b.Organisation, Version: b.Version,
+			Fields: map[string]string{"holder": holder},
+		})
 	}
 	return nil
 }
--- a/internal/instance/status.go
+++ b/internal/instance/status.go
@@ -27,9 +27,12 @@
 	for _, p := range i.peers.View().Peers {
 		s.Peers = append(s.Peers, client.PeerStatus{Instance: p.ID, AvailabilityZone: p.Zone, State: p.State.String()})
 	}
+	running := i.suspects.outstanding()
 	for _, x := range *i.control.listed.Load() {
 		if x.Role != platform.RoleRouter {
-			s.Endpoints = append(s.Endpoints, endpointStatus(x))
+			e := endpointStatus(x)
+			e.Outstanding = running[x.ID]
+			s.Endpoints = append(s.Endpoints, e)
 		}
 	}
 	return s
--- a/internal/ledger/biller.go
+++ b/internal/ledger/biller.go
@@ -281,6 +281,7 @@
 			delete(b.waiting, k)
 		}
 	}
+	b.options.Scope.Gauge("bills-held").Update(float64(b.holder.Len()))
 	b.mu.Unlock()
 	b.options.Scope.Counter("bills").Inc(int64(len(l)))
 	if r, ok := b.witness.(Releaser); ok {
--- a/internal/order/desk.go
+++ b/internal/order/desk.go
@@ -139,9 +139,11 @@
 	defer cancel()
 	ticket, prior, err := d.claims.Claim(x, c)
 	if err != nil {
+		d.event("order-refused", c, "", err)
 		return Reply{}, err
 	}
 	if prior != nil {
+		d.event("order-replayed", c, "", nil)
 		prior.Replayed = true
 		return *prior, nil
 	}
@@ -150,6 +152,7 @@
 		return Reply{}, err
 	}
 	ticket.Finish(r)
+	d.event("order-finished", c, "", nil)
 	return r, nil
 }
 
@@ -159,12 +162,14 @@
 	e, line, err := d.connect(ctx, c, &t)
 	if err != nil {
 		ticket.Void()
+		d.event("order-void", c, "", err)
 		return Reply{}, &Error{Op: "place", Kind: ErrCapacity, NotRun: true, Err: err}
 	}
 	if err := ticket.Send(); err != nil {
 		line.Close()
 		e.End()
 		ticket.Void()
+		d.event("order-void", c, e.ID, err)
 		return Reply{}, &Error{Op: "place", Kind: ErrDeadline, NotRun: true, Err: err}
 	}
 	for {
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -64,6 +64,9 @@
 			s.log.Info("peer: Peer changed its state.", zap.String("peer", a.Peer.ID),
 				zap.Stringer("from", a.From), zap.Stringer("to", a.To))
 			s.scope.Tagged(map[string]string{"state": a.To.String()}).Counter("peer-changes").Inc(1)
+			if s.h.Changed != nil {
+				s.h.Changed(a.Peer.ID, a.From.String(), a.To.String())
+			}
 		}
 	}
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -32,6 +32,7 @@
 	meter  *meter
 	creds  credentials.TransportCredentials
 	limit  int
+	wrap   grpc.UnaryClientInterceptor // may be nil
 
 	lock   sync.Mutex
 	conns  map[netip.AddrPort]*conn
@@ -140,7 +141,7 @@
 		}
 		return counted{n, p.budget}, nil
 	}
-	cc, err := grpc.NewClient("passthrough:///"+to.String(),
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(p.creds),
 		grpc.WithContextDialer(dialer),
 		grpc.WithStatsHandler(p.meter),
@@ -149,7 +150,11 @@
 		grpc.WithInitialWindowSize(windowSize), grpc.WithInitialConnWindowSize(windowSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-	)
+	}
+	if p.wrap != nil {
+		options = append(options, grpc.WithUnaryInterceptor(p.wrap))
+	}
+	cc, err := grpc.NewClient("passthrough:///"+to.String(), options...)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: ErrSettings, Err: err}
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -57,6 +57,9 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime * 4, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2}),
 	}
+	if s.h.Server != nil {
+		o = append(o, grpc.UnaryInterceptor(s.h.Server))
+	}
 	if s.s.TLS != nil {
 		t := s.s.TLS.Clone()
 		t.ClientAuth = tls.RequireAndVerifyClientCert
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -66,6 +66,11 @@
 	Appender  Appender
 	Snapshots SnapshotSource
 	Digests   DigestSource
+	// Client and Server wrap all unary calls, for example to carry the time line's stamps.
+	Client grpc.UnaryClientInterceptor
+	Server grpc.UnaryServerInterceptor
+	// Changed tells about a peer that changed its state.
+	Changed func(peer, from, to string)
 }
 
 // Service probes peers, serves their calls and keeps the peer table.
@@ -103,6 +108,7 @@
 		draws: rand.New(rand.NewPCG(s.Seed, 1)),
 	}
 	p.pool = newPool(p.budget, p.meter, s.TLS, connectionLimit)
+	p.pool.wrap = h.Client
 	p.fresh.Store(&membership.Freshness{Ground: membership.Isolated})
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -197,7 +197,10 @@
 		return nil, err
 	}
 	if w.s.EventsDir != "" {
-		m.events, err = timeline.Open(filepath.Join(w.s.EventsDir, id+".jsonl"), id, eventBuffer, timeline.NewClock(time.Now), tally.NoopScope)
+		if o.Clock == nil {
+			o.Clock = timeline.NewClock(time.Now)
+		}
+		m.events, err = timeline.Open(filepath.Join(w.s.EventsDir, id+".jsonl"), id, eventBuffer, o.Clock, tally.NoopScope)
 		if err != nil {
 			return nil, fmt.Errorf("open events: %w", err)
 		}
