--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -54,6 +54,8 @@
 	driver     *rollout.Driver
 	closed     atomic.Pointer[closedVersions]
 	publish    func(record.Change)
+	fleet      func() int // instances that are believed to run
+	sized      int        // the size that the endpoint table has
 
 	admitting sync.Mutex
 	admission *endpoint.Admission
@@ -96,6 +98,7 @@
 		case e := <-c.queue:
 			c.step(time.Now(), e)
 		case now := <-t.C:
+			c.resize(now)
 			c.step(now, endpoint.Tick{})
 			c.judge(now, rollout.Tick{})
 			c.estimates.Store(c.beliefs.View(now))
@@ -104,6 +107,14 @@
 	}
 }
 
+// resize tells the endpoint table how many instances share the endpoints.
+func (c *control) resize(now time.Time) {
+	if n := c.fleet(); n != c.sized {
+		c.sized = n
+		c.step(now, endpoint.Resized{Fleet: n})
+	}
+}
+
 func (c *control) step(now time.Time, e any) {
 	switch e := e.(type) {
 	case endpoint.Event:
@@ -128,6 +139,7 @@
 		defer cancel()
 		l, err := c.engines.Probe(ctx, a.Address)
 		p := endpoint.Probed{Endpoint: a.Endpoint, OK: err == nil}
+		c.note("probed", a.ID, okText(err))
 		if err == nil {
 			r := l.Report()
 			p.Report = endpoint.Report{
@@ -139,6 +151,23 @@
 	})
 }
 
+func (c *control) note(name, id, ok string) {
+	c.events.Write(timeline.Event{Part: "endpoint", Name: name, Endpoint: id, Fields: map[string]string{"ok": ok}})
+}
+
+// noteLeaving notes the endpoints that a list calls leaving and the one before did not.
+func (c *control) noteLeaving(before, now []platform.Instance) {
+	known := make(map[string]bool, len(before))
+	for _, i := range before {
+		known[i.ID] = i.Leaving
+	}
+	for _, i := range now {
+		if i.Leaving && !known[i.ID] {
+			c.events.Write(timeline.Event{Part: "endpoint", Name: "leaving", Endpoint: i.ID})
+		}
+	}
+}
+
 func okText(err error) string {
 	if err != nil {
 		return "no"
@@ -162,7 +191,7 @@
 		cancel()
 		switch {
 		case err == nil:
-			c.listed.Store(&l)
+			c.noteLeaving(*c.listed.Swap(&l), l)
 			c.post(endpoint.Listed{Instances: l})
 		case c.ctx.Err() == nil:
 			c.logger.Warn("endpoints: The instance list can't be read; the last one stays.", zap.Error(err))
