--- a/internal/core/composed/node_test.go
+++ b/internal/core/composed/node_test.go
@@ -34,6 +34,7 @@
 	zone    string
 	dead    bool
 	crashed bool
+	alone   bool // it stopped with bills while neither the log nor a peer took them
 	paused  time.Time
 	cut     bool // from the log
 	tasks   []*task
@@ -369,10 +370,26 @@
 	clean := n.holder.Len()+len(n.kept) == 0 && !pending
 	if clean || now.Sub(n.stopAt) > drain {
 		n.w.checkStop(n, clean)
+		n.handOver()
 		n.dead = true
 	}
 }
 
+// handOver gives the bills that the log did not take to a peer, as the design page demands of a planned stop.
+// Biller.Flush only appends: a roll-out of all instances during a long outage of the log loses them.
+func (n *node) handOver() {
+	for _, b := range n.holder.Bills() {
+		taken := false
+		for _, o := range n.w.nodes {
+			if !taken && o != n && n.reach(o.id) != nil && !o.flushed && o.copies.Hold(n.w.now, b) == nil {
+				taken = true
+				n.w.copied[b.ID()] = append(n.w.copied[b.ID()], o)
+			}
+		}
+		n.alone = n.alone || !taken
+	}
+}
+
 func (n *node) closed() bool { return n.stopping && !n.w.now.Before(n.closeAt) }
 
 // leave mirrors peer.Service.Leave.
