--- a/internal/core/composed/node_test.go
+++ b/internal/core/composed/node_test.go
@@ -46,6 +46,7 @@
 	catalog  *profile.Catalog
 	pubs     []*pub
 	members  *membership.Table
+	probed   time.Time
 	table    *endpoint.Table
 	toldLeft map[string]bool // endpoints of which a list or an answer said that they leave
 	retries  *endpoint.Retries
@@ -241,6 +242,10 @@
 
 // gossip mirrors the control loop of peer.Service.
 func (n *node) gossip() {
+	if n.w.now.Sub(n.probed) < time.Second {
+		return
+	}
+	n.probed = n.w.now
 	draw := uint64(n.w.seq)
 	n.w.seq++
 	for _, a := range n.members.Step(n.w.now, membership.Tick{Draw: draw}) {
