Hand bills over to a peer when an instance stops in a log outage

Cause: found by the composed test: a planned stop only appended, so a roll-out of all instances during a log outage lost the bills of each of them, after waiting for the whole drain time.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -230,10 +230,8 @@
 	o.Endpoints.ErrorStatuses, o.Endpoints.EjectBase, o.Endpoints.EjectMax = e.Ejection.Failures, e.Ejection.Base, e.Ejection.Max
 	o.Retries.Ratio, o.Order.Hedge.Ratio = e.RetryShare, e.HedgeShare
 	o.Freshness = s.Freshness.Bound
-	o.Ledger = instance.Ledger{
-		Claims: ledger.ClaimSettings{Wait: s.Claims.Wait, FlushLoad: s.Claims.Flush},
-		Bills:  ledger.BillSettings{Flush: s.Bills.Flush, Bound: s.Bills.Buffer},
-	}
+	o.Ledger.Claims = ledger.ClaimSettings{Wait: s.Claims.Wait, FlushLoad: s.Claims.Flush}
+	o.Ledger.Bills = ledger.BillSettings{Flush: s.Bills.Flush, Bound: s.Bills.Buffer}
 	o.BalancerWait, o.Drain = s.Stop.BalancerWait, s.Stop.DrainTimeout
 	return o
 }
--- a/internal/core/bill/holder.go
+++ b/internal/core/bill/holder.go
@@ -41,6 +41,16 @@
 	return ok
 }
 
+// Bills returns the held bills that are not known to be in the log, for a planned stop that can't append them.
+func (h *Holder) Bills() []record.Bill {
+	l := make([]record.Bill, 0, len(h.bills))
+	for _, b := range h.bills {
+		l = append(l, b.bill)
+	}
+	sortBills(l)
+	return l
+}
+
 // Admit keeps room for one bill, or refuses when the buffer is at its bound.
 func (h *Holder) Admit() error {
 	if n := len(h.bills) + h.admitted; n >= h.bound {
--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -6,6 +6,9 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/claim"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/entitlement"
@@ -25,11 +28,14 @@
 	Claims  ledger.ClaimSettings
 	Bills   ledger.BillSettings
 	Wallets ledger.WalletSettings
+	Stop    time.Duration // for the log at a planned stop, before bills go to a peer
 }
 
 // ledgers adapts the ledger to the gateway, to orders and to the operators' API.
 type ledgers struct {
 	log    platform.Log
+	logger *zap.Logger
+	stop   time.Duration
 	claims *ledger.Claimer
 	bills  *ledger.Biller
 	wallet *ledger.Wallet
@@ -42,6 +48,7 @@
 	}
 	return &ledgers{
 		log:    o.Log,
+		logger: o.Logger, stop: o.Ledger.Stop,
 		claims: ledger.NewClaimer(ctx, x, o.Ledger.Claims),
 		bills:  ledger.NewBiller(ctx, x, witness{w}, o.Ledger.Bills),
 		wallet: ledger.NewWallet(ctx, x, o.Ledger.Wallets),
@@ -49,9 +56,20 @@
 	}
 }
 
-// flush brings bills, outcomes and unused grants into the log.
+// flush brings bills, outcomes and unused grants into the log. In a log outage bills go to a peer; outcomes that are
+// lost stay unknown and grants stay spent, which is safe.
 func (l *ledgers) flush(ctx context.Context) error {
-	return errors.Join(l.bills.Flush(ctx), l.claims.Flush(ctx), l.wallet.Return(ctx))
+	x, cancel := context.WithTimeout(ctx, l.stop)
+	defer cancel()
+	err := l.bills.Flush(x)
+	lost := errors.Join(l.claims.Flush(x), l.wallet.Return(x))
+	if err != nil {
+		err = l.bills.HandOver(ctx)
+	}
+	if err == nil && lost != nil {
+		l.logger.Warn("ledger: The log is away; outcomes may stay unknown and grants spent.", zap.Error(lost))
+	}
+	return err
 }
 
 func (l *ledgers) wait() {
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -91,6 +91,7 @@
 		Cascade:   cascade.Defaults(),
 		RollOut:   rollout.Defaults(),
 		Loading:   DefaultLoading(),
+		Ledger:    Ledger{Stop: 10 * time.Second},
 		Suspects:  suspect.DefaultSettings(id),
 		ListEvery: time.Second, Freshness: 5 * time.Second, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
 		BalancerWait: 5 * time.Second, Drain: 15 * time.Minute,
--- a/internal/ledger/biller.go
+++ b/internal/ledger/biller.go
@@ -194,6 +194,23 @@
 	}
 }
 
+// HandOver gives the bills that the log did not take to a witness, for a planned stop in a log outage. Without it a
+// roll-out of all instances during the outage would lose them.
+func (b *Biller) HandOver(ctx context.Context) error {
+	b.mu.Lock()
+	l := b.holder.Bills()
+	b.mu.Unlock()
+	if len(l) > 0 && b.witness == nil {
+		return &Error{Op: "hand over bills", Kind: ErrLogUnavailable, Err: fmt.Errorf("%d bills and no witness", len(l))}
+	}
+	for n, x := range l {
+		if err := b.witness.Hold(ctx, x); err != nil {
+			return &Error{Op: "hand over bills", Kind: ErrLogUnavailable, Err: fmt.Errorf("%d of %d bills: %w", len(l)-n, len(l), err)}
+		}
+	}
+	return nil
+}
+
 // Len returns the number of held bills that are not known to be in the log.
 func (b *Biller) Len() int {
 	b.mu.Lock()
--- a/internal/measure/rebuild.go
+++ b/internal/measure/rebuild.go
@@ -74,7 +74,7 @@
 	defer server.Close()
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
-	remote := platform.NewHTTP("http://"+l.Addr().String(), client)
+	remote := platform.NewHTTP("http://"+l.Addr().String(), client, time.Minute)
 	began, read := time.Now(), 0
 	for from := platform.Offset(0); ; {
 		p, err := remote.Read(ctx, "claims-00", from, rebuildPage, 0)
--- a/internal/trial/fault_test.go
+++ b/internal/trial/fault_test.go
@@ -141,6 +141,28 @@
 	eventually(t, "one bill for each answer", func() bool { return len(w.billed(t, "instance-d")) == len(want) })
 }
 
+// Guards billed-once against a roll-out of the router in a log outage: the instances stop one after the other, and the
+// last one has all bills when the log is back.
+func TestStopInLogOutage(t *testing.T) {
+	w := newTestWorld(t, Settings{Engines: 1, Adjust: func(o *instance.Options) { o.Ledger.Stop = 300 * time.Millisecond }})
+	w.Platform.Log.Set(standin.Faults{Down: true})
+	want := map[string]bool{}
+	for n := range 6 {
+		a := w.ask(t.Context(), w.bases()[n%2], report(n))
+		if !a.whole {
+			t.Fatalf("not whole: %v %+v", a.err, a.refused)
+		}
+		want[a.key] = true
+	}
+	for _, id := range []string{"instance-a", "instance-b"} {
+		if err := w.Stop(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.Platform.Log.Set(standin.Faults{})
+	eventually(t, "one bill for each answer", func() bool { return len(w.billed(t, "instance-c")) == len(want) })
+}
+
 // Guards at-most-once and not-run-is-true: a service runs an order and its reply is lost.
 func TestOrderReplyLost(t *testing.T) {
 	w := newTestWorld(t, Settings{Engines: 1})
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -68,7 +68,7 @@
 
 // quick shortens the waits that protect a real fleet from pauses, so that the sample run stays short.
 func quick(o *instance.Options) {
-	o.Ledger.Bills.Silence = time.Second
+	o.Ledger.Bills.Silence, o.Ledger.Stop = time.Second, 3*time.Second
 	o.Loading.On, o.Loading.Every, o.Loading.PollWait = true, 100*time.Millisecond, 200*time.Millisecond
 }
 
