--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,15 @@
 	$(GO) test -race -count=1 $(RAPID) -rapid.seed=$(SEED)
 	$(GO) test -race -count=1 $(OTHER)
 
+# Generated histories with new seeds; HISTORIES sets how many.
+HISTORIES ?= 100000
+soak:
+	CASSIASPOKE_SOAK=$(HISTORIES) $(GO) test -count=1 -timeout 80m -v ./internal/ledger -run Histories
+	CASSIASPOKE_SOAK=$(HISTORIES) $(GO) test -count=1 -timeout 80m ./internal/core/composed
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./internal/core/cascade ./internal/core/endpoint ./internal/gateway ./internal/ledger
+
 tools: $(LINT) $(BUF)
 
 $(LINT):
