--- a/internal/core/cascade/plan_test.go
+++ b/internal/core/cascade/plan_test.go
@@ -130,6 +130,30 @@
 	}
 }
 
+// Guards against an end that is trusted only behind another step and is never rated on all requests.
+func TestPlanTrials(t *testing.T) {
+	b := New(Settings{})
+	for i := range 1000 {
+		second := rating("mid@1", epoch, i%10 < 9)
+		second.After = "cheap@1"
+		b.Observe(epoch, rating("cheap@1", epoch, i%10 < 8))
+		b.Observe(epoch, second)
+	}
+	v, r, total := b.View(epoch), request("cheap@1", "mid@1", "best@1"), 20000
+	r.Weights.Latency = 100 // a rating takes 0.2 s, so mid@1 alone would be better than cheap@1 before it
+	seen := map[string]int{}
+	for i := range total {
+		p := v.Plan(r, float64(i)/float64(total))
+		seen[names(p)]++
+		if p.Trial != (names(p) != "cheap@1 > mid@1") {
+			t.Fatalf("plan %s, trial %v", names(p), p.Trial)
+		}
+	}
+	if seen["mid@1 > best@1"] == 0 || total-seen["cheap@1 > mid@1"] > total*3/100 {
+		t.Errorf("plans %v, want mid@1 first in a part of the 2 %% of trials", seen)
+	}
+}
+
 // Guards the exposure cap of a canary, and that it is rated before it has ratings enough.
 func TestPlanCanary(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/core/cascade/trial.go
+++ b/internal/core/cascade/trial.go
@@ -118,9 +118,12 @@
 
 // prepend puts a rated step in front of the best plan; the end stays, so the delivered quality does not fall.
 func (p *planner) prepend(i int) bool {
-	if !p.r.RaterUp || p.r.Session || int(p.best.at[p.best.length-1]) == i {
+	if !p.r.RaterUp || p.r.Session {
 		return false
 	}
+	if int(p.best.at[p.best.length-1]) == i {
+		return p.first(i)
+	}
 	model := p.r.Candidates[p.options[i].at].Model
 	c := chain{at: [maxSteps]int8{int8(i)}, length: 1}
 	alone := p.options[p.best.at[p.best.length-1]].end
@@ -138,3 +141,26 @@
 	p.best = c
 	return true
 }
+
+// first puts the end of the best plan to the front, rated, before the best end that is trusted alone.
+// Without it, an end that is trusted only behind another step would never be rated on all requests.
+func (p *planner) first(i int) bool {
+	if p.options[i].end {
+		return false
+	}
+	end := -1
+	for e := range p.options[:p.count] {
+		if p.options[e].end && (end < 0 || p.options[e].direct < p.options[end].direct) {
+			end = e
+		}
+	}
+	if end < 0 {
+		return false
+	}
+	c := chain{at: [maxSteps]int8{int8(i), int8(end)}, length: 2}
+	if !p.value(&c) {
+		return false
+	}
+	p.best = c
+	return true
+}
