Bound indirect probes and repeated attempts

Cause: in a trial with 162 instances under load on a busy machine, a sixth of the processor time went into indirect probes of peers that were only slow; calls that share a silent connection could be cancelled by each other's redials again and again; and 16 claims batchers, 12 partners and a witness did not fit 24 connections.

--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -11,6 +11,10 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 )
 
+// indirectLimit bounds the peers that an instance asks helpers about at once, and the probes that it makes for others at
+// once. Without it, an overloaded fleet made three indirect probes for each probe that timed out, and stayed overloaded.
+const indirectLimit = 2
+
 // judgeShare is how often freshness is judged in a probing period.
 const judgeShare = 4
 
@@ -59,7 +63,7 @@
 		case membership.Probe:
 			s.startProbe(now, a.Peer)
 		case membership.AskHelpers:
-			s.work.Go(func() { s.askHelpers(a) })
+			s.startAsking(a)
 		case membership.Changed:
 			s.log.Info("peer: Peer changed its state.", zap.String("peer", a.Peer.ID),
 				zap.Stringer("from", a.From), zap.Stringer("to", a.To))
@@ -142,24 +146,37 @@
 	}
 }
 
-// askHelpers asks all helpers at once and reports the outcome.
-func (s *Service) askHelpers(a membership.AskHelpers) {
-	if !s.budget.probe() {
+// startAsking asks helpers unless too much is under way or the budget is spent; a later probe fails again and asks.
+func (s *Service) startAsking(a membership.AskHelpers) {
+	if s.asking >= indirectLimit || !s.budget.probe() {
 		s.scope.Counter("control-deferred").Inc(1)
-		return // a later probe fails again and asks
+		return
 	}
+	s.asking++
+	s.work.Go(func() { s.askHelpers(a) })
+}
+
+// askHelpers asks all helpers at once and reports the outcome.
+func (s *Service) askHelpers(a membership.AskHelpers) {
 	e := membership.Helped{Peer: a.Peer.ID, Sent: time.Now()}
 	type answer struct {
 		helper string
 		reply  *peerpb.IndirectProbeReply
+		busy   bool
 	}
+	busy := false
 	answers := make(chan answer, len(a.Helpers))
 	for _, h := range a.Helpers {
-		s.work.Go(func() { answers <- answer{h.ID, s.indirect(h, a.Peer)} })
+		s.work.Go(func() {
+			reply, err := s.indirect(h, a.Peer)
+			answers <- answer{h.ID, reply, isKind(err, ErrRejected)}
+		})
 	}
 	for range a.Helpers {
 		r := <-answers
 		switch {
+		case r.busy:
+			busy = true
 		case r.reply == nil:
 		case r.reply.GetAnswered():
 			e.Answered = true
@@ -169,11 +186,18 @@
 			e.Denied = append(e.Denied, r.helper)
 		}
 	}
-	s.post(func(now time.Time) { s.step(now, e) })
+	s.post(func(now time.Time) {
+		s.asking--
+		// Helpers that are too busy to try say nothing about the peer.
+		if busy && !e.Answered && len(e.Refused)+len(e.Denied) == 0 {
+			return
+		}
+		s.step(now, e)
+	})
 }
 
-// indirect returns nil if the helper itself gives no answer.
-func (s *Service) indirect(helper, target membership.Member) *peerpb.IndirectProbeReply {
+// indirect asks a helper to probe a peer.
+func (s *Service) indirect(helper, target membership.Member) (*peerpb.IndirectProbeReply, error) {
 	var reply *peerpb.IndirectProbeReply
 	req := &peerpb.IndirectProbeRequest{Version: version, Target: encodeMember(target)}
 	// The helper may need two attempts of its own.
@@ -183,9 +207,9 @@
 			return err
 		})
 	if err != nil {
-		return nil
+		return nil, err
 	}
-	return reply
+	return reply, nil
 }
 
 func (s *Service) readList() {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -58,7 +58,7 @@
 func (p *pool) call(ctx context.Context, op string, to netip.AddrPort, timeout time.Duration,
 	f func(context.Context, peerpb.PeerClient) error,
 ) error {
-	for {
+	for again := false; ; again = true {
 		c, isNew, err := p.get(to)
 		if err != nil {
 			return err
@@ -74,7 +74,7 @@
 			return &Error{Op: op, Kind: ErrRejected, Err: err}
 		case c.refused.Load():
 			return &Error{Op: op, Kind: ErrRefused, Err: err}
-		case isNew || ctx.Err() != nil:
+		case isNew || again || ctx.Err() != nil:
 			return &Error{Op: op, Kind: ErrUnreachable, Err: err}
 		}
 	}
--- a/internal/peer/pool_test.go
+++ b/internal/peer/pool_test.go
@@ -205,6 +205,39 @@
 	}
 }
 
+// Guards against an overload that feeds itself: each probe that times out must not cause three others without a bound.
+func TestIndirectProbesAreBounded(t *testing.T) {
+	mute, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, answers nothing
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	b := start(t, 2, standin.NewList(), Hooks{}, nil)
+	p := newTestPool(t, nil)
+	target := encodeMember(membership.Member{ID: "x", Address: mute.Addr().(*net.TCPAddr).AddrPort()})
+	const calls = 10
+	var rejected atomic.Int64
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() {
+			err := p.call(context.Background(), "test", b.Address(), patience, func(ctx context.Context, c peerpb.PeerClient) error {
+				_, err := c.IndirectProbe(ctx, &peerpb.IndirectProbeRequest{Target: target})
+				return err
+			})
+			if isKind(err, ErrRejected) {
+				rejected.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if n := rejected.Load(); n == 0 {
+		t.Errorf("all of %d probes for others were made", calls)
+	}
+	if got := b.helping.Load(); got != 0 {
+		t.Errorf("%d probes are still counted", got)
+	}
+}
+
 // Guards against messages that peers must not be able to send.
 func TestServerRefusesMalformedMessages(t *testing.T) {
 	list := standin.NewList()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -91,8 +91,9 @@
 	if !target.Address.IsValid() {
 		return nil, status.Error(codes.InvalidArgument, "the target has no address")
 	}
-	if !h.s.budget.probe() {
-		return nil, status.Error(codes.ResourceExhausted, "the budget is spent")
+	defer h.s.helping.Add(-1)
+	if h.s.helping.Add(1) > indirectLimit || !h.s.budget.probe() {
+		return nil, status.Error(codes.ResourceExhausted, "enough is under way, or the budget is spent")
 	}
 	var req *peerpb.ProbeRequest
 	if err := h.s.ask(ctx, func(now time.Time) { req = h.s.request(now, target.ID) }); err != nil {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -24,8 +24,10 @@
 	keepaliveTime    = 30 * time.Second
 	keepaliveTimeout = 5 * time.Second
 	stopTimeout      = 2 * time.Second // for calls in progress at a stop
-	connectionLimit  = 24              // idle client connections: the partners, and the helpers, witness and batchers in use
-	eventQueue       = 256
+	// connectionLimit bounds the idle client connections: 12 partners, the batchers of 16 claims partitions and of bills,
+	// the witness, and some for helpers and lost peers.
+	connectionLimit = 40
+	eventQueue      = 256
 )
 
 // Settings are the constants of a service.
@@ -85,6 +87,8 @@
 	work    sync.WaitGroup
 	table   *membership.Table // of the control goroutine
 	busy    map[string]bool   // peers with a probe under way; of the control goroutine
+	asking  int               // peers that helpers are asked about; of the control goroutine
+	helping atomic.Int32      // probes under way for others
 	draws   *rand.Rand        // of the control goroutine
 	version uint64            // of the published view
 	view    atomic.Pointer[membership.View]
