Check every refusal of the callers' API and bound the time of a stalled caller

Cause: no test compared the documented error table with what callers get, and a caller that sent its body slowly, or stopped reading its answer, held a request for ever. Change: the gateway sets deadlines for reading the body and writing the reply from the request timeout. Tests: the rows of docs/api.md against real replies, bad input of each kind, the time of a body and the size of an answer.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,6 +216,7 @@
 		return refuse("serve", client.CodeNotReady, "the instance is stopping")
 	}
 	defer g.running.Done()
+	defer g.limit(w, t.start)()
 	if err := g.p.Serving(); err != nil {
 		return refuse("serve", client.CodeNotReady, "%w", err)
 	}
@@ -227,6 +228,20 @@
 	return h(w, r, t, c)
 }
 
+// replyGrace is the time to write a refusal after the request's own time has passed.
+const replyGrace = 5 * time.Second
+
+// limit bounds the time to read the body and to write the reply, so that a caller that stalls can't hold a request
+// for ever. The returned function lifts the bound on writing for the connection's next request; the server sets the
+// one on reading itself, after it has read the rest of the body.
+func (g *Gateway) limit(w http.ResponseWriter, start time.Time) func() {
+	c, end := http.NewResponseController(w), start.Add(g.s.RequestTimeout)
+	// An error means that the transport knows no deadlines; the limits of the server still hold.
+	_ = c.SetReadDeadline(end)
+	_ = c.SetWriteDeadline(end.Add(replyGrace))
+	return func() { _ = c.SetWriteDeadline(time.Time{}) }
+}
+
 func (g *Gateway) authenticate(r *http.Request, t *task) error {
 	// The look-up is by the key's hash, so its time tells nothing about a key.
 	o, ok := g.p.Catalog().Organisation(certificate.HashKey(certificate.Bearer(r.Header.Get("Authorization"))))
--- /dev/null
+++ b/internal/gateway/refusal_test.go
@@ -0,0 +1,226 @@
+package gateway
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/answer"
+	"github.com/cassiaspoke/cassiaspoke/internal/certificate"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/profile"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
+	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
+	"github.com/cassiaspoke/cassiaspoke/pkg/client"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+const apiKey = "caller-key"
+
+// codes are the codes of the callers' API.
+var codes = []client.Code{
+	client.CodeBadRequest, client.CodeUnauthorised, client.CodeNotReady, client.CodeUnknownProfile, client.CodeVersionNotAllowed,
+	client.CodeEntitlementExhausted, client.CodeOverloaded, client.CodeNoCapacity, client.CodeInProgress, client.CodeOutcomeUnknown,
+	client.CodeOutcomeExpired, client.CodeSuspect, client.CodeDeadlineExceeded, client.CodeIncomplete, client.CodeLogUnavailable,
+}
+
+// freeBiller has room for every bill.
+type freeBiller struct{ Biller }
+
+func (freeBiller) Admit() (func(), error) { return func() {}, nil }
+
+// newGateway returns a gateway with one organisation whose requests must be refused before they reach an endpoint.
+func newGateway(t *testing.T, timeout time.Duration) (*Gateway, *session.Signer) {
+	t.Helper()
+	k := profile.New()
+	for n, ch := range []record.Change{
+		{ID: "1", Kind: record.ProfilePublish, Name: "p", Profile: &record.Profile{Name: "p", Allow: []string{"m@*"}, Safe: "m@*", MaxCost: 1, Quality: record.Quality{MinScore: 0.5, Share: 0.5}, Weights: record.Weights{Cost: 1}, Deadline: record.Duration(time.Minute)}},
+		{ID: "2", Kind: record.OrganisationPublish, Name: "o", Organisation: &record.Organisation{Name: "o", KeyHashes: []string{certificate.HashKey(apiKey)}, Profiles: []string{"p"}, Services: []string{"s"}}},
+	} {
+		var err error
+		if k, err = k.Apply(uint64(n), time.Now(), ch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	signer, err := session.NewSigner([]session.Key{{ID: "k", Secret: []byte(strings.Repeat("s", 32))}}, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var events *timeline.Writer
+	ok := func() error { return nil }
+	return New(Settings{Instance: "i", BodyBytes: 1000, StreamBytes: 10, RequestTimeout: timeout, Services: map[string]Service{"s": {}}}, Parts{
+		Catalog: func() *profile.Catalog { return k }, Ready: ok, Serving: ok, Sessions: signer, Biller: freeBiller{},
+		Events: events, Scope: tally.NoopScope, Logger: zap.NewNop(),
+	}), signer
+}
+
+// documented returns the rows of the table of the callers' errors in docs/api.md.
+func documented(t *testing.T) (rows [][]string) {
+	t.Helper()
+	b, err := os.ReadFile("../../docs/api.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	callers, _, _ := strings.Cut(string(b), "\n## Operators")
+	for l := range strings.Lines(callers) {
+		f := strings.Split(strings.Trim(strings.TrimSpace(l), "|"), "|")
+		if len(f) != 5 || !strings.Contains(f[0], "`") {
+			continue
+		}
+		for n := range f {
+			f[n] = strings.Trim(strings.TrimSpace(f[n]), "`")
+		}
+		rows = append(rows, f)
+	}
+	return rows
+}
+
+// Guards not-run-is-true: each documented code reaches the caller with the documented status, flag and retry word, and
+// no code is missing from the page.
+func TestRefusalTable(t *testing.T) {
+	g, _ := newGateway(t, time.Minute)
+	seen := map[client.Code]bool{}
+	for _, row := range documented(t) {
+		flags := map[string][]bool{"true": {true}, "false": {false}, "as in the body": {true, false}}[row[2]]
+		for _, notRun := range flags {
+			e := &Error{Op: "test", Kind: client.Code(row[0]), NotRun: notRun, Err: errors.New("cause")}
+			g.echo.GET("/test", g.work(func(http.ResponseWriter, *http.Request, *task, *echo.Context) error { return e }))
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(http.MethodGet, "/test", nil)
+			r.Header.Set("Authorization", "Bearer "+apiKey)
+			g.Handler().ServeHTTP(w, r)
+			var b client.ErrorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &b); err != nil {
+				t.Fatalf("%v: %v: %s", row, err, w.Body)
+			}
+			got := []string{string(b.Error.Code), fmt.Sprint(w.Code), string(b.Error.Retry)}
+			if want := []string{row[0], row[1], row[3]}; fmt.Sprint(got) != fmt.Sprint(want) || b.Error.NotRun != notRun {
+				t.Errorf("got %v, not-run %v, want %v", got, b.Error.NotRun, row)
+			}
+			seen[b.Error.Code] = true
+		}
+	}
+	for _, c := range codes {
+		if !seen[c] {
+			t.Errorf("docs/api.md has no row for %s", c)
+		}
+	}
+}
+
+// Guards against input that is taken although it can't be served, and against an error without a typed body.
+func TestBadInput(t *testing.T) {
+	g, signer := newGateway(t, time.Minute)
+	s := httptest.NewServer(g.Handler())
+	defer s.Close()
+	token := func(organisation, prof string, issued time.Time) map[string]string {
+		return map[string]string{client.HeaderSession: signer.Sign(session.Token{Organisation: organisation, Profile: prof, Version: "m@1", Issued: issued})}
+	}
+	const chat, good = "/v1/chat/completions", `{"model":"p","messages":[{"role":"user","content":"hello"}]}`
+	for name, c := range map[string]struct {
+		path, body string
+		header     map[string]string
+		code       client.Code
+	}{
+		"no key":            {chat, good, map[string]string{"Authorization": ""}, client.CodeUnauthorised},
+		"wrong key":         {chat, good, map[string]string{"Authorization": "Bearer other"}, client.CodeUnauthorised},
+		"too large":         {chat, `{"model":"` + strings.Repeat("x", 2000), nil, client.CodeBadRequest},
+		"no JSON":           {chat, `{"model":`, nil, client.CodeBadRequest},
+		"wrong type":        {chat, `{"model":7}`, nil, client.CodeBadRequest},
+		"no messages":       {chat, `{"model":"p","messages":[]}`, nil, client.CodeBadRequest},
+		"negative tokens":   {chat, strings.Replace(good, "{", `{"max_tokens":-1,`, 1), nil, client.CodeBadRequest},
+		"foreign profile":   {chat, strings.Replace(good, `"p"`, `"q"`, 1), nil, client.CodeUnknownProfile},
+		"long key":          {chat, good, map[string]string{client.HeaderIdempotencyKey: strings.Repeat("k", 200)}, client.CodeBadRequest},
+		"no session token":  {chat, good, map[string]string{client.HeaderSession: "x.y"}, client.CodeBadRequest},
+		"expired session":   {chat, good, token("o", "p", time.Now().Add(-2*time.Hour)), client.CodeBadRequest},
+		"foreign session":   {chat, good, token("other", "p", time.Now()), client.CodeBadRequest},
+		"foreign service":   {"/v1/services/other/x", "", nil, client.CodeUnknownProfile},
+		"order without key": {"/v1/services/s/x", "{}", nil, client.CodeBadRequest},
+		"order, wrong key":  {"/v1/services/s/x", "{}", map[string]string{client.HeaderIdempotencyKey: "7"}, client.CodeBadRequest},
+		"large order":       {"/v1/services/s/x", strings.Repeat("x", 2000), nil, client.CodeBadRequest},
+		"no such path":      {"/v1/other", "", nil, client.CodeBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := http.NewRequest(http.MethodPost, s.URL+c.path, strings.NewReader(c.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header.Set("Authorization", "Bearer "+apiKey)
+			for k, v := range c.header {
+				r.Header.Set(k, v)
+			}
+			res, err := s.Client().Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkRefusal(t, res, c.code)
+		})
+	}
+}
+
+func checkRefusal(t *testing.T, res *http.Response, code client.Code) {
+	t.Helper()
+	defer res.Body.Close()
+	var b client.ErrorBody
+	if err := json.NewDecoder(res.Body).Decode(&b); err != nil {
+		t.Fatal(err)
+	}
+	if e := b.Error; e.Code != code || !e.NotRun || e.Retry != client.RetryNever || e.Message == "" || res.StatusCode != statuses[code] {
+		t.Errorf("got status %d, %+v, want %s", res.StatusCode, e, code)
+	}
+}
+
+// Guards against a caller that holds a request for ever by sending its body slowly.
+func TestBodyTime(t *testing.T) {
+	g, _ := newGateway(t, 200*time.Millisecond)
+	s := httptest.NewServer(g.Handler())
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Minute))
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 500\r\n\r\n{", apiKey)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkRefusal(t, res, client.CodeBadRequest)
+}
+
+// Guards against an answer beyond the size limit that looks whole.
+func TestStreamSize(t *testing.T) {
+	w := httptest.NewRecorder()
+	for name, s := range map[string]answer.Sink{
+		"collected": &whole{limit: 10},
+		"streamed":  newEvents(w, nil, "r", 10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := s.Start(answer.Started{Version: "m@1"}); err != nil {
+				t.Fatal(err)
+			}
+			var e *Error
+			if err := s.Text("0123456789", "m@1"); err != nil {
+				t.Errorf("at the limit: %v", err)
+			}
+			if err := s.Text("x", "m@1"); !errors.As(err, &e) || e.Kind != client.CodeIncomplete || e.NotRun {
+				t.Errorf("above the limit: %v", err)
+			}
+		})
+	}
+	if b, _ := io.ReadAll(w.Body); strings.Contains(string(b), "[DONE]") {
+		t.Errorf("the stream looks whole: %s", b)
+	}
+}
