Add the command load

Cause: nothing measured a running deployment from a caller's side. Change: load sends streamed chat requests in an open loop at a rate, or at a constant concurrency, checks that each answer ended properly and reports refusals by code, the time to the first token and between tokens, and tokens per second, as a table or JSON. It is bounded in count and time and refuses addresses that are not loopback ones, names included, unless it is told otherwise. With a rate, times count from the moment a request was due. Result: TestRun counts 10 whole, 10 truncated and 10 refused answers of 30 in both modes.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,6 +30,7 @@
 			serveCommand(),
 			tryCommand(),
 			standinCommand(),
+			loadCommand(),
 			checkCommand(),
 			profileCommand(),
 			organisationCommand(),
