Read an engine's stream with fewer allocations

Cause: json.Unmarshal allocated its state for each piece of a stream, and fields that nobody reads cost a string each. Change: one decoder for the whole stream reads line by line into the fields that are used; text after a chunk is still an error.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -170,7 +170,8 @@
 }
 
 func (s *stream) read(r *bufio.Reader) error {
-	var chunk Completion
+	var c chunk
+	l := newLines()
 	for {
 		line, err := readLine(r)
 		if err != nil {
@@ -184,18 +185,30 @@
 			return s.ended(io.EOF)
 		}
 		// Decoding into used elements would keep the text of the chunk before.
-		clear(chunk.Choices)
-		chunk = Completion{Choices: chunk.Choices[:0]}
-		if err := json.Unmarshal(data, &chunk); err != nil {
+		clear(c.Choices)
+		c = chunk{Choices: c.Choices[:0]}
+		if err := l.decode(data, &c); err != nil {
 			return &Error{Op: "stream", Kind: ErrTruncated, Err: err}
 		}
-		if err := s.take(&chunk); err != nil {
+		if err := s.take(&c); err != nil {
 			return err
 		}
 	}
 }
 
-func (s *stream) take(c *Completion) error {
+// chunk is what is read of a Completion that is a chunk of a stream; fields that nobody reads cost an allocation each.
+type chunk struct {
+	Model   string `json:"model"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+func (s *stream) take(c *chunk) error {
 	if c.Model != s.version {
 		return &Error{Op: "stream", Kind: ErrVersion, Err: fmt.Errorf("asked for %s, got %s", s.version, c.Model)}
 	}
@@ -210,7 +223,7 @@
 		if h.Finish != nil {
 			s.result.Finish = *h.Finish
 		}
-		if h.Delta == nil || h.Delta.Content == "" {
+		if h.Delta.Content == "" {
 			continue
 		}
 		s.result.Tokens++
