--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -31,6 +31,7 @@
 			tryCommand(),
 			standinCommand(),
 			measureCommand(),
+			loadCommand(),
 			checkCommand(),
 			profileCommand(),
 			organisationCommand(),
