Check racing operators in the composed test and tell the sources of leaving apart

Two changes of one object from one base must not both be accepted; before, the oracle shared the fold that decides this and a fold that accepts stale bases passed.

--- a/internal/core/composed/check_test.go
+++ b/internal/core/composed/check_test.go
@@ -16,7 +16,7 @@
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
-// requestLimit is what an organisation may use in each period.
+// requestLimit is what the organisation with the lower limits may use in each period.
 const requestLimit = 12
 
 // oracle holds what is true whatever instances believe.
@@ -31,6 +31,7 @@
 	issued    map[record.BillID]bool    // bills of whole answers and orders
 	released  map[record.BillID]bool    // whose last byte a caller got
 	copied    map[record.BillID][]*node // instances that had a copy
+	winners   map[string]string         // accepted change by object and base
 	counts    map[string]int            // of events, to see that histories are not empty
 }
 
@@ -45,7 +46,7 @@
 	return oracle{
 		truth: []*profile.Catalog{profile.New()}, withdrawn: map[string]uint64{}, reached: map[string]bool{},
 		effects: map[string]int{}, used: map[usage]int64{}, issued: map[record.BillID]bool{},
-		released: map[record.BillID]bool{}, copied: map[record.BillID][]*node{}, counts: map[string]int{},
+		released: map[record.BillID]bool{}, copied: map[record.BillID][]*node{}, winners: map[string]string{}, counts: map[string]int{},
 	}
 }
 
@@ -97,6 +98,20 @@
 	}
 }
 
+// checkWinner guards config-in-force: of the changes of one object from one base, operators see one accepted.
+func (w *world) checkWinner(ch record.Change, accepted bool) {
+	w.told[ch.ID] = accepted
+	k := fmt.Sprintf("%s from %d", profile.Object(ch.Kind, ch.Name), ch.Base)
+	if !accepted {
+		return
+	}
+	w.counts["changes"]++
+	if o, ok := w.winners[k]; ok {
+		w.violated("config-in-force", "%s and %s were both accepted for %s", o, ch.ID, k)
+	}
+	w.winners[k] = ch.ID
+}
+
 // permits tells by the records alone whether a version may run under a profile.
 func permits(c *profile.Catalog, name, version string) bool {
 	v := c.Versions[version]
@@ -143,7 +158,7 @@
 	if !e.leaving {
 		return
 	}
-	if n.toldLeft[e.id] {
+	if n.listLeft[e.id] || n.ownLeft[e.id] {
 		w.violated("leaving-endpoint", "%s sends work to %s although it was told", n.id, e.id)
 	}
 	// A list that was wrong since, or an instance that was paused since, leaves only the endpoint's own answers.
--- a/internal/core/composed/composed_test.go
+++ b/internal/core/composed/composed_test.go
@@ -90,6 +90,7 @@
 func (w *world) actions() map[string]func(*rapid.T) {
 	failures := w.failures()
 	names := slices.Sorted(maps.Keys(failures))
+	names = append(names, "log down", "log slow", "crash", "pause") // the page's worst ones meet more often
 	kinds := rapid.SliceOfN(rapid.SampledFrom(names), 1, 4).Draw(w.t, "failures")
 	fail := func(t *rapid.T) {
 		k := rapid.SampledFrom(kinds).Draw(t, "failure")
--- a/internal/core/composed/node_test.go
+++ b/internal/core/composed/node_test.go
@@ -48,7 +48,8 @@
 	members  *membership.Table
 	probed   time.Time
 	table    *endpoint.Table
-	toldLeft map[string]bool // endpoints of which a list or an answer said that they leave
+	listLeft map[string]bool // endpoints that leave as the list says
+	ownLeft  map[string]bool // endpoints that leave as their own answers say
 	retries  *endpoint.Retries
 	beliefs  *cascade.Beliefs
 	driver   *rollout.Driver
@@ -85,7 +86,7 @@
 func newNode(w *world, slot, gen int) *node {
 	id := string(rune('a' + slot))
 	n := &node{
-		w: w, id: id, start: w.name(id), slot: slot, zone: zone(slot), catalog: profile.New(), toldLeft: map[string]bool{},
+		w: w, id: id, start: w.name(id), slot: slot, zone: zone(slot), catalog: profile.New(), listLeft: map[string]bool{}, ownLeft: map[string]bool{},
 		table:    endpoint.NewTable(endpoint.DefaultSettings(slots)),
 		retries:  endpoint.NewRetries(endpoint.RetrySettings{Request: 4, Ratio: 1, Burst: 10, Floor: time.Second}),
 		beliefs:  cascade.New(cascade.Settings{MinSamples: 2}),
@@ -188,7 +189,7 @@
 			return false
 		}
 		if p.operator {
-			n.w.told[ch.ID] = err == nil
+			n.w.checkWinner(ch, err == nil)
 		}
 		return true
 	})
@@ -221,7 +222,7 @@
 func (n *node) readEndpoints() {
 	l := n.w.readList()
 	for _, i := range l.endpoints {
-		n.toldLeft[i.ID] = i.Leaving
+		n.listLeft[i.ID] = i.Leaving
 	}
 	n.pool(endpoint.Listed{Instances: l.endpoints})
 	n.pool(endpoint.Tick{})
@@ -234,7 +235,7 @@
 		p := endpoint.Probed{Endpoint: a.Endpoint, OK: !x.dead}
 		if p.OK {
 			p.Report = endpoint.Report{Time: n.w.now, Slots: 4, Versions: x.versions, Leaving: x.leaving}
-			n.toldLeft[x.id] = x.leaving
+			n.ownLeft[x.id] = x.leaving
 		}
 		n.table.Step(n.w.now, p)
 	}
--- a/internal/core/composed/order_test.go
+++ b/internal/core/composed/order_test.go
@@ -100,7 +100,7 @@
 		}
 		c.End()
 		if reply {
-			t.n.toldLeft[e.id] = e.leaving
+			t.n.ownLeft[e.id] = e.leaving
 			// Desk.report leaves the time out, so the table does not learn that a service leaves from its answers.
 			t.n.pool(endpoint.Answered{Endpoint: c.Endpoint, Started: at, Report: endpoint.Report{Time: t.now(), Leaving: e.leaving}})
 			t.claimStep(claim.Finish, &record.Outcome{Status: 200, Body: []byte(t.c.key), Kept: true})
--- a/internal/core/composed/task_test.go
+++ b/internal/core/composed/task_test.go
@@ -316,9 +316,7 @@
 	}
 	switch {
 	case j.next == tokens:
-		if j.e.leaving {
-			t.n.toldLeft[j.e.id] = true
-		}
+		t.n.ownLeft[j.e.id] = j.e.leaving
 		t.n.pool(endpoint.Answered{Endpoint: j.choice.Endpoint, Started: j.at, Report: endpoint.Report{Time: now, Slots: 4, Leaving: j.e.leaving}})
 		t.leave(true)
 		return t.whole()
--- a/internal/core/composed/world_test.go
+++ b/internal/core/composed/world_test.go
@@ -106,7 +106,8 @@
 
 func zone(i int) string { return fmt.Sprintf("z%d", i%3) }
 
-// publishStart puts two organisations with a profile each, and two running versions, in force.
+// publishStart puts two organisations with a profile each, and two running versions, in force. The limits of one are
+// soon exhausted, the grants of the other one last through an outage of the log.
 func (w *world) publishStart() {
 	for _, n := range []string{"m@1", "m@2", "m@3", "c@1", "c@2"} {
 		p := record.Price{Input: 100, Output: 100}
@@ -128,7 +129,7 @@
 	}})
 	w.change(record.Change{Kind: record.OrganisationPublish, Name: "kal", Organisation: &record.Organisation{
 		Name: "kal", Profiles: []string{"q"}, Services: []string{"order"}, Limits: []record.Limit{
-			{Unit: record.UnitRequests, Amount: requestLimit, Period: record.Duration(2 * time.Minute)},
+			{Unit: record.UnitRequests, Amount: 2000, Period: record.Duration(2 * time.Minute)},
 		},
 	}})
 }
