--- a/internal/core/composed/composed_test.go
+++ b/internal/core/composed/composed_test.go
@@ -20,7 +20,7 @@
 // TestMain fixes the seed and the number of histories, so that a run is repeated by running it again; -rapid.seed
 // tries other seeds and CASSIASPOKE_SOAK sets the number.
 func TestMain(m *testing.M) {
-	checks := "30"
+	checks := "40"
 	if n := os.Getenv("CASSIASPOKE_SOAK"); n != "" {
 		checks = n
 	}
@@ -85,12 +85,11 @@
 	w.nodes[i].seed()
 }
 
-// actions are traffic, changes by operators and failures. Each history has a few kinds of failure, so that the same one
-// comes again and meets the others; some time passes after each action.
+// actions are traffic, changes by operators and failures; some time passes after each one. Each history has a few kinds
+// of failure, so that the same one comes again and meets the others; crashes and outages of the log are in all of them.
 func (w *world) actions() map[string]func(*rapid.T) {
 	failures := w.failures()
 	names := slices.Sorted(maps.Keys(failures))
-	names = append(names, "log down", "log slow", "crash", "pause") // the page's worst ones meet more often
 	kinds := rapid.SliceOfN(rapid.SampledFrom(names), 1, 4).Draw(w.t, "failures")
 	fail := func(t *rapid.T) {
 		k := rapid.SampledFrom(kinds).Draw(t, "failure")
@@ -113,6 +112,9 @@
 		"race":           w.race,
 		"failure":        fail,
 		"failure 2":      fail,
+		"failure 3":      fail,
+		"crash":          w.crash,
+		"log down":       failures["log down"],
 		"recovery":       func(*rapid.T) { w.recover() },
 	}
 	for k, f := range m {
