Share the appends of bills and claims in a large fleet

Cause: the batchers of decision 0043 were built and measured but no instance used them. Change: above 9 instances (Options.Batch), bills and claims are appended through a batcher, which joins the records of several instances; bills that were checked against the stream go alone. Result: TestSharedAppends (3 instances, batchers from 2 on, one lost under traffic): every answer has one bill and every order ran once.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -56,6 +56,7 @@
 	suspects *suspects
 	ledger   *ledgers
 	peers    *peer.Service
+	grouper  *peer.Grouper
 	maker    *answer.Maker
 	gateway  *gateway.Gateway
 	callers  *http.Server
@@ -80,7 +81,7 @@
 	i.suspects.tell = i.tell
 	i.newPeers()
 	i.control.fleet = func() int { return i.peers.View().Size() }
-	i.ledger = newLedgers(i.ctx, o, i.peers.Witness())
+	i.ledger = newLedgers(i.ctx, o, sharedLog{o.Log, func() *peer.Service { return i.peers }}, i.peers.Witness())
 	retries := newRetries(o.Retries)
 	i.maker = answer.NewMaker(o.Answer, answer.Parts{
 		Catalog: i.config.Catalog, Pool: i.control, Planner: i.control, Suspects: i.suspects, Retries: retries,
@@ -104,7 +105,7 @@
 	s := peer.DefaultSettings(o.ID, o.Zone, o.Peers)
 	s.TLS = o.PeersTLS
 	s.ListEvery = o.ListEvery
-	s.Adjust = func(m *membership.Settings) { m.Window = o.Freshness }
+	s.Adjust = func(m *membership.Settings) { m.Window, m.Batch = o.Freshness, o.Batch }
 	return s
 }
 
@@ -112,8 +113,9 @@
 	c := timeline.NewCarrier(i.o.Clock, func(err error) {
 		i.o.Logger.Warn("timeline: A peer's stamp is not accepted.", zap.Error(err))
 	})
+	i.grouper = peer.NewGrouper(i.o.Log, combine, func(stream string) time.Duration { return i.peers.Interval(stream) })
 	i.peers = peer.New(peerSettings(i.o), peer.Hooks{
-		List: i.o.List, Bills: billHolder{i}, Appender: nil, Snapshots: snapshots{i.config}, Digests: digests{i},
+		List: i.o.List, Bills: billHolder{i}, Appender: i.grouper, Snapshots: snapshots{i.config}, Digests: digests{i},
 		Client: c.UnaryClient, Server: c.UnaryServer, Changed: i.peerChanged,
 	}, i.o.Logger, i.o.Scope.SubScope("peer"))
 }
@@ -279,6 +281,7 @@
 func (i *Instance) end(cause error) {
 	i.cancel(cause)
 	i.peers.Stop()
+	i.grouper.Close()
 	i.work.Wait()
 	i.ledger.wait()
 	i.engines.Close()
--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -42,9 +42,9 @@
 	bound  int
 }
 
-func newLedgers(ctx context.Context, o Options, w *peer.Witness) *ledgers {
+func newLedgers(ctx context.Context, o Options, shared platform.Log, w *peer.Witness) *ledgers {
 	x := ledger.Options{
-		Log: o.Log, Instance: o.ID, Logger: o.Logger, Scope: o.Scope, Recorder: recorder{o.Events},
+		Log: shared, Instance: o.ID, Logger: o.Logger, Scope: o.Scope, Recorder: recorder{o.Events},
 	}
 	return &ledgers{
 		log:    o.Log,
--- a/internal/instance/options.go
+++ b/internal/instance/options.go
@@ -59,6 +59,7 @@
 
 	ListEvery    time.Duration // between reads of the instance list
 	Freshness    time.Duration // age of the configuration at which the instance takes no work
+	Batch        int           // largest fleet in which each instance appends for itself
 	HeaderBytes  int
 	HeaderTime   time.Duration
 	IdleTime     time.Duration
@@ -93,7 +94,7 @@
 		Loading:   DefaultLoading(),
 		Ledger:    Ledger{Stop: 10 * time.Second},
 		Suspects:  suspect.DefaultSettings(id),
-		ListEvery: time.Second, Freshness: 5 * time.Second, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
+		ListEvery: time.Second, Freshness: 5 * time.Second, Batch: 9, HeaderBytes: 64 << 10, HeaderTime: 5 * time.Second, IdleTime: 2 * time.Minute,
 		BalancerWait: 5 * time.Second, Drain: 15 * time.Minute,
 		Logger: zap.NewNop(), Scope: tally.NoopScope, Metrics: http.NotFoundHandler(),
 	}
--- a/internal/trial/fault_test.go
+++ b/internal/trial/fault_test.go
@@ -426,3 +426,45 @@
 		t.Errorf("after the move: %s (%s)", a.version, a.moved)
 	}
 }
+
+// Guards billed-once and at-most-once when instances share their appends, as those of a large fleet do: a batcher is
+// lost under traffic, and its records reach the log another way, once.
+func TestSharedAppends(t *testing.T) {
+	w := newTestWorld(t, Settings{Engines: 1, Adjust: func(o *instance.Options) { o.Batch = 1 }})
+	keys := map[string]bool{}
+	ask := func(n int) {
+		a := w.ask(t.Context(), w.bases()[n%len(w.bases())], report(n))
+		if !a.whole {
+			t.Fatalf("not whole: %v %+v", a.err, a.refused)
+		}
+		keys[a.key] = true
+	}
+	place := func(n int) {
+		key := newKey()
+		base := w.bases()[n%len(w.bases())]
+		if a := w.order(t.Context(), base, "lysror-1", "booking", key); !a.whole {
+			t.Fatalf("order %d: %v %+v", n, a.err, a.refused)
+		}
+		// The copy is told "in progress" until the batcher has appended the outcome.
+		eventually(t, "the reply to a copy", func() bool { return w.order(t.Context(), base, "lysror-1", "booking", key).whole })
+		if r := w.runs("booking", key); r != 1 {
+			t.Errorf("order %d ran %d times", n, r)
+		}
+		keys[key] = true
+	}
+	for n := range 6 {
+		ask(n)
+		place(n)
+	}
+	w.Crash("instance-b")
+	for n := range 6 {
+		ask(100 + n)
+		place(100 + n)
+	}
+	eventually(t, "one bill for each answer", func() bool { return len(w.billed(t, "instance-a")) == len(keys) })
+	for k, n := range w.billed(t, "instance-a") {
+		if n != 1 || !keys[k] {
+			t.Errorf("%d bills of %s", n, k)
+		}
+	}
+}
