--- a/internal/core/entitlement/fold.go
+++ b/internal/core/entitlement/fold.go
@@ -66,6 +66,7 @@
 // Fold is the state of the grants stream after all offsets below Next.
 type Fold struct {
 	next      uint64
+	first     uint64
 	ready     bool
 	tentative uint64 // a snapshot below this offset replaces the adopted one
 	now       time.Time
@@ -74,9 +75,10 @@
 	state     state
 }
 
-// NewFold returns a fold that starts at an offset; it is ready at offset 0, else after the first snapshot.
-func NewFold(start uint64) *Fold {
-	return &Fold{next: start, ready: start == 0, state: state{Organisations: map[string]*organisation{}}}
+// NewFold returns a fold that starts at an offset; it is ready at offset 0, else after the first snapshot that it can use:
+// one that covers an offset from first on, the oldest that the stream keeps.
+func NewFold(start, first uint64) *Fold {
+	return &Fold{next: start, first: first, ready: start == 0, state: state{Organisations: map[string]*organisation{}}}
 }
 
 // Next returns the offset that the fold needs next; adopting a snapshot moves it back.
@@ -109,7 +111,7 @@
 	}
 	if b.Snapshot != nil {
 		f.snapshot, f.taken = offset+1, now
-		if !f.ready || offset+1 < f.tentative {
+		if b.Snapshot.Covers >= f.first && (!f.ready || offset+1 < f.tentative) {
 			return nil, f.adopt(offset, *b.Snapshot)
 		}
 		return nil, nil
--- a/internal/core/entitlement/fold_test.go
+++ b/internal/core/entitlement/fold_test.go
@@ -94,14 +94,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := drawLines(t)
 		cut := rapid.IntRange(1, len(l)).Draw(t, "snapshot")
-		f, late := NewFold(0), (*Fold)(nil)
+		f, late := NewFold(0, 0), (*Fold)(nil)
 		for n, x := range l {
 			if n == cut {
 				s, err := f.Snapshot(x.at)
 				if err != nil {
 					t.Fatal(err)
 				}
-				late = NewFold(uint64(n))
+				late = NewFold(uint64(n), 0)
 				if _, err := late.Apply(uint64(n), x.at, record.GrantBatch{Snapshot: &record.GrantSnapshot{
 					Covers: uint64(n), State: s.State,
 				}}); err != nil || !late.Ready() || late.Next() != uint64(n) {
@@ -128,7 +128,7 @@
 
 // Guards against a state that grows with each restart in a long period, and against takes that shrink with it.
 func TestFoldDropsSilentHolders(t *testing.T) {
-	f, month := NewFold(0), record.Duration(720*time.Hour)
+	f, month := NewFold(0, 0), record.Duration(720*time.Hour)
 	start := time.Unix(0, Index(base, month)*int64(month))
 	for n := range uint64(2000) {
 		at := start.Add(time.Duration(n) * 3 * time.Minute) // 480 restarts a day
@@ -164,7 +164,7 @@
 		{at, take("b")},
 	}
 	for _, start := range []uint64{7, 9} {
-		f := NewFold(start)
+		f := NewFold(start, 7)
 		var given int64
 		for f.Next() < 7+uint64(len(l)) {
 			n := f.Next()
@@ -184,7 +184,7 @@
 
 // Guards against a repeated loan message that takes out of the wallet twice, and against a loan that outlives its period.
 func TestWalletLoan(t *testing.T) {
-	f := NewFold(0)
+	f := NewFold(0, 0)
 	a, b := NewWallet("lys", "a", time.Second), NewWallet("lys", "b", time.Second)
 	a.Configure(base, 1, limits(100))
 	b.Configure(base, 1, limits(100))
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -71,7 +71,7 @@
 		ctx: ctx, options: o.filled(), settings: s.filled(), kick: make(chan struct{}, 1),
 		changed: make(chan struct{}),
 	}
-	w.reset(0)
+	w.reset(0, 0)
 	w.wg.Go(func() { follow(ctx, w.options, grantStream, w) })
 	w.wg.Go(w.tickLoop)
 	return w
@@ -205,14 +205,14 @@
 }
 
 // reset forgets all grants: what they hold stays spent.
-func (w *Wallet) reset(from platform.Offset) {
-	w.fold = entitlement.NewFold(uint64(from))
+func (w *Wallet) reset(from, first platform.Offset) {
+	w.fold = entitlement.NewFold(uint64(from), uint64(first))
 	w.holder = w.options.Instance + "-" + uuid.NewString()
 	w.wallets = map[string]*entitlement.Wallet{}
 	w.end = false
 }
 
-// start reads backwards to the latest snapshot.
+// start reads backwards to the latest snapshot that can be used.
 func (w *Wallet) start(ctx context.Context) error {
 	p, err := span(ctx, w.options.Log, grantStream)
 	if err != nil {
@@ -225,21 +225,22 @@
 		if err != nil {
 			return err
 		}
-		if hasSnapshot(q.Entries) {
+		if hasSnapshot(q.Entries, p.First) {
 			break
 		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reset(from)
+	w.reset(from, p.First)
 	w.logNow, w.readAt = p.Now, w.options.Now()
 	w.announce()
 	return nil
 }
 
-func hasSnapshot(l []platform.Entry) bool {
+// hasSnapshot reports whether a snapshot covers an offset that the stream still keeps; others can't be read on from.
+func hasSnapshot(l []platform.Entry, first platform.Offset) bool {
 	for _, e := range l {
-		if decodeGrants(e.Data).Snapshot != nil {
+		if s := decodeGrants(e.Data).Snapshot; s != nil && s.Covers >= uint64(first) {
 			return true
 		}
 	}
--- a/internal/ledger/wallet_history_test.go
+++ b/internal/ledger/wallet_history_test.go
@@ -52,7 +52,7 @@
 			Log: history.Log{Sim: c.Sim}, Instance: fmt.Sprint(len(c.nodes)), Now: func() time.Time { return c.Now },
 		}.filled(),
 	}
-	n.wallet.reset(0)
+	n.wallet.reset(0, 0)
 	c.nodes = append(c.nodes, n)
 	n.After(0, n.read)
 	n.After(c.Span(0, tick), func() { n.tick(tick) })
@@ -200,33 +200,40 @@
 
 // Guards against an organisation that spends more than its limit, in generated histories with lost replies, late appends,
 // outages, pauses, deaths, new instances, retention, loans that are repeated, and changes of the limits.
-func TestWalletHistories(t *testing.T) {
-	histories(t, 150, func(t *testing.T, seed uint64) map[string]int {
-		minute := record.Duration(time.Minute)
-		c := newWalletSim(t, seed,
-			record.Limit{Unit: record.UnitTokens, Amount: 100, Period: minute},
-			record.Limit{Unit: record.UnitRequests, Amount: 30, Period: 2 * minute})
-		c.end = history.Start.Add(5 * time.Minute)
-		for range 2 + c.Rand.IntN(3) {
-			c.start(WalletSettings{SnapshotAge: 30 * time.Second, SnapshotSize: 10}, 2*time.Second)
-		}
-		c.faults()
-		for range 100 + c.Rand.IntN(100) {
-			worst := 1 + c.Rand.Int64N(12)
-			used := c.Rand.Int64N(worst + 1)
-			c.After(c.Span(0, c.end.Sub(history.Start)), func() {
-				c.asked++
-				c.nodes[c.Rand.IntN(len(c.nodes))].request(
-					entitlement.Amounts{Tokens: worst, Requests: 1}, entitlement.Amounts{Tokens: used, Requests: 1},
-					c.Span(0, 70*time.Second), c.Now.Add(2*time.Second))
-			})
-		}
-		c.Run()
-		if c.failed {
-			t.Errorf("seed %d", seed)
-		}
-		return map[string]int{"asked": c.asked, "refused": c.refused}
-	})
+func TestWalletHistories(t *testing.T) { histories(t, 150, walletHistory) }
+
+// Guards against a new reader that goes back, without end, to a snapshot whose next record was removed.
+func TestWalletHistorySeeds(t *testing.T) {
+	for _, seed := range []uint64{61455} {
+		walletHistory(t, seed)
+	}
+}
+
+func walletHistory(t *testing.T, seed uint64) map[string]int {
+	minute := record.Duration(time.Minute)
+	c := newWalletSim(t, seed,
+		record.Limit{Unit: record.UnitTokens, Amount: 100, Period: minute},
+		record.Limit{Unit: record.UnitRequests, Amount: 30, Period: 2 * minute})
+	c.end = history.Start.Add(5 * time.Minute)
+	for range 2 + c.Rand.IntN(3) {
+		c.start(WalletSettings{SnapshotAge: 30 * time.Second, SnapshotSize: 10}, 2*time.Second)
+	}
+	c.faults()
+	for range 100 + c.Rand.IntN(100) {
+		worst := 1 + c.Rand.Int64N(12)
+		used := c.Rand.Int64N(worst + 1)
+		c.After(c.Span(0, c.end.Sub(history.Start)), func() {
+			c.asked++
+			c.nodes[c.Rand.IntN(len(c.nodes))].request(
+				entitlement.Amounts{Tokens: worst, Requests: 1}, entitlement.Amounts{Tokens: used, Requests: 1},
+				c.Span(0, 70*time.Second), c.Now.Add(2*time.Second))
+		})
+	}
+	c.Run()
+	if c.failed {
+		t.Errorf("seed %d", seed)
+	}
+	return map[string]int{"asked": c.asked, "refused": c.refused}
 }
 
 // demand is how requests are spread over 9 holders in the first and the second half of each period.
