Measure the gateway's added latency and test the header limits

Cause: no figure said what an instance adds to an engine's answer. A test covers the size and the time of a request's header.

--- /dev/null
+++ b/internal/gateway/latency_bench_test.go
@@ -0,0 +1,138 @@
+package gateway_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/certificate"
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+	"github.com/cassiaspoke/cassiaspoke/internal/trial"
+	"github.com/cassiaspoke/cassiaspoke/pkg/client"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+const (
+	benchPrompt = "Depot tokens=20 "
+	benchKey    = "key-of-the-benchmark"
+)
+
+// span holds the times of one way to the engine, in microseconds.
+type span struct{ first, whole *hdrhistogram.Histogram }
+
+func newSpan() span {
+	return span{hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)}
+}
+
+func (s span) report(b *testing.B, name string, from *span) {
+	for what, h := range map[string][2]*hdrhistogram.Histogram{"first": {s.first, nil}, "whole": {s.whole, nil}} {
+		for _, q := range []struct {
+			name string
+			at   float64
+		}{{"p50", 50}, {"p99", 99}} {
+			v := float64(h[0].ValueAtQuantile(q.at))
+			if from != nil {
+				o := from.first
+				if what == "whole" {
+					o = from.whole
+				}
+				v -= float64(o.ValueAtQuantile(q.at))
+			}
+			b.ReportMetric(v, name+"-"+what+"-"+q.name+"-us")
+		}
+	}
+}
+
+// startWorld returns a world of two instances with one engine each and a profile of one version.
+func startWorld(b *testing.B) *trial.World {
+	b.Helper()
+	w, err := trial.NewWorld(b.Context(), trial.Settings{Zones: []string{"a", "b"}, Engines: 1, Versions: []string{"small@1", "large@1"}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = w.Close() })
+	if err := errors.Join(w.Ready(b.Context()), trial.Publish(b.Context(), w)); err != nil {
+		b.Fatal(err)
+	}
+	o := w.Operator("instance-a")
+	_, err = o.PublishProfile(b.Context(), client.ProfileChange{Profile: record.Profile{
+		Name: "bench", Allow: []string{"large@*"}, Safe: "large@*", Quality: record.Quality{MinScore: 0.5, Share: 0.5},
+		MaxCost: 60_000_000, Weights: record.Weights{Latency: 1}, Deadline: record.Duration(time.Minute), MaxTokens: 100,
+	}})
+	if err == nil {
+		_, err = o.PublishOrganisation(b.Context(), client.OrganisationChange{Organisation: record.Organisation{
+			Name: "bench", KeyHashes: []string{certificate.HashKey(benchKey)}, Profiles: []string{"bench"}, Share: 1,
+		}})
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	return w
+}
+
+// BenchmarkAdded compares answers through an instance with answers of the same engine, in turn.
+func BenchmarkAdded(b *testing.B) {
+	w := startWorld(b)
+	list, err := w.Platform.List.Instances(b.Context())
+	if err != nil {
+		b.Fatal(err)
+	}
+	var address netip.AddrPort
+	for _, i := range list {
+		if i.Role == platform.RoleEngine && i.Zone == "a" {
+			address = i.Address
+		}
+	}
+	c := engine.NewClient(engine.Settings{Dial: time.Second, FirstToken: time.Minute, Progress: time.Minute})
+	defer c.Close()
+	caller := client.NewCaller(w.Members["instance-a"].Callers, benchKey, &http.Client{Transport: &http.Transport{}}, client.DefaultRetries())
+	straight, routed := newSpan(), newSpan()
+	for range 20 {
+		ask(b, caller, newSpan()) // connections and the prefix cache
+	}
+	b.ResetTimer()
+	for range b.N {
+		direct(b, c, address, straight)
+		ask(b, caller, routed)
+	}
+	straight.report(b, "direct", nil)
+	routed.report(b, "added", &straight)
+}
+
+func direct(b *testing.B, c *engine.Client, a netip.AddrPort, s span) {
+	start := time.Now()
+	r, err := c.Stream(b.Context(), a, "r", engine.ChatRequest{Model: "large@1", Messages: []engine.Message{{Role: "user", Content: benchPrompt}}}, func(string) error { return nil })
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = s.first.RecordValue(r.First.Microseconds())
+	_ = s.whole.RecordValue(time.Since(start).Microseconds())
+}
+
+func ask(b *testing.B, c *client.Caller, s span) {
+	start := time.Now()
+	r, err := c.Stream(b.Context(), client.ChatRequest{Model: "bench", Messages: []client.Message{{Role: "user", Content: benchPrompt}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	for first := true; ; first = false {
+		_, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		if first {
+			_ = s.first.RecordValue(time.Since(start).Microseconds())
+		}
+	}
+	_ = s.whole.RecordValue(time.Since(start).Microseconds())
+}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -1,6 +1,10 @@
 package instance
 
 import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,3 +21,35 @@
 		t.Errorf("the window is %v, want %v", m.Window, o.Freshness)
 	}
 }
+
+// Guards against a caller whose header grows, or arrives, without end.
+func TestHeaderLimits(t *testing.T) {
+	o := Default("a", "z", "r")
+	o.HeaderBytes, o.HeaderTime = 2<<10, 200*time.Millisecond
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := (&Instance{o: o}).server(http.NotFoundHandler())
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	for name, c := range map[string]struct{ header, want string }{
+		"large": {"X: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", "HTTP/1.1 431"},
+		"slow":  {"X: x", ""}, // the connection ends without a reply
+		"good":  {"Connection: close\r\n\r\n", "HTTP/1.1 404"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer n.Close()
+			_ = n.SetDeadline(time.Now().Add(time.Minute))
+			_, _ = io.WriteString(n, "GET / HTTP/1.1\r\nHost: x\r\n"+c.header)
+			b, err := io.ReadAll(n)
+			if !strings.HasPrefix(string(b), c.want) || (c.want == "" && (len(b) > 0 || err != nil)) {
+				t.Errorf("got %.40q, %v, want %q", b, err, c.want)
+			}
+		})
+	}
+}
