--- a/internal/core/bill/holder.go
+++ b/internal/core/bill/holder.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/claim"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
@@ -40,6 +41,16 @@
 	return ok
 }
 
+// Bills returns the held bills that are not known to be in the log, for a planned stop that can't append them.
+func (h *Holder) Bills() []record.Bill {
+	l := make([]record.Bill, 0, len(h.bills))
+	for _, b := range h.bills {
+		l = append(l, b.bill)
+	}
+	sortBills(l)
+	return l
+}
+
 // Admit keeps room for one bill, or refuses when the buffer is at its bound.
 func (h *Holder) Admit() error {
 	if n := len(h.bills) + h.admitted; n >= h.bound {
@@ -53,10 +64,12 @@
 func (h *Holder) Cancel() { h.admitted-- }
 
 // Add takes a bill, also above the bound: the work it charges for is done. It reports whether the bill is new.
+// The bill counts as issued when its key was, so that a copy made after the fold has forgotten the first one needs a check.
 func (h *Holder) Add(now time.Time, b record.Bill) bool {
 	if _, ok := h.bills[b.ID()]; ok {
 		return false
 	}
+	b.Issued = firstIssue(b)
 	h.bills[b.ID()] = &held{bill: b, due: now}
 	h.order = append(h.order, b.ID())
 	return true
@@ -112,35 +125,6 @@
 	return done
 }
 
-// Failed makes bills due again after the retry delay.
-func (h *Holder) Failed(now time.Time, l []record.Bill) {
-	for _, b := range l {
-		if k, ok := h.bills[b.ID()]; ok {
-			k.due = now.Add(h.retry)
-		}
-	}
-}
-
-// Next returns when the next bill is due; ok is false when there is none.
-func (h *Holder) Next() (t time.Time, ok bool) {
-	for _, b := range h.bills {
-		if !ok || b.due.Before(t) {
-			t, ok = b.due, true
-		}
-	}
-	return t, ok
-}
-
-// Bills returns all bills that are not confirmed, oldest first.
-func (h *Holder) Bills() []record.Bill {
-	h.compact()
-	l := make([]record.Bill, 0, len(h.order))
-	for _, k := range h.order {
-		l = append(l, h.bills[k].bill)
-	}
-	return l
-}
-
 func (h *Holder) compact() {
 	l := h.order[:0]
 	for _, k := range h.order {
@@ -151,6 +135,18 @@
 	h.order = l
 }
 
+// firstIssue returns when the first bill under a key can have been issued. An order is replayed, and billed again under
+// its key, for as long as its outcome is known. Other keys stand for one request only while they are this young: the
+// caller chooses them, and a key from long ago must not make the stream unable to prove that the bill is the first.
+func firstIssue(b record.Bill) time.Time {
+	t, err := claim.Issued(b.Key)
+	old := b.Service == "" && b.Issued.Sub(t) > claim.Window+HoldBound
+	if err != nil || old || t.After(b.Issued) {
+		return b.Issued
+	}
+	return t
+}
+
 func needsCheck(now time.Time, b record.Bill) bool {
 	d := now.Sub(b.Issued)
 	return d > checkAge || d < -Skew/2
--- a/internal/core/endpoint/retries.go
+++ b/internal/core/endpoint/retries.go
@@ -19,7 +19,11 @@
 
 // DefaultRetries returns the settings for a fleet of the given number of instances.
 func DefaultRetries(fleet int) RetrySettings {
-	return RetrySettings{Request: 4, Ratio: 0.1, Burst: 10, Floor: 10 * time.Second * time.Duration(max(1, fleet))}
+	fleet = max(1, fleet)
+	// The saved retries of all instances are spent at once when a pool fails. 90 in a small fleet cover the requests
+	// of a few engines; an instance of a large one keeps 2. At 45, 12 requests at once to one instance and an engine
+	// that answered each with a wrong version left some of them without an answer.
+	return RetrySettings{Request: 4, Ratio: 0.1, Burst: min(16, max(2, 90/fleet)), Floor: 10 * time.Second * time.Duration(fleet)}
 }
 
 // Retries holds the ratio of retries to first attempts; each instance keeps it, so the fleet does. It is safe for
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -141,7 +141,10 @@
 		p := endpoint.Probed{Endpoint: a.Endpoint, OK: err == nil}
 		c.note("probed", a.ID, okText(err))
 		if err == nil {
-			p.Report = endpoint.Report{Time: time.Now(), Load: l.Outstanding, Slots: l.Slots, Versions: l.Versions, Leaving: l.Leaving}
+			r := l.Report()
+			p.Report = endpoint.Report{
+				Time: time.Now(), Load: r.Outstanding, Slots: r.Slots, Versions: r.Versions, Leaving: r.Leaving, Waits: r.Waits, Wait: r.Wait,
+			}
 		}
 		c.scope.Tagged(map[string]string{"ok": okText(err)}).Counter("probes").Inc(1)
 		c.post(p)
@@ -227,11 +230,6 @@
 // Beliefs returns what is believed about versions.
 func (c *control) Beliefs() *cascade.View { return c.estimates.Load() }
 
-// Candidates returns the versions that a profile allows now.
-func (c *control) Candidates(name string) []cascade.Candidate {
-	return c.closed.Load().open((*c.candidates.Load())[name])
-}
-
 // Observe learns from an outcome.
 func (c *control) Observe(o cascade.Outcome) { c.post(o) }
 
--- a/internal/ledger/biller.go
+++ b/internal/ledger/biller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
@@ -68,6 +67,7 @@
 	settings BillSettings
 	witness  Witness
 	wg       sync.WaitGroup
+	spawn    func(func()) // starts a goroutine; histories run the function at once instead
 
 	mu      sync.Mutex
 	kick    chan struct{} // asks for an append before the next one is due
@@ -86,7 +86,8 @@
 		waiting: map[record.BillID]chan struct{}{},
 		kick:    make(chan struct{}, 1),
 	}
-	b.wg.Go(b.appendLoop)
+	b.spawn = b.wg.Go
+	b.spawn(b.appendLoop)
 	return b
 }
 
@@ -193,6 +194,23 @@
 	}
 }
 
+// HandOver gives the bills that the log did not take to a witness, for a planned stop in a log outage. Without it a
+// roll-out of all instances during the outage would lose them.
+func (b *Biller) HandOver(ctx context.Context) error {
+	b.mu.Lock()
+	l := b.holder.Bills()
+	b.mu.Unlock()
+	if len(l) > 0 && b.witness == nil {
+		return &Error{Op: "hand over bills", Kind: ErrLogUnavailable, Err: fmt.Errorf("%d bills and no witness", len(l))}
+	}
+	for n, x := range l {
+		if err := b.witness.Hold(ctx, x); err != nil {
+			return &Error{Op: "hand over bills", Kind: ErrLogUnavailable, Err: fmt.Errorf("%d of %d bills: %w", len(l)-n, len(l), err)}
+		}
+	}
+	return nil
+}
+
 // Len returns the number of held bills that are not known to be in the log.
 func (b *Biller) Len() int {
 	b.mu.Lock()
@@ -258,7 +276,7 @@
 }
 
 func (b *Biller) append(l []record.Bill, check *record.BillCheck) error {
-	data, err := json.Marshal(record.BillBatch{ID: uuid.NewString(), Check: check, Bills: l})
+	data, err := record.BillBatch{ID: uuid.NewString(), Check: check, Bills: l}.MarshalBinary()
 	if err != nil {
 		return err
 	}
@@ -280,15 +298,21 @@
 			close(c)
 			delete(b.waiting, k)
 		}
+		b.options.Recorder.Event("bill-confirmed", "organisation", k.Organisation, "key", k.Key)
 	}
 	b.options.Scope.Gauge("bills-held").Update(float64(b.holder.Len()))
 	b.mu.Unlock()
 	b.options.Scope.Counter("bills").Inc(int64(len(l)))
 	if r, ok := b.witness.(Releaser); ok {
-		ctx, cancel := context.WithTimeout(b.ctx, appendTimeout)
-		defer cancel()
-		if err := r.Release(ctx, l); err != nil {
-			b.options.Logger.Debug("ledger: witness was not told of appended bills", zap.Error(err))
-		}
+		b.spawn(func() { b.release(r, l) })
+	}
+}
+
+// release runs apart from the append loop: a silent witness must not delay the next bills.
+func (b *Biller) release(r Releaser, l []record.BillID) {
+	ctx, cancel := context.WithTimeout(b.ctx, appendTimeout)
+	defer cancel()
+	if err := r.Release(ctx, l); err != nil {
+		b.options.Logger.Debug("ledger: witness was not told of appended bills", zap.Error(err))
 	}
 }
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 
@@ -56,6 +57,7 @@
 	mu       sync.Mutex
 	holder   string // unique per start and per reset of the fold
 	fold     *entitlement.Fold
+	closing  bool      // Return was called
 	end      bool      // the fold has reached the end of the stream
 	logNow   time.Time // the log's time, as last read at local time readAt
 	readAt   time.Time
@@ -132,6 +134,9 @@
 
 // Return gives all unreserved grants back and waits until the log has them, for a planned stop.
 func (w *Wallet) Return(ctx context.Context) error {
+	w.mu.Lock()
+	w.closing = true
+	w.mu.Unlock()
 	for {
 		b, pending := w.rest()
 		if len(b.Grants) == 0 && !pending {
@@ -269,15 +274,23 @@
 			continue
 		}
 		for _, r := range l {
-			if p, ok := w.wallets[r.Account.Organisation]; ok {
-				p.Observe(w.now(), r)
-			}
+			w.observe(r)
 		}
 	}
 	w.end = w.fold.Next() >= uint64(g.Next)
 	return nil
 }
 
+func (w *Wallet) observe(r entitlement.Ruling) {
+	if p, ok := w.wallets[r.Account.Organisation]; ok {
+		p.Observe(w.now(), r)
+	}
+	if r.Grant.Holder == w.holder {
+		w.options.Recorder.Event("grant-ruled", "organisation", r.Account.Organisation, "unit", string(r.Account.Unit),
+			"kind", string(r.Grant.Kind), "asked", strconv.FormatInt(r.Grant.Amount, 10), "given", strconv.FormatInt(r.Given, 10))
+	}
+}
+
 // decodeGrants returns no grants for a record that can't be read; every reader drops the same record.
 func decodeGrants(data []byte) record.GrantBatch {
 	var b record.GrantBatch
@@ -312,8 +325,10 @@
 	}
 	now := w.now()
 	var b record.GrantBatch
-	for _, p := range w.wallets {
-		b.Grants = append(b.Grants, p.Tick(now)...)
+	if !w.closing { // a refill would take again what Return gives back
+		for _, p := range w.wallets {
+			b.Grants = append(b.Grants, p.Tick(now)...)
+		}
 	}
 	if len(b.Grants) > 0 {
 		return &b
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -94,6 +94,10 @@
 	if !target.Address.IsValid() {
 		return nil, status.Error(codes.InvalidArgument, "the target has no address")
 	}
+	defer h.s.helping.Add(-1)
+	if h.s.helping.Add(1) > indirectLimit || !h.s.budget.probe() {
+		return nil, status.Error(codes.ResourceExhausted, "enough is under way, or the budget is spent")
+	}
 	var req *peerpb.ProbeRequest
 	if err := h.s.ask(ctx, func(now time.Time) { req = h.s.request(now, target.ID) }); err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
@@ -115,11 +119,11 @@
 	if h.s.h.Bills == nil {
 		return nil, status.Error(codes.Unimplemented, "no bills are held here")
 	}
-	bills, err := decodeBills(r.GetNames(), r.GetHold())
+	bills, err := decodeBills(r.GetHolder(), r.GetNames(), r.GetHold())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	drop, err := decodeBills(r.GetNames(), r.GetDrop())
+	drop, err := decodeBills(r.GetHolder(), r.GetNames(), r.GetDrop())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -127,6 +131,9 @@
 		h.s.h.Bills.ReleaseBills(r.GetHolder(), identify(drop))
 	}
 	if len(bills) > 0 {
+		if !h.s.holders.admit(time.Now(), r.GetHolder(), r.GetLastResort()) {
+			return nil, status.Error(codes.ResourceExhausted, "enough holders have their copies here")
+		}
 		if err := h.s.h.Bills.HoldBills(ctx, r.GetHolder(), bills); err != nil {
 			return nil, status.Error(codes.ResourceExhausted, err.Error())
 		}
@@ -156,7 +163,7 @@
 		return status.Error(codes.Unavailable, err.Error())
 	}
 	for len(b) > 0 {
-		if err := h.s.budget.bulk(out.Context()); err != nil {
+		if err := h.s.await(out.Context(), snapshotTimeout); err != nil {
 			return status.Error(codes.DeadlineExceeded, err.Error())
 		}
 		n := min(chunkSize, len(b))
