Check freshness right before sending, and heed a service's own word that it leaves

Cause: found by the composed test. An instance that was paused or cut off between a request's arrival and its sending sent it under a configuration that might be replaced; a service's own leaving mark was ignored, because the report carried no time. Change: answers and orders ask last before sending whether the configuration is in force; reports carry their time; admission follows the size of the fleet. Result: TestStaleBeforeSend and TestServiceLeaves pass; go test -race of the changed packages passes.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -67,7 +67,10 @@
 	defer c.End()
 	whole := false
 	defer func() { a.m.p.Suspects.End(a.r.digest, c.ID, whole) }()
-	// Checked last before sending: the version may have been withdrawn while the request waited.
+	// Checked last before sending: the version may have been withdrawn, or the process paused, meanwhile.
+	if err := a.m.p.Serving(); err != nil {
+		return &Error{Op: "send", Kind: ErrStale, Err: err}
+	}
 	if !a.runs() {
 		return errReplan
 	}
@@ -195,6 +198,9 @@
 
 func tableReport(r engine.Report, now time.Time) endpoint.Report {
 	out := endpoint.Report{Leaving: r.Leaving, Versions: r.Versions}
+	if r.Leaving || len(r.Versions) > 0 {
+		out.Time = now // the table ignores a report without a time
+	}
 	if r.Slots > 0 {
 		out.Time, out.Load, out.Slots, out.Waits, out.Wait = now, r.Outstanding, r.Slots, r.Waits, r.Wait
 	}
--- a/internal/answer/error.go
+++ b/internal/answer/error.go
@@ -10,6 +10,7 @@
 	ErrNotAllowed ErrorKind = "version-not-allowed" // no version that the profile allows is in service
 	ErrCost       ErrorKind = "cost-bound"          // no plan fits the profile's cost bound
 	ErrCapacity   ErrorKind = "no-capacity"
+	ErrStale      ErrorKind = "not-ready" // the configuration can't be confirmed
 	ErrOverload   ErrorKind = "overloaded"
 	ErrSuspect    ErrorKind = "suspect"
 	ErrDeadline   ErrorKind = "deadline-exceeded"
--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -52,6 +52,7 @@
 // Parts are what a maker works with.
 type Parts struct {
 	Catalog  func() *profile.Catalog
+	Serving  func() error // nil if the catalog is known to be in force
 	Pool     Pool
 	Planner  Planner
 	Suspects Suspects
--- a/internal/answer/maker_test.go
+++ b/internal/answer/maker_test.go
@@ -31,6 +31,7 @@
 	t       *testing.T
 	maker   *answer.Maker
 	catalog atomic.Pointer[profile.Catalog]
+	stale   atomic.Bool
 	engines []*standin.Engine
 
 	mu    sync.Mutex
@@ -58,6 +59,13 @@
 	return cascade.Candidates(b.catalog.Load(), name)
 }
 
+func (b *bench) serving() error {
+	if b.stale.Load() {
+		return errors.New("the configuration can't be confirmed")
+	}
+	return nil
+}
+
 func (b *bench) Runs(string) bool              { return true }
 func (b *bench) RaterUp() bool                 { return false }
 func (b *bench) Observe(cascade.Outcome)       {}
@@ -105,7 +113,7 @@
 	s := answer.DefaultSettings("a")
 	s.QueueWait = wait
 	b.maker = answer.NewMaker(s, answer.Parts{
-		Catalog: b.catalog.Load, Pool: b, Planner: b, Suspects: b, Rater: b, Engines: c, Events: b,
+		Catalog: b.catalog.Load, Serving: b.serving, Pool: b, Planner: b, Suspects: b, Rater: b, Engines: c, Events: b,
 		Retries: endpoint.NewRetries(endpoint.RetrySettings{Request: 3, Ratio: 1, Burst: 10}),
 	})
 	return b
@@ -259,3 +267,21 @@
 		})
 	}
 }
+
+// Guards withdrawn-version after a pause: a request that was planned before the instance lost touch with the
+// configuration is not sent.
+func TestStaleBeforeSend(t *testing.T) {
+	b := newBench(t, 200*time.Millisecond)
+	b.version(record.VersionAdd, "m@1")
+	b.version(record.VersionRollOut, "m@1")
+	e := b.add("e", standin.EngineFaults{}, "m@1")
+	b.stale.Store(true)
+	_, _, err := b.run()
+	var x *answer.Error
+	if !errors.As(err, &x) || x.Kind != answer.ErrStale || !x.NotRun {
+		t.Errorf("got %v, want a refusal", err)
+	}
+	if n := e.Served()["m@1"]; n != 0 {
+		t.Errorf("%d requests were sent", n)
+	}
+}
--- a/internal/core/composed/ledger_test.go
+++ b/internal/core/composed/ledger_test.go
@@ -94,8 +94,8 @@
 }
 
 // resetGrants mirrors Wallet.reset.
-func (n *node) resetGrants(from uint64) {
-	n.grants = entitlement.NewFold(from)
+func (n *node) resetGrants(from, first uint64) {
+	n.grants = entitlement.NewFold(from, first)
 	n.owner = n.w.name(n.id)
 	n.wallets = map[string]*entitlement.Wallet{}
 }
@@ -114,7 +114,7 @@
 				from = uint64(i)
 			}
 		}
-		n.resetGrants(from)
+		n.resetGrants(from, uint64(p.First))
 		return
 	}
 	for _, e := range p.Entries {
--- a/internal/core/composed/node_test.go
+++ b/internal/core/composed/node_test.go
@@ -97,7 +97,7 @@
 	}
 	self := membership.Member{ID: id, Zone: n.zone, Address: address(slot)}
 	n.members = membership.NewTable(w.now, membership.Default(self, uint64(w.now.UnixNano())+uint64(gen)))
-	n.resetGrants(0)
+	n.resetGrants(0, 0)
 	return n
 }
 
--- a/internal/gateway/error.go
+++ b/internal/gateway/error.go
@@ -53,6 +53,7 @@
 	answer.ErrNotAllowed: client.CodeVersionNotAllowed,
 	answer.ErrCost:       client.CodeVersionNotAllowed,
 	answer.ErrCapacity:   client.CodeNoCapacity,
+	answer.ErrStale:      client.CodeNotReady,
 	answer.ErrOverload:   client.CodeOverloaded,
 	answer.ErrSuspect:    client.CodeSuspect,
 	answer.ErrDeadline:   client.CodeDeadlineExceeded,
@@ -67,6 +68,7 @@
 	order.ErrUnknown:    client.CodeOutcomeUnknown,
 	order.ErrExpired:    client.CodeOutcomeExpired,
 	order.ErrLog:        client.CodeLogUnavailable,
+	order.ErrStale:      client.CodeNotReady,
 	order.ErrCapacity:   client.CodeNoCapacity,
 	order.ErrDeadline:   client.CodeDeadlineExceeded,
 }
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -112,6 +112,9 @@
 	if n := c.fleet(); n != c.sized {
 		c.sized = n
 		c.step(now, endpoint.Resized{Fleet: n})
+		c.admitting.Lock()
+		c.admission.Resize(n)
+		c.admitting.Unlock()
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -84,10 +84,10 @@
 	i.ledger = newLedgers(i.ctx, o, sharedLog{o.Log, func() *peer.Service { return i.peers }}, i.peers.Witness())
 	retries := newRetries(o.Retries)
 	i.maker = answer.NewMaker(o.Answer, answer.Parts{
-		Catalog: i.config.Catalog, Pool: i.control, Planner: i.control, Suspects: i.suspects, Retries: retries,
+		Catalog: i.config.Catalog, Serving: i.serving, Pool: i.control, Planner: i.control, Suspects: i.suspects, Retries: retries,
 		Rater: &rater{o.Rater, i.control}, Engines: i.engines, Events: o.Events,
 	})
-	desk := order.NewDesk(o.Order, i.control, i.ledger, retries, i.engines, o.Events)
+	desk := order.NewDesk(o.Order, i.serving, i.control, i.ledger, retries, i.engines, o.Events)
 	i.gateway = gateway.New(o.Gateway, gateway.Parts{
 		Catalog: i.config.Catalog, Ready: i.Ready, Serving: i.serving, Sessions: signer, Maker: i.maker, Orders: desk,
 		Wallet: i.ledger, Biller: i.ledger, Admission: i.control, Digest: digest, Events: o.Events, Clock: o.Clock,
--- a/internal/order/desk.go
+++ b/internal/order/desk.go
@@ -89,12 +89,13 @@
 	retries *endpoint.Retries
 	engines *engine.Client
 	events  Recorder
+	serving func() error
 	hedge   hedge
 }
 
-// NewDesk returns a desk.
-func NewDesk(s Settings, p Pool, c Claims, b *endpoint.Retries, e *engine.Client, r Recorder) *Desk {
-	return &Desk{s: s, pool: p, claims: c, retries: b, engines: e, events: r, hedge: hedge{core: endpoint.NewHedge(s.Hedge)}}
+// NewDesk returns a desk; serving returns nil if the configuration is known to be in force.
+func NewDesk(s Settings, serving func() error, p Pool, c Claims, b *endpoint.Retries, e *engine.Client, r Recorder) *Desk {
+	return &Desk{s: s, serving: serving, pool: p, claims: c, retries: b, engines: e, events: r, hedge: hedge{core: endpoint.NewHedge(s.Hedge)}}
 }
 
 // tries are the endpoints that a call has used up.
@@ -195,6 +196,17 @@
 	}
 }
 
+// maySend asks last before an order is sent; the process may have been paused meanwhile.
+func (d *Desk) maySend(ticket Ticket) error {
+	if err := d.serving(); err != nil {
+		return &Error{Op: "place", Kind: ErrStale, NotRun: true, Err: err}
+	}
+	if err := ticket.Send(); err != nil {
+		return &Error{Op: "place", Kind: ErrDeadline, NotRun: true, Err: err}
+	}
+	return nil
+}
+
 // connect opens a connection to an endpoint; nothing is sent on it.
 func (d *Desk) connect(ctx context.Context, c Call, t *tries) (endpoint.Choice, *engine.Line, error) {
 	limit := time.Now().Add(d.s.QueueWait)
@@ -264,7 +276,7 @@
 	case r.Status >= http.StatusInternalServerError:
 		d.pool.Event(endpoint.Failed{Endpoint: e.Endpoint, Started: started, Kind: endpoint.FailStatus})
 	default:
-		d.pool.Event(endpoint.Answered{Endpoint: e.Endpoint, Started: started, Report: endpoint.Report{Leaving: r.Report.Leaving}})
+		d.pool.Event(endpoint.Answered{Endpoint: e.Endpoint, Started: started, Report: endpoint.Report{Time: time.Now(), Leaving: r.Report.Leaving}})
 	}
 	if err != nil && (x == nil || x.Kind != engine.ErrCancelled) {
 		d.event("call-failed", c, e.ID, err)
--- a/internal/order/desk_test.go
+++ b/internal/order/desk_test.go
@@ -73,7 +73,7 @@
 	c := engine.NewClient(engine.Settings{Dial: time.Second, MaxBody: 1 << 10})
 	t.Cleanup(c.Close)
 	var events *timeline.Writer
-	return order.NewDesk(s, p, nil, endpoint.NewRetries(endpoint.DefaultRetries(1)), c, events)
+	return order.NewDesk(s, func() error { return nil }, p, nil, endpoint.NewRetries(endpoint.DefaultRetries(1)), c, events)
 }
 
 // Guards against a setting without effect and against a lookup that waits for a silent endpoint: with a hedge share,
--- a/internal/order/error.go
+++ b/internal/order/error.go
@@ -12,6 +12,7 @@
 	ErrUnknown    ErrorKind = "outcome-unknown"
 	ErrExpired    ErrorKind = "outcome-expired"
 	ErrLog        ErrorKind = "log-unavailable"
+	ErrStale      ErrorKind = "not-ready" // the configuration can't be confirmed
 	ErrCapacity   ErrorKind = "no-capacity"
 	ErrDeadline   ErrorKind = "deadline-exceeded"
 )
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
@@ -23,6 +24,7 @@
 	faulty
 	name        string
 	honoursKeys bool
+	leaving     atomic.Bool
 	server      *http.Server
 
 	lock    sync.Mutex
@@ -49,6 +51,9 @@
 // Close ends the service at once, as a crash does.
 func (s *Service) Close() { _ = s.server.Close() }
 
+// Leave makes the service announce that it takes no new work.
+func (s *Service) Leave() { s.leaving.Store(true) }
+
 // Runs returns how often the order of each idempotency key ran.
 func (s *Service) Runs() map[string]int {
 	s.lock.Lock()
@@ -59,9 +64,12 @@
 // ServeHTTP looks up or places an order.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/v1/load" {
-		reply(w, engine.Load{ID: s.name, Slots: serviceSlots}, nil)
+		reply(w, engine.Load{ID: s.name, Slots: serviceSlots, Leaving: s.leaving.Load()}, nil)
 		return
 	}
+	if s.leaving.Load() {
+		w.Header().Set(engine.HeaderLeaving, "true")
+	}
 	if !s.before(r.Context()) {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
--- a/internal/trial/fault_test.go
+++ b/internal/trial/fault_test.go
@@ -468,3 +468,25 @@
 		}
 	}
 }
+
+// Guards leaving-endpoint by a service's own word, which the table once ignored because the report had no time.
+func TestServiceLeaves(t *testing.T) {
+	w := newTestWorld(t, Settings{Engines: 1})
+	base := w.Members["instance-a"].Callers
+	// The instance prefers the service of its own zone, which is the first one.
+	w.Services["booking"][0].Leave()
+	if a := w.order(t.Context(), base, "lysror-1", "booking", newKey()); !a.whole {
+		t.Fatalf("got %+v, %v", a.refused, a.err)
+	}
+	if n := len(w.Services["booking"][0].Runs()); n != 1 {
+		t.Fatalf("the leaving service ran %d orders, want the one that tells of its leaving", n)
+	}
+	for range 10 {
+		if a := w.order(t.Context(), base, "lysror-1", "booking", newKey()); !a.whole {
+			t.Fatalf("got %+v, %v", a.refused, a.err)
+		}
+	}
+	if n := len(w.Services["booking"][0].Runs()); n != 1 {
+		t.Errorf("the leaving service ran %d more orders", n-1)
+	}
+}
