Say not-run of an order only if no earlier attempt can have run

Cause: found while reading. A service that honours keys lets an order with an unknown outcome be sent again; when that failed before sending, the refusal said not-run although the first attempt may have run. Change: giving a claim up tells whether not-run is true; orders and lookups ask for freshness right before sending. Result: TestResendIsNotNotRun fails with the old answer and passes.

--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -156,7 +156,7 @@
 // Send must succeed right before the order is sent.
 func (t ticket) Send() error {
 	if err := t.t.Send(); err != nil {
-		return fmt.Errorf("send: %w", err)
+		return claimError(err)
 	}
 	return nil
 }
@@ -174,8 +174,8 @@
 // Lose records that the outcome of a sent order is unknown.
 func (t ticket) Lose() { t.t.Lose() }
 
-// Void gives the key back.
-func (t ticket) Void() { t.t.Void() }
+// Void gives the key back and reports whether no attempt under it can have run.
+func (t ticket) Void() bool { return t.t.Void() }
 
 // exportLimit is the number of bills after which a part of an export ends; a bill takes about 300 bytes of JSON.
 const exportLimit = 10_000
--- a/internal/ledger/claimer.go
+++ b/internal/ledger/claimer.go
@@ -178,7 +178,8 @@
 func (t *Ticket) Lose() { t.step(claim.Event{Kind: claim.Lose}) }
 
 // Void gives the key free if the request was not sent; afterwards it can't be. After a send it is the same as Lose.
-func (t *Ticket) Void() { t.step(claim.Event{Kind: claim.Abandon}) }
+// It reports whether "not run" is true: no attempt under the key can have run.
+func (t *Ticket) Void() bool { return t.step(claim.Event{Kind: claim.Abandon}).Result == claim.NotRun }
 
 // run steps the attempt until it may send or has ended.
 func (t *Ticket) run(ctx, life context.Context) error {
--- a/internal/order/desk.go
+++ b/internal/order/desk.go
@@ -43,8 +43,9 @@
 	Finish(r Reply)
 	// Lose records that the outcome of a sent order is unknown.
 	Lose()
-	// Void gives the key back; the order was not and will not be sent.
-	Void()
+	// Void gives the key back; this attempt was not and will not be sent. It reports whether no earlier attempt can
+	// have run either, which a service that honours keys allows to be sent again.
+	Void() bool
 }
 
 // Claims grants tickets; a key that already has an outcome returns it instead.
@@ -121,6 +122,10 @@
 		if err != nil {
 			return Reply{}, &Error{Op: "lookup", Kind: ErrCapacity, NotRun: t.n == 0, Err: err}
 		}
+		if err := d.serving(); err != nil {
+			e.End()
+			return Reply{}, &Error{Op: "lookup", Kind: ErrStale, NotRun: t.n == 0, Err: err}
+		}
 		r, err := d.hedged(x, c, e, &t, &copies)
 		if err == nil {
 			return reply(r), nil
@@ -162,16 +167,12 @@
 	a := d.retries.First()
 	e, line, err := d.connect(ctx, c, &t)
 	if err != nil {
-		ticket.Void()
-		d.event("order-void", c, "", err)
-		return Reply{}, &Error{Op: "place", Kind: ErrCapacity, NotRun: true, Err: err}
+		return Reply{}, d.void(c, ticket, ErrCapacity, err)
 	}
-	if err := ticket.Send(); err != nil {
+	if err := d.maySend(c, ticket); err != nil {
 		line.Close()
 		e.End()
-		ticket.Void()
-		d.event("order-void", c, e.ID, err)
-		return Reply{}, &Error{Op: "place", Kind: ErrDeadline, NotRun: true, Err: err}
+		return Reply{}, err
 	}
 	for {
 		d.event("order-sent", c, e.ID, nil)
@@ -197,14 +198,27 @@
 }
 
 // maySend asks last before an order is sent; the process may have been paused meanwhile.
-func (d *Desk) maySend(ticket Ticket) error {
+func (d *Desk) maySend(c Call, ticket Ticket) error {
 	if err := d.serving(); err != nil {
-		return &Error{Op: "place", Kind: ErrStale, NotRun: true, Err: err}
+		return d.void(c, ticket, ErrStale, err)
+	}
+	err := ticket.Send()
+	if err == nil {
+		return nil
 	}
-	if err := ticket.Send(); err != nil {
-		return &Error{Op: "place", Kind: ErrDeadline, NotRun: true, Err: err}
+	ticket.Void()
+	d.event("order-void", c, "", err)
+	return fmt.Errorf("place: %w", err)
+}
+
+// void gives an attempt up and says truly whether the order can have run.
+func (d *Desk) void(c Call, ticket Ticket, k ErrorKind, err error) error {
+	notRun := ticket.Void()
+	d.event("order-void", c, "", err)
+	if !notRun {
+		k = ErrUnknown
 	}
-	return nil
+	return &Error{Op: "place", Kind: k, NotRun: notRun, Err: err}
 }
 
 // connect opens a connection to an endpoint; nothing is sent on it.
--- a/internal/trial/fault_test.go
+++ b/internal/trial/fault_test.go
@@ -490,3 +490,29 @@
 		t.Errorf("the leaving service ran %d more orders", n-1)
 	}
 }
+
+// Guards not-run-is-true for a service that honours keys: an order whose outcome is unknown may be sent again, and
+// when that can't be done the refusal must not say that the order did not run.
+func TestResendIsNotNotRun(t *testing.T) {
+	w := newTestWorld(t, Settings{Engines: 1, Honouring: []string{"booking"}})
+	for _, s := range w.Services["booking"] {
+		s.Set(standin.Faults{LoseReplies: 100})
+	}
+	key := newKey()
+	base := w.Members["instance-a"].Callers
+	if a := w.order(t.Context(), base, "lysror-1", "booking", key); a.refused == nil || a.refused.NotRun {
+		t.Fatalf("got %+v, %v; want an unknown outcome", a.refused, a.err)
+	}
+	for _, s := range w.Services["booking"] {
+		s.Close()
+	}
+	// The copy is told "in progress" until the unknown outcome is in the log; then it is sent again, in vain.
+	var a answered
+	eventually(t, "a second send", func() bool {
+		a = w.order(t.Context(), base, "lysror-1", "booking", key)
+		if a.refused != nil && a.refused.NotRun {
+			t.Fatalf("got %+v; the order may have run", a.refused)
+		}
+		return a.refused != nil && a.refused.Code != client.CodeInProgress
+	})
+}
