Show the endpoints' real states, and skip an overloaded first step

Cause: status and the time line knew only what the platform's list says; a request whose plan began with an overloaded version was refused although the next step's version had room.

--- a/internal/answer/maker.go
+++ b/internal/answer/maker.go
@@ -134,6 +134,15 @@
 // First returns the version that is asked first.
 func (p *Plan) First() string { return p.r.steps[0].Version }
 
+// Skip drops the first step, for example because its version is overloaded, and reports whether a step is left.
+func (p *Plan) Skip() bool {
+	if len(p.r.steps) < 2 {
+		return false
+	}
+	p.r.steps = p.r.steps[1:]
+	return true
+}
+
 // Worst returns the most that the plan can cost, and the most tokens that it can use.
 func (p *Plan) Worst() (record.Micros, int64) {
 	c := p.m.p.Catalog()
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -36,9 +36,9 @@
 	if err != nil {
 		return err
 	}
-	end, err := g.p.Admission.Admit(Arrival{plan.First(), t.org, q.Profile.Priority, q.Deadline})
+	end, err := g.admit(plan, t, q)
 	if err != nil {
-		return refuse("admit", client.CodeOverloaded, "%w", err)
+		return err
 	}
 	defer end()
 	cost, tokens := plan.Worst()
@@ -59,6 +59,20 @@
 	return g.collected(ctx, w, q, plan, t, cost, &used)
 }
 
+// admit asks for admission to the plan's first version. An overloaded one is skipped: the next step meets the quality
+// as well, and the last one meets it unrated.
+func (g *Gateway) admit(p *answer.Plan, t *task, q *answer.Request) (func(), error) {
+	for {
+		end, err := g.p.Admission.Admit(Arrival{p.First(), t.org, q.Profile.Priority, q.Deadline})
+		if err == nil {
+			return end, nil
+		}
+		if !p.Skip() {
+			return nil, refuse("admit", client.CodeOverloaded, "%w", err)
+		}
+	}
+}
+
 // request reads and checks a chat request.
 func (g *Gateway) request(w http.ResponseWriter, r *http.Request, t *task) (*answer.Request, error) {
 	q := &answer.Request{Organisation: t.org, ID: r.Header.Get(client.HeaderIdempotencyKey)}
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -57,6 +57,8 @@
 	fleet      func() int // instances that are believed to run
 	sized      int        // the size that the endpoint table has
 
+	states    map[string]endpoint.State // of the control goroutine
+	noted     time.Time                 // of the control goroutine
 	admitting sync.Mutex
 	admission *endpoint.Admission
 }
@@ -103,6 +105,7 @@
 			c.judge(now, rollout.Tick{})
 			c.estimates.Store(c.beliefs.View(now))
 			c.measure(now)
+			c.noteStates(now)
 		}
 	}
 }
--- a/internal/instance/suspects.go
+++ b/internal/instance/suspects.go
@@ -125,19 +125,6 @@
 	u.view.Store(u.register.View())
 }
 
-// outstanding returns the chat requests of this instance that run on each endpoint.
-func (u *suspects) outstanding() map[string]int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	out := make(map[string]int, len(u.running))
-	for id, m := range u.running {
-		for _, n := range m {
-			out[id] += n
-		}
-	}
-	return out
-}
-
 // expire drops what no longer counts.
 func (u *suspects) expire() {
 	u.mu.Lock()
--- a/internal/trial/check.go
+++ b/internal/trial/check.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -50,8 +51,8 @@
 		why = append(why, fmt.Sprint(a.err))
 	}
 	slices.Sort(why)
-	s.checks.add("whole-answer", len(broken) == 0, "%d whole, %d refused, %d broken %s",
-		len(whole), len(refused), len(broken), strings.Join(slices.Compact(why), "; "))
+	s.checks.add("whole-answer", len(broken) == 0, "%d whole, %d refused (%s), %d broken %s",
+		len(whole), len(refused), codes(refused), len(broken), strings.Join(slices.Compact(why), "; "))
 	s.checks.add("allowed-version", s.w.served(unlisted) == 0, "a version that no profile allows ran %d times", s.w.served(unlisted))
 	n := s.w.served("small@2")
 	s.checks.add("withdrawn-version", n == s.withdrawnServed && n > 0, "ran %d times until withdrawn, %d times after", s.withdrawnServed, n-s.withdrawnServed)
@@ -64,6 +65,19 @@
 	return s.judgeConfig(ctx)
 }
 
+// codes counts refusals by code.
+func codes(l []answered) string {
+	m := map[client.Code]int{}
+	for _, a := range l {
+		m[a.refused.Code]++
+	}
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, fmt.Sprintf("%s %d", k, m[k]))
+	}
+	return strings.Join(out, ", ")
+}
+
 // sort splits what callers got.
 func (s *scenario) sort() (whole, refused, broken []answered) {
 	for _, a := range s.b.answers {
