--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -77,7 +77,11 @@
 	if err != nil {
 		return &Error{Op: "measure", Kind: ErrFailed, Err: err}
 	}
-	return showTables(c, l)
+	r, err := measure.Rebuild(ctx, measure.DefaultRebuild())
+	if err != nil {
+		return &Error{Op: "measure", Kind: ErrFailed, Err: err}
+	}
+	return showTables(c, append(l, r))
 }
 
 func showTables(c *cli.Command, l []measure.Table) error {
--- a/internal/measure/outage.go
+++ b/internal/measure/outage.go
@@ -19,7 +19,7 @@
 		Name:    "full outage of the pool for 30 s at 0.8x",
 		Columns: []string{"failure", "policy", "attempts/request", "retries/first", "recovered-after", "goodput/s-before", "goodput/s-after", "ejections-after"},
 		Notes: []string{
-			"requests that are refused for lack of endpoints have no attempt; retries may also come from the saved burst of 5 for each instance",
+			"requests that are refused for lack of endpoints have no attempt; retries may also come from the saved burst of 10 for each instance",
 			"attempts per request are from the start of the outage to its end; target 1.1",
 			"recovered: the first second from which the good share of requests stays at 90 % of that before, over 5 s; ejections are counted from 5 s after the end",
 		},
