--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -92,6 +92,9 @@
 		a.r.tokens++
 		return a.r.deliver(s, a.step.Version)
 	})
+	if res.Report.Leaving {
+		c.Bar() // in all views at once, before the table hears of it
+	}
 	a.usage.Input = max(a.usage.Input, res.Usage.Input)
 	if err == nil {
 		whole = true
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -48,6 +48,8 @@
 	down   atomic.Bool
 	jitter float64
 
+	putting sync.Mutex // orders changes of state with their notifications
+
 	mu    sync.Mutex
 	waits map[string]chan verdict
 }
@@ -83,9 +85,7 @@
 	if err != nil {
 		return &Error{Op: "seed", Kind: ErrSnapshot, Err: err}
 	}
-	if c.Next > f.Catalog().Next {
-		f.put(c)
-	}
+	f.put(c)
 	return nil
 }
 
@@ -169,9 +169,16 @@
 	f.settle(ch, c.Next, err)
 }
 
+// put takes a catalog into force unless a newer one is: a peer's snapshot may come while a page is folded.
 func (f *Follower) put(c *profile.Catalog) {
-	old := f.state.Swap(c)
-	if f.notify != nil && old != c {
+	f.putting.Lock()
+	defer f.putting.Unlock()
+	old := f.state.Load()
+	if c == old || c.Next < old.Next {
+		return
+	}
+	f.state.Store(c)
+	if f.notify != nil {
 		f.notify(c)
 	}
 }
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -141,3 +141,21 @@
 		t.Errorf("got %d organisations, want 2", got)
 	}
 }
+
+// Guards config-in-force at a start: a page that was folded on the old catalog comes after a peer's newer snapshot.
+func TestSeedNeverReverts(t *testing.T) {
+	f := NewFollower(settings(), standin.NewLog(time.Now), zap.NewNop(), nil, nil)
+	page, _ := f.Catalog().Apply(0, time.Now(), organisation("a", 0, "ann"))
+	newer, _ := page.Apply(1, time.Now(), organisation("b", 0, "ann"))
+	s, err := newer.Snapshot("s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Seed(s); err != nil {
+		t.Fatal(err)
+	}
+	f.put(page)
+	if n := f.Catalog().Next; n != 2 {
+		t.Errorf("the catalog went from 2 back to %d", n)
+	}
+}
--- a/internal/order/desk.go
+++ b/internal/order/desk.go
@@ -290,6 +290,9 @@
 	case r.Status >= http.StatusInternalServerError:
 		d.pool.Event(endpoint.Failed{Endpoint: e.Endpoint, Started: started, Kind: endpoint.FailStatus})
 	default:
+		if r.Report.Leaving {
+			e.Bar() // in all views at once, before the table hears of it
+		}
 		d.pool.Event(endpoint.Answered{Endpoint: e.Endpoint, Started: started, Report: endpoint.Report{Time: time.Now(), Leaving: r.Report.Leaving}})
 	}
 	if err != nil && (x == nil || x.Kind != engine.ErrCancelled) {
