Start requests of the answer tests in one place

Cause: two tests repeated how a request runs beside them. Change: bench.start; assertions unchanged.

--- a/internal/answer/maker_test.go
+++ b/internal/answer/maker_test.go
@@ -179,27 +179,32 @@
 	return x, r, err
 }
 
+// start runs a request beside the test, which must get a whole answer.
+func (b *bench) start() <-chan *text {
+	done := make(chan *text, 1)
+	go func() {
+		x, _, err := b.run()
+		if err != nil {
+			b.t.Error(err)
+		}
+		done <- x
+	}()
+	return done
+}
+
 // Guards withdrawn-version: the version is withdrawn while a planned request waits for an endpoint, and the endpoint
 // that then comes up serves both versions.
 func TestWithdrawnWhileWaiting(t *testing.T) {
 	b := newBench(t, 10*time.Second)
 	b.version(record.VersionAdd, "m@1")
 	b.version(record.VersionRollOut, "m@1")
-	done := make(chan error, 1)
-	x := &text{}
-	go func() {
-		var err error
-		x, _, err = b.run()
-		done <- err
-	}()
+	done := b.start()
 	time.Sleep(50 * time.Millisecond)
 	b.version(record.VersionAdd, "m@2")
 	b.version(record.VersionRollOut, "m@2")
 	b.version(record.VersionWithdraw, "m@1")
 	e := b.add("e", standin.EngineFaults{}, "m@1", "m@2")
-	if err := <-done; err != nil {
-		t.Fatal(err)
-	}
+	x := <-done
 	if n := e.Served(); n["m@1"] != 0 || n["m@2"] != 1 {
 		t.Errorf("served %v", n)
 	}
@@ -215,21 +220,13 @@
 	b.version(record.VersionAdd, "m@1")
 	b.version(record.VersionRollOut, "m@1")
 	b.add("e1", standin.EngineFaults{SilentAfter: 8}, "m@1")
-	done := make(chan error, 1)
-	x := &text{}
-	go func() {
-		var err error
-		x, _, err = b.run()
-		done <- err
-	}()
+	done := b.start()
 	time.Sleep(30 * time.Millisecond)
 	b.version(record.VersionAdd, "m@2")
 	b.version(record.VersionRollOut, "m@2")
 	b.version(record.VersionWithdraw, "m@1")
 	b.add("e2", standin.EngineFaults{}, "m@1", "m@2")
-	if err := <-done; err != nil {
-		t.Fatal(err)
-	}
+	x := <-done
 	want := standin.AnswerText("m@1", prompt, 8) + strings.TrimPrefix(standin.AnswerText("m@2", prompt, 20), standin.AnswerText("m@2", prompt, 8))
 	if x.String() != want {
 		t.Errorf("got %q, want %q", x.String(), want)
