Let the sample instances listen for peers on a port of the system's choice

Cause: 1 of 22 runs of a trial test failed with address already in use: a free port was looked up, closed and taken by another process before the instance listened on it. Change: instances listen on port 0 and are listed with the address that they got.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,7 @@
 	ledger   *ledgers
 	peers    *peer.Service
 	grouper  *peer.Grouper
+	listens  chan struct{} // closed once peers can connect
 	maker    *answer.Maker
 	gateway  *gateway.Gateway
 	callers  *http.Server
@@ -73,7 +75,7 @@
 		o.Clock = timeline.NewClock(time.Now)
 	}
 	o.Engine.Clock = o.Clock
-	i := &Instance{o: o, started: time.Now(), engines: engine.NewClient(o.Engine), suspects: newSuspects(o.Suspects)}
+	i := &Instance{o: o, started: time.Now(), engines: engine.NewClient(o.Engine), suspects: newSuspects(o.Suspects), listens: make(chan struct{})}
 	i.ctx, i.cancel = context.WithCancelCause(context.Background())
 	i.control = newControl(i.ctx, o, i.engines, rand.Uint64())
 	i.config = catalog.NewFollower(o.Catalog, o.Log, o.Logger, i.applied, i.read)
@@ -146,10 +148,23 @@
 	}
 }
 
+// PeerAddress returns what peers dial, once the instance listens there.
+func (i *Instance) PeerAddress(ctx context.Context) (netip.AddrPort, error) {
+	select {
+	case <-i.listens:
+		return i.peers.Address(), nil
+	case <-ctx.Done():
+		return netip.AddrPort{}, fmt.Errorf("peer address: %w", ctx.Err())
+	case <-i.ctx.Done():
+		return netip.AddrPort{}, fmt.Errorf("peer address: %w", context.Cause(i.ctx))
+	}
+}
+
 func (i *Instance) start() error {
 	if err := i.peers.Start(i.ctx); err != nil {
 		return fmt.Errorf("start %s: %w", i.o.ID, err)
 	}
+	close(i.listens)
 	i.work.Go(i.control.run)
 	i.work.Go(i.control.follow)
 	i.seed()
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -195,9 +195,7 @@
 	m := &Member{ID: id, Zone: zone, Callers: "http://" + ca.String(), Operators: "http://" + oa.String(), done: make(chan struct{})}
 	o := w.options(id, zone)
 	o.Callers, o.Operators = callers, operators
-	if o.Peers, err = freeAddress(ctx); err != nil {
-		return nil, err
-	}
+	o.Peers = netip.MustParseAddrPort("127.0.0.1:0")
 	if w.s.EventsDir != "" {
 		if o.Clock == nil {
 			o.Clock = timeline.NewClock(time.Now)
@@ -223,17 +221,12 @@
 	w.mu.Lock()
 	w.Members[id] = m
 	w.mu.Unlock()
-	w.Platform.List.Put(platform.Instance{ID: id, Role: platform.RoleRouter, Zone: zone, Address: o.Peers})
-	return m, nil
-}
-
-// freeAddress returns a loopback address that is free now.
-func freeAddress(ctx context.Context) (netip.AddrPort, error) {
-	l, a, err := listen(ctx)
+	a, err := m.instance.PeerAddress(ctx)
 	if err != nil {
-		return a, err
+		return nil, fmt.Errorf("add %s: %w", id, err)
 	}
-	return a, l.Close()
+	w.Platform.List.Put(platform.Instance{ID: id, Role: platform.RoleRouter, Zone: zone, Address: a})
+	return m, nil
 }
 
 func (w *World) options(id, zone string) instance.Options {
