Serve the users' platform through an adapter: a thin path

Cause: cassiaspoke ran only on its own stand-ins. The command ingress follows configuration and registry from the platform's store, matches routes and keys, places requests by estimated time to the first byte, forwards them over connections of its own, asks a larger model where the smaller one is not sure, resumes streams and shares roll-outs. platform/ translates names, formats and calls.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -28,6 +28,7 @@
 		Flags:   sharedFlags(),
 		Commands: []*cli.Command{
 			serveCommand(),
+			ingressCommand(),
 			tryCommand(),
 			standinCommand(),
 			measureCommand(),
--- /dev/null
+++ b/internal/command/ingress.go
@@ -0,0 +1,164 @@
+package command
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/escalation"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
+	"github.com/cassiaspoke/cassiaspoke/internal/feed"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+	"github.com/cassiaspoke/cassiaspoke/internal/ingress"
+	"github.com/cassiaspoke/cassiaspoke/internal/logsink"
+	"github.com/cassiaspoke/cassiaspoke/internal/settings"
+	"github.com/cassiaspoke/cassiaspoke/platform"
+)
+
+const (
+	memoryShare   = 0.7                     // of the memory limit for the runtime's heap; sockets and stacks take the rest
+	dialTime      = 300 * time.Millisecond  // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
+	storeTime     = 700 * time.Millisecond  // for a call to the store, which answers within 0.3 s when it is slow
+	storeWait     = 1500 * time.Millisecond // of a read that waits for a record: a silent connection is noticed within the bound
+	storeRetry    = 250 * time.Millisecond
+	statusEvery   = 1500 * time.Millisecond // a third of the bound on stopping a bad version
+	registryShare = 0.5                     // of the drain bound, between reads of the registry
+	idleConns     = 8                       // idle connections kept to one endpoint
+	ratioShare    = 0.9                     // of the fleet's retry budget; the rest covers instances that count differently
+	fleetGuess    = 8                       // instances that share the slack of the retry budget
+	reloadEvery   = time.Second             // between looks at the settings file, which may change without a signal
+)
+
+func ingressCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "ingress",
+		Usage: "run an instance on the users' platform until SIGTERM, which stops it without cutting off a request",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: flagSettings, Usage: "settings `FILE`", Required: true, Sources: cli.EnvVars(platform.SettingsVariable),
+		}},
+		Action: serveIngress,
+	}
+}
+
+func serveIngress(ctx context.Context, c *cli.Command) error {
+	path := c.String(flagSettings)
+	s, err := settings.LoadIngress(path)
+	if err != nil {
+		return &Error{Op: "ingress", Kind: ErrFile, Err: err}
+	}
+	sink := logsink.New(os.Stdout)
+	logger, err := sinkLogger(s.Log.Level, s.Instance.ID, sink)
+	if err != nil {
+		return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
+	}
+	defer func() { _ = logger.Sync() }()
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.Memory)))
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "cassiaspoke", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, metricsEvery)
+	defer func() { _ = closer.Close() }()
+	o := ingressOptions(s)
+	o.Logger, o.Scope, o.Reporter = logger, scope, reporter.HTTPHandler()
+	for _, l := range []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+	}{{&o.Requests, s.Listen.Requests}, {&o.Readiness, s.Listen.Readiness}, {&o.Metrics, s.Listen.Metrics}} {
+		if *l.listener, err = listen(ctx, l.address, nil, logger); err != nil {
+			return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
+		}
+	}
+	run, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go reload(run, path, s, logger)
+	if err := ingress.New(o).Run(run); err != nil {
+		return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
+	}
+	return nil
+}
+
+func sinkLogger(level, instance string, out zapcore.WriteSyncer) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	e := zap.NewProductionEncoderConfig()
+	e.EncodeTime, e.EncodeDuration = zapcore.RFC3339NanoTimeEncoder, zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(e), out, l)).With(zap.String("instance", instance)), nil
+}
+
+// ingressOptions turns the settings of the file into the options of the parts.
+func ingressOptions(s settings.Ingress) ingress.Options {
+	d := forward.Dialer{Timeout: dialTime}
+	store := platform.NewStore(s.Store, &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+	}})
+	b := s.Bounds
+	return ingress.Options{
+		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Records: platform.Records{},
+		Operators: store.Topic(platform.TopicOperator), Registry: store.Topic(platform.TopicRegistry),
+		Status: store.Topic(platform.TopicStatus), Dialer: d,
+		Feeds: ingress.Feeds{
+			Operators: feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
+			Registry: feed.Options{
+				Interval: time.Duration(registryShare * float64(b.Drain)), Timeout: storeTime, Retry: storeRetry,
+			},
+			Status: statusEvery,
+		},
+		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
+		Escalation: escalation.DefaultSettings(),
+		Retries:    retry.Settings{Window: b.RetryWindow, Ratio: ratioShare * b.RetryRatio, Slack: b.RetrySlack / fleetGuess},
+		Exposure:   b.Exposure, Session: b.Session, Grace: b.Grace, IdleConns: idleConns,
+	}
+}
+
+// reload checks the settings file when it changes. Addresses and bounds are taken at the start; a change is logged, so
+// that a broken file is known before the next start.
+func reload(ctx context.Context, path string, current settings.Ingress, logger *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(reloadEvery)
+	defer t.Stop()
+	var seen time.Time
+	if i, err := os.Stat(path); err == nil {
+		seen = i.ModTime()
+	}
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			asked = true
+		case <-t.C:
+		}
+		i, err := os.Stat(path)
+		if err == nil && i.ModTime().Equal(seen) && !asked {
+			continue
+		}
+		if err == nil {
+			seen = i.ModTime()
+		}
+		s, err := settings.LoadIngress(path)
+		if err != nil {
+			logger.Error("settings: The changed file can't be used; the settings in force stay.", zap.Bool("signal", asked), zap.Error(err))
+			continue
+		}
+		logger.Info("settings: Read again.", zap.Bool("signal", asked), zap.Bool("changed", s != current))
+	}
+}
--- /dev/null
+++ b/internal/core/canary/canary.go
@@ -0,0 +1,244 @@
+package canary
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+)
+
+// Settings shape a roll-out; times are parts of the duration that the operator ordered.
+type Settings struct {
+	Share    float64       // of the requests for the new version until Ramp
+	Ramp     float64       // when the share begins to grow
+	Full     float64       // when all requests go to the new version
+	Complete float64       // when the roll-out is completed; requests on the old version have ended by then
+	Session  time.Duration // within which a session's next request stays on the version of the one before
+	Sessions int           // sessions remembered
+}
+
+// DefaultSettings returns an instance's settings; exposure is the largest share that a bad version may get of all
+// requests of a roll-out.
+func DefaultSettings(exposure float64, session time.Duration) Settings {
+	return Settings{
+		Share: exposure * 2 / 3, Ramp: 0.5, Full: 0.6, Complete: 0.9,
+		Session: session, Sessions: 1 << 14,
+	}
+}
+
+// Order is a roll-out as this instance knows it.
+type Order struct {
+	Target   string
+	Duration time.Duration
+	Started  time.Time
+}
+
+// Rollout is the state of one service; it is not safe for concurrent use.
+type Rollout struct {
+	settings Settings
+	current  string // version that was in use before any order; empty until endpoints are known
+	order    *Order
+	state    directory.RolloutState
+	reason   string
+	fresh    *evidence
+	sessions map[string]pin
+}
+
+type pin struct {
+	version string
+	at      time.Time
+}
+
+// New returns the state of a service without a roll-out.
+func New(s Settings) *Rollout {
+	return &Rollout{settings: s, sessions: map[string]pin{}}
+}
+
+// Order starts a roll-out; a repeated order changes nothing. Elapsed is how long ago it began if that is known.
+func (r *Rollout) Order(now time.Time, o directory.RolloutOrder, elapsed time.Duration) bool {
+	if r.order != nil && r.order.Target == o.Target && r.order.Duration == o.Duration {
+		return false
+	}
+	if r.state == directory.RolloutCompleted && r.order != nil {
+		r.current = r.order.Target
+	}
+	r.order = &Order{Target: o.Target, Duration: o.Duration, Started: now.Add(-min(max(elapsed, 0), o.Duration))}
+	r.state, r.reason, r.fresh = directory.RolloutRunning, "ordered", newEvidence()
+	return true
+}
+
+// Published applies a state that was read from the store.
+func (r *Rollout) Published(s directory.RolloutStatus) bool {
+	if r.order == nil || s.Target != r.order.Target || s.State == directory.RolloutRunning || s.State == r.state {
+		return false
+	}
+	r.state, r.reason = s.State, "published"
+	return true
+}
+
+// Versions tells which versions the registered endpoints have.
+func (r *Rollout) Versions(count map[string]int) {
+	if r.order != nil && r.state == directory.RolloutCompleted && count[r.order.Target] > 0 {
+		r.current = r.order.Target
+	}
+	if count[r.current] > 0 {
+		return
+	}
+	best := ""
+	for v, n := range count {
+		if r.order != nil && v == r.order.Target && r.state != directory.RolloutCompleted {
+			continue
+		}
+		if best == "" || n > count[best] || n == count[best] && v < best {
+			best = v
+		}
+	}
+	if best != "" {
+		r.current = best
+	}
+}
+
+// Share returns the part of the requests for the new version.
+func (r *Rollout) Share(now time.Time) float64 {
+	if r.order == nil {
+		return 0
+	}
+	switch r.state {
+	case directory.RolloutCompleted:
+		return 1
+	case directory.RolloutRolledBack:
+		return 0
+	}
+	s := r.settings
+	switch p := r.progress(now); {
+	case p < s.Ramp:
+		return s.Share
+	case p < s.Full:
+		// Doubling shows a version that fails under load while few requests are exposed to it.
+		steps := math.Ceil(math.Log2(1 / s.Share))
+		k := math.Floor((p-s.Ramp)/(s.Full-s.Ramp)*steps) + 1
+		return min(1, s.Share*math.Exp2(k))
+	default:
+		return 1
+	}
+}
+
+func (r *Rollout) progress(now time.Time) float64 {
+	return float64(now.Sub(r.order.Started)) / float64(r.order.Duration)
+}
+
+// Pick returns the version for a request; u is its place in [0, 1), the same for all requests of a session. The
+// version is empty while no endpoint is known.
+func (r *Rollout) Pick(now time.Time, session string, u float64) string {
+	v := r.pick(now, session, u)
+	if session != "" && r.order != nil {
+		r.pin(now, session, v)
+	}
+	return v
+}
+
+func (r *Rollout) pick(now time.Time, session string, u float64) string {
+	if r.order == nil || r.state == directory.RolloutRolledBack {
+		return r.current
+	}
+	if r.state == directory.RolloutCompleted {
+		return r.order.Target
+	}
+	share := r.Share(now)
+	if p, ok := r.sessions[session]; ok && session != "" && now.Sub(p.at) < r.settings.Session {
+		switch {
+		case p.version == r.order.Target:
+			return p.version
+		case share < 1 && r.progress(now) < r.settings.Ramp:
+			return p.version
+		}
+	}
+	// Sessions may have begun before the order, on another instance, without being known here.
+	if session != "" && now.Sub(r.order.Started) < r.settings.Session {
+		return r.current
+	}
+	if u < share {
+		return r.order.Target
+	}
+	return r.current
+}
+
+// Other returns the version to use while the picked one has no endpoint, or "".
+func (r *Rollout) Other(version string) string {
+	switch {
+	case r.order == nil || r.state != directory.RolloutRunning:
+		return ""
+	case version == r.order.Target:
+		return r.current
+	}
+	return ""
+}
+
+// Seen notes the version of a session's request, also outside of a roll-out, so that one that begins later keeps it.
+func (r *Rollout) Seen(now time.Time, session, version string) {
+	if session != "" {
+		r.pin(now, session, version)
+	}
+}
+
+func (r *Rollout) pin(now time.Time, session, version string) {
+	if len(r.sessions) >= r.settings.Sessions {
+		for k, p := range r.sessions {
+			if now.Sub(p.at) >= r.settings.Session {
+				delete(r.sessions, k)
+			}
+		}
+		if len(r.sessions) >= r.settings.Sessions {
+			return
+		}
+	}
+	r.sessions[session] = pin{version, now}
+}
+
+// Outcome records an answer; slowness is its time over the expected one, 0 if unknown. It reports whether the
+// roll-out was stopped by it.
+func (r *Rollout) Outcome(version, route string, failed bool, slowness float64) bool {
+	if r.order == nil || r.state != directory.RolloutRunning {
+		return false
+	}
+	if version != r.order.Target {
+		r.fresh.old.add(failed, slowness)
+		return false
+	}
+	why := r.fresh.add(route, failed, slowness)
+	if why == "" {
+		return false
+	}
+	r.state, r.reason = directory.RolloutRolledBack, why
+	return true
+}
+
+// Step returns the state to publish, if it is time for one.
+func (r *Rollout) Step(now time.Time) (directory.RolloutState, bool) {
+	if r.order == nil {
+		return "", false
+	}
+	if r.state == directory.RolloutRunning && r.progress(now) >= r.settings.Complete {
+		return directory.RolloutCompleted, true
+	}
+	return r.state, true
+}
+
+// Status describes the roll-out for logs.
+func (r *Rollout) Status() (target string, state directory.RolloutState, reason string) {
+	if r.order == nil {
+		return "", "", ""
+	}
+	return r.order.Target, r.state, r.reason
+}
+
+// Started returns when the roll-out began.
+func (r *Rollout) Started() time.Time {
+	if r.order == nil {
+		return time.Time{}
+	}
+	return r.order.Started
+}
+
+// Running reports whether a roll-out is under way.
+func (r *Rollout) Running() bool { return r.order != nil && r.state == directory.RolloutRunning }
--- /dev/null
+++ b/internal/core/canary/evidence.go
@@ -0,0 +1,88 @@
+package canary
+
+import "math"
+
+// The test compares two hypotheses on the share of failures: that of a good version and that of a bad one. A false
+// stop costs a late roll-out, a missed one exposes callers, so few failures suffice.
+const (
+	goodShare = 0.05 // or that of the old version, if it is higher
+	badShare  = 0.35
+	stopAt    = 5.0 // log-likelihood ratio; three failures in a row
+	floorAt   = -3  // successes in advance count no more than this against later failures
+
+	slowRatio   = 3.0 // of expected times that counts as slow, against the old version's
+	slowSamples = 10
+	maxRoutes   = 256
+)
+
+// evidence is what the answers say of the new version.
+type evidence struct {
+	old    tally
+	routes map[string]*tally
+	all    tally
+}
+
+type tally struct {
+	n, failed  int
+	ratio      float64 // log-likelihood ratio for a bad version
+	slow       float64 // sum of the logarithms of slowness
+	slowNumber int
+}
+
+func newEvidence() *evidence { return &evidence{routes: map[string]*tally{}} }
+
+func (t *tally) add(failed bool, slowness float64) {
+	t.n++
+	if failed {
+		t.failed++
+	}
+	if slowness > 0 {
+		t.slow += math.Log(min(max(slowness, 0.1), 20))
+		t.slowNumber++
+	}
+}
+
+func (t *tally) test(failed bool, good float64) bool {
+	bad := max(badShare, min(2*good, 0.9))
+	if failed {
+		t.ratio += math.Log(bad / good)
+	} else {
+		t.ratio += math.Log((1 - bad) / (1 - good))
+	}
+	t.ratio = max(t.ratio, floorAt)
+	return t.ratio >= stopAt
+}
+
+func (t *tally) slowness() float64 {
+	if t.slowNumber == 0 {
+		return 1
+	}
+	return math.Exp(t.slow / float64(t.slowNumber))
+}
+
+// add records an answer of the new version and returns why it is bad, or "".
+func (e *evidence) add(route string, failed bool, slowness float64) string {
+	good := min(0.6, max(goodShare, (float64(e.old.failed)+0.5)/float64(e.old.n+10)))
+	t := e.routes[route]
+	if t == nil {
+		t = &tally{}
+		if len(e.routes) < maxRoutes {
+			e.routes[route] = t
+		}
+	}
+	t.add(failed, slowness)
+	e.all.add(failed, slowness)
+	byRoute, byAll := t.test(failed, good), e.all.test(failed, good)
+	old := max(1, e.old.slowness())
+	switch {
+	case byAll:
+		return "failures"
+	case byRoute:
+		return "failures on one route"
+	case e.all.slowNumber >= slowSamples && e.all.slowness() > slowRatio*old:
+		return "slow"
+	case t.slowNumber >= slowSamples && t.slowness() > slowRatio*old:
+		return "slow on one route"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/forward/pool.go
@@ -0,0 +1,127 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	idleTime  = 4 * time.Second // for which an unused connection is kept if the endpoint states no time
+	idleSpare = time.Second     // a connection is not used in the last second of the time that the endpoint states
+	readSize  = 4 << 10         // bytes; an event or the head of an answer fits
+)
+
+// Pool keeps idle connections to endpoints.
+type Pool struct {
+	dialer Dialer
+	most   int // idle connections to one endpoint
+
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn // most recently used last
+}
+
+// NewPool returns a pool that keeps at most a number of idle connections to one endpoint.
+func NewPool(d Dialer, most int) *Pool {
+	return &Pool{dialer: d, most: most, idle: map[netip.AddrPort][]*conn{}}
+}
+
+type conn struct {
+	net.Conn
+	address netip.AddrPort
+	reader  *bufio.Reader
+	reused  bool
+	until   time.Time // it is not used after this
+}
+
+// get returns a connection; a fresh one was never used.
+func (p *Pool) get(ctx context.Context, a netip.AddrPort, fresh bool) (*conn, error) {
+	if !fresh {
+		for c := p.take(a); c != nil; c = p.take(a) {
+			if time.Now().Before(c.until) && c.quiet() {
+				c.reused = true
+				return c, nil
+			}
+			c.Close()
+		}
+	}
+	n, err := p.dialer.Dial(ctx, a)
+	if err != nil {
+		return nil, &Error{Op: "dial " + a.String(), Kind: ErrConnect, Err: err}
+	}
+	return &conn{Conn: n, address: a, reader: bufio.NewReaderSize(n, readSize)}, nil
+}
+
+func (p *Pool) take(a netip.AddrPort) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.idle[a]
+	if len(l) == 0 {
+		return nil
+	}
+	c := l[len(l)-1]
+	l[len(l)-1] = nil
+	p.idle[a] = l[:len(l)-1]
+	return c
+}
+
+// put keeps a connection whose last answer was read to its end.
+func (p *Pool) put(c *conn, idle time.Duration) {
+	if idle == 0 {
+		idle = idleTime
+	} else {
+		idle = min(idleTime, idle-idleSpare)
+	}
+	if idle <= 0 || c.reader.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	c.until = time.Now().Add(idle)
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		c.Close()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= p.most {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes connections that are too old to be used.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, l := range p.idle {
+		n := 0
+		for _, c := range l {
+			if now.Before(c.until) {
+				l[n] = c
+				n++
+				continue
+			}
+			c.Close()
+		}
+		clear(l[n:])
+		if p.idle[a] = l[:n]; n == 0 {
+			delete(p.idle, a)
+		}
+	}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, l := range p.idle {
+		for _, c := range l {
+			c.Close()
+		}
+		delete(p.idle, a)
+	}
+}
--- /dev/null
+++ b/internal/ingress/balancer.go
@@ -0,0 +1,145 @@
+package ingress
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/call"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/canary"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
+)
+
+// balancer shares the load table, the retry budgets and the roll-outs among the traffic goroutines.
+type balancer struct {
+	mu       sync.Mutex
+	table    *placement.Table
+	budgets  map[string]*retry.Budget
+	rollouts map[string]*canary.Rollout
+	options  Options
+}
+
+func newBalancer(o Options) *balancer {
+	return &balancer{
+		table: placement.New(o.Placement), budgets: map[string]*retry.Budget{}, rollouts: map[string]*canary.Rollout{},
+		options: o,
+	}
+}
+
+func (b *balancer) setEndpoints(now time.Time, services map[string][]directory.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.SetEndpoints(services)
+	for s, l := range services {
+		n := map[string]int{}
+		for _, e := range l {
+			n[e.Version]++
+		}
+		b.rollout(s).Versions(n)
+	}
+}
+
+func (b *balancer) rollout(service string) *canary.Rollout {
+	r := b.rollouts[service]
+	if r == nil {
+		r = canary.New(canary.DefaultSettings(b.options.Exposure, b.options.Session))
+		b.rollouts[service] = r
+	}
+	return r
+}
+
+func (b *balancer) budget(service string) *retry.Budget {
+	r := b.budgets[service]
+	if r == nil {
+		r = retry.New(b.options.Retries)
+		b.budgets[service] = r
+	}
+	return r
+}
+
+// version picks the version for a request of a session, or for a single request by its identifier.
+func (b *balancer) version(now time.Time, service string, q *call.Request) string {
+	k := q.Session
+	if k == "" {
+		k = q.ID
+	}
+	u := float64(xxhash.Sum64String(service+"\x00"+k)>>11) / (1 << 53)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rollout(service).Pick(now, q.Session, u)
+}
+
+// choose returns the endpoint for a request and records the send.
+func (b *balancer) choose(now time.Time, r placement.Request) (placement.Choice, *placement.Token, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, ok := b.table.Choose(now, r)
+	if !ok {
+		if r.Version = b.rollout(r.Service).Other(r.Version); r.Version == "" {
+			return c, nil, false
+		}
+		if c, ok = b.table.Choose(now, r); !ok {
+			return c, nil, false
+		}
+	}
+	return c, b.table.Sent(now, r, c), true
+}
+
+// look returns where a request would go, without recording anything.
+func (b *balancer) look(now time.Time, r placement.Request) (placement.Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Choose(now, r)
+}
+
+func (b *balancer) request(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(service).Request(now)
+}
+
+func (b *balancer) allow(now time.Time, service string, reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service).Allow(now, reserve)
+}
+
+func (b *balancer) started(now time.Time, k *placement.Token, l *call.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.Started(now, k)
+	if l != nil {
+		b.table.Report(now, k.ID, *l)
+	}
+}
+
+func (b *balancer) ended(now time.Time, k *placement.Token, whole bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.Ended(now, k, whole)
+}
+
+func (b *balancer) unreachable(now time.Time, id string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Unreachable(now, id)
+}
+
+// outcome records how an endpoint did; it returns the reason if that stopped a roll-out.
+func (b *balancer) outcome(now time.Time, e directory.Endpoint, route string, ok, answered bool, slowness float64) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.Outcome(now, e.ID, ok)
+	if !answered {
+		return ""
+	}
+	r := b.rollout(e.Service)
+	if !r.Outcome(e.Version, route, !ok, slowness) {
+		return ""
+	}
+	_, _, why := r.Status()
+	return why
+}
--- /dev/null
+++ b/internal/ingress/error.go
@@ -0,0 +1,24 @@
+package ingress
+
+import "fmt"
+
+// ErrorKind tells what failed.
+type ErrorKind string
+
+// Kinds of error.
+const (
+	ErrListener ErrorKind = "listener"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ingress: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/internal/ingress/handler.go
@@ -0,0 +1,174 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+)
+
+const (
+	bodyTime    = 10 * time.Second       // for a client to send a body after its head
+	defaultWait = time.Minute            // for requests that state no deadline on a route without a timeout
+	startWait   = 500 * time.Millisecond // until a client of an instance without a configuration may come back
+)
+
+// handler serves the clients' requests.
+type handler struct {
+	options  Options
+	view     *atomic.Pointer[View]
+	balancer *balancer
+	pool     *forward.Pool
+	metrics  *metrics
+	log      *requestLog
+	stopping *atomic.Bool
+}
+
+// ServeHTTP answers one request.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{handler: h, w: w, r: r, start: time.Now(), view: h.view.Load(), control: http.NewResponseController(w)}
+	if h.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if f := x.prepare(); f != nil {
+		x.refuse(f)
+	} else {
+		x.run()
+	}
+	x.report()
+	if x.abort {
+		// Ends the connection without the end of the body, so that a cut answer does not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// prepare finds the route and the organisation and reads the body.
+func (x *exchange) prepare() *failure {
+	q, err := x.handler.options.Protocol.Request(x.r.Header)
+	x.request = q
+	if err != nil {
+		return refusal(http.StatusBadRequest, "malformed header", err)
+	}
+	if q.ID == "" {
+		return refusal(http.StatusBadRequest, "no request identifier", nil)
+	}
+	if x.view.Directory == nil {
+		return &failure{status: http.StatusServiceUnavailable, reason: "no configuration", wait: startWait}
+	}
+	if f := x.admit(x.view.Directory); f != nil {
+		return f
+	}
+	if err := x.readBody(); err != nil {
+		return err
+	}
+	wait := x.request.Deadline
+	if t := x.route.Timeout; t > 0 && (wait == 0 || t < wait) {
+		wait = t
+	}
+	if wait == 0 {
+		wait = defaultWait
+	}
+	x.until = x.start.Add(wait)
+	return nil
+}
+
+// admit matches the request against a configuration.
+func (x *exchange) admit(d *directory.Directory) *failure {
+	path, _, _ := strings.Cut(target(x.r), "?")
+	x.route = d.Match(x.r.Host, path)
+	if x.route == nil {
+		return refusal(http.StatusNotFound, "no route", nil)
+	}
+	x.organisation = ""
+	if !x.route.Public && d.Closed() {
+		o := d.Holder(x.request.Key)
+		if o == nil {
+			return refusal(http.StatusUnauthorized, "unknown key", nil)
+		}
+		x.organisation = o.Name
+	}
+	if n := headerBytes(x.r.Header); d.Limits.HeaderBytes > 0 && n > d.Limits.HeaderBytes {
+		return refusal(http.StatusRequestHeaderFieldsTooLarge, "header too large", nil)
+	}
+	return nil
+}
+
+func (x *exchange) readBody() *failure {
+	limit := x.view.Directory.Limits.BodyBytes
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	x.hasBody = true
+	if limit > 0 && x.r.ContentLength > limit {
+		return refusal(http.StatusRequestEntityTooLarge, "body too large", nil)
+	}
+	if err := x.control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		return refusal(http.StatusBadRequest, "connection lost", err)
+	}
+	body := x.r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(x.w, body, limit)
+	}
+	b, err := io.ReadAll(body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return refusal(http.StatusRequestEntityTooLarge, "body too large", nil)
+	case err != nil:
+		return refusal(http.StatusBadRequest, "body cut off", err)
+	}
+	x.body = b
+	// The server's read of the next request on the connection sets its own deadline.
+	if err := x.control.SetReadDeadline(time.Time{}); err != nil {
+		return refusal(http.StatusBadRequest, "connection lost", err)
+	}
+	return nil
+}
+
+// target is the path and query as the client sent them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+func headerBytes(h http.Header) int {
+	n := 0
+	for k, l := range h {
+		for _, v := range l {
+			n += len(k) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// failure is an answer that the router gives itself.
+type failure struct {
+	status int
+	reason string
+	wait   time.Duration // until the client may come back; 0 says nothing
+	err    error
+}
+
+func refusal(status int, reason string, err error) *failure {
+	return &failure{status: status, reason: reason, err: err}
+}
+
+// refuse answers with a failure of the router's own.
+func (x *exchange) refuse(f *failure) {
+	x.failure = f
+	for k, v := range x.handler.options.Protocol.Refusal(x.request.ID, f.wait) {
+		x.w.Header()[k] = v
+	}
+	x.status = f.status
+	x.w.WriteHeader(f.status)
+	if _, err := io.WriteString(x.w, f.reason+"\n"); err != nil {
+		x.note(err)
+	}
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,160 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v5"
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/feed"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+)
+
+const (
+	maxHeader     = 64 << 10 // bytes of a request's head that are read; the configuration's limit is checked after that
+	headerTime    = 5 * time.Second
+	idleTime      = time.Minute
+	sweepEvery    = time.Second
+	leastStop     = 3 * time.Second        // the balancer sees two failed checks, one a second, before it stops new connections
+	stopReserve   = 500 * time.Millisecond // of the grace period, left for the process to end
+	readinessTime = time.Second
+)
+
+// Ingress is one instance.
+type Ingress struct {
+	options   Options
+	view      atomic.Pointer[View]
+	stopping  atomic.Bool
+	active    atomic.Int64
+	balancer  *balancer
+	control   *control
+	publisher *publisher
+	pool      *forward.Pool
+	handler   *handler
+}
+
+// New returns an instance that does not run yet.
+func New(o Options) *Ingress {
+	i := &Ingress{options: o, pool: forward.NewPool(o.Dialer, o.IdleConns)}
+	i.view.Store(&View{})
+	i.balancer = newBalancer(o)
+	i.control = newControl(o, i.balancer, &i.view)
+	i.publisher = newPublisher(o, i.balancer)
+	i.handler = &handler{
+		options: o, view: &i.view, balancer: i.balancer, pool: i.pool, metrics: newMetrics(o.Scope),
+		log: newRequestLog(o.Logger), stopping: &i.stopping,
+	}
+	return i
+}
+
+// Run serves until the context ends, and then stops without cutting off requests while the grace period lasts.
+func (i *Ingress) Run(ctx context.Context) error {
+	back, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var w sync.WaitGroup
+	defer w.Wait()
+	defer cancel()
+	spawn := func(f func(context.Context)) {
+		w.Add(1)
+		go func() {
+			defer w.Done()
+			f(back)
+		}()
+	}
+	spawn(i.control.run)
+	spawn(feed.NewFollower(i.options.Operators, i.options.Feeds.Operators, i.control.follow(back, topicOperators)).Run)
+	spawn(feed.NewFollower(i.options.Registry, i.options.Feeds.Registry, i.control.follow(back, topicRegistry)).Run)
+	spawn(i.publisher.run)
+	spawn(i.sweep)
+	requests := &http.Server{
+		Handler: i.count(i.handler), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+		ErrorLog: zap.NewStdLog(i.options.Logger.Named("http")),
+	}
+	failed := make(chan error, 3)
+	serve := func(s *http.Server, l net.Listener) {
+		go func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				failed <- &Error{Op: "serve", Kind: ErrListener, Err: err}
+			}
+		}()
+	}
+	side := &http.Server{Handler: i.readiness(), ReadHeaderTimeout: readinessTime}
+	meters := &http.Server{Handler: i.options.Reporter, ReadHeaderTimeout: readinessTime}
+	serve(requests, i.options.Requests)
+	serve(side, i.options.Readiness)
+	if i.options.Metrics != nil {
+		serve(meters, i.options.Metrics)
+	}
+	defer side.Close()
+	defer meters.Close()
+	defer i.pool.Close()
+	i.options.Logger.Info("instance: Started.", zap.String("instance", i.options.Instance))
+	select {
+	case err := <-failed:
+		_ = requests.Close()
+		return err
+	case <-ctx.Done():
+	}
+	i.stop(requests)
+	return nil
+}
+
+// stop serves on until the balancer has noticed and the last request has ended, or the grace period is nearly over.
+func (i *Ingress) stop(s *http.Server) {
+	begin := time.Now()
+	i.stopping.Store(true)
+	i.options.Logger.Info("instance: Stopping.", zap.Int64("requests", i.active.Load()), zap.Duration("grace", i.options.Grace))
+	end := begin.Add(max(i.options.Grace-stopReserve, stopReserve))
+	for now := begin; now.Before(end); now = time.Now() {
+		if now.Sub(begin) >= leastStop && i.active.Load() == 0 {
+			break
+		}
+		time.Sleep(tick / 4)
+	}
+	c, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	err := s.Shutdown(c)
+	if err != nil {
+		_ = s.Close()
+	}
+	i.options.Logger.Info("instance: Stopped.", zap.Int64("requests", i.active.Load()), zap.Duration("took", time.Since(begin)), zap.Error(err))
+}
+
+// count keeps the number of requests under way.
+func (i *Ingress) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		i.active.Add(1)
+		defer i.active.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// readiness answers the platform's balancer; any path will do, as nothing else is served there.
+func (i *Ingress) readiness() http.Handler {
+	e := echo.New()
+	e.Any("/*", func(c *echo.Context) error {
+		if i.stopping.Load() || !i.view.Load().Ready() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return e
+}
+
+func (i *Ingress) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			i.pool.Sweep(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/options.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/call"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/escalation"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
+	"github.com/cassiaspoke/cassiaspoke/internal/feed"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+)
+
+// Protocol translates the headers of requests and answers.
+type Protocol interface {
+	Request(h http.Header) (call.Request, error)
+	Outbound(client http.Header, s call.Send) http.Header
+	Answer(status int, h http.Header) call.Answer
+	Inbound(h http.Header) http.Header
+	Refusal(id string, wait time.Duration) http.Header
+}
+
+// Records translates the records of the store.
+type Records interface {
+	Operator(key string, value []byte) (directory.OperatorChange, error)
+	Registration(key string, value []byte) (directory.EndpointChange, error)
+	Status(key string, value []byte) (directory.RolloutStatus, error)
+	StatusRecord(s directory.RolloutStatus) (feed.Record, error)
+}
+
+// StatusTopic holds the states of roll-outs.
+type StatusTopic interface {
+	feed.Source
+	// Append adds a record if the topic still ends at the offset.
+	Append(ctx context.Context, r feed.Record, at int64) error
+}
+
+// Options are what an instance of the ingress is made of.
+type Options struct {
+	Instance  string
+	Protocol  Protocol
+	Records   Records
+	Operators feed.Source
+	Registry  feed.Source
+	Status    StatusTopic
+	Dialer    forward.Dialer
+
+	Requests  net.Listener // of clients
+	Readiness net.Listener
+	Metrics   net.Listener
+	Scope     tally.Scope
+	Reporter  http.Handler // of the metrics
+	Logger    *zap.Logger
+
+	Feeds      Feeds
+	Placement  placement.Settings
+	Escalation escalation.Settings
+	Retries    retry.Settings
+	Exposure   float64       // largest share of a roll-out's requests that a bad version may get
+	Session    time.Duration // within which requests of a session belong together
+	Grace      time.Duration // from a request to stop until the process is killed
+	IdleConns  int           // idle connections kept to one endpoint
+}
+
+// Feeds pace the followers of the store.
+type Feeds struct {
+	Operators feed.Options
+	Registry  feed.Options
+	Status    time.Duration // between reads of the states while a roll-out is under way
+}
--- /dev/null
+++ b/internal/ingress/stream.go
@@ -0,0 +1,144 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/escalation"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+)
+
+func (a *attempt) isStream() bool {
+	return a.exchange.route.Kind == directory.Stream && a.reply.Status < http.StatusMultipleChoices &&
+		strings.HasPrefix(a.reply.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// stream hands whole events on as they come, and asks a larger model first if this one is not sure of its answer.
+func (a *attempt) stream() (step, string) {
+	x := a.exchange
+	if m := a.larger(); m != "" {
+		a.finish(false, false)
+		a.judge(true)
+		x.model, x.allowed = m, true
+		return again, "confidence " + strconv.Itoa(a.answer.Confidence)
+	}
+	e := forward.NewEvents(a.reply.Body)
+	for {
+		if err := a.reply.Wait(a.gap()); err != nil {
+			return a.interrupted(err)
+		}
+		v, err := e.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return a.complete()
+		case err != nil:
+			return a.interrupted(a.reply.Failure("read event", err))
+		}
+		if err := x.write(a, v, e.Buffered()); err != nil {
+			x.note(err)
+			x.gone = true
+			a.finish(false, false)
+			return done, "client left"
+		}
+	}
+}
+
+// larger returns the model to ask instead, or "".
+func (a *attempt) larger() string {
+	x := a.exchange
+	if x.delivered || x.model == "" || !x.more() {
+		return ""
+	}
+	now := time.Now()
+	c := escalation.Case{
+		Confidence: a.answer.Confidence, Models: x.route.Models, Model: x.model,
+		Attempts: x.route.Attempts - x.sends, Remaining: x.start.Add(x.route.Objective).Sub(now),
+	}
+	q := x.placement()
+	q.Model = x.route.Models[len(x.route.Models)-1]
+	if p, ok := x.handler.balancer.look(now, q); ok {
+		c.Start, c.Busy = p.Start, p.Busy
+	} else {
+		return ""
+	}
+	m := x.handler.options.Escalation.Next(c)
+	if m == "" || !x.handler.balancer.allow(now, x.service, 0) {
+		return ""
+	}
+	return m
+}
+
+// gap is when the wait for the next event ends.
+func (a *attempt) gap() time.Time {
+	x := a.exchange
+	if !x.route.Resumable || !x.more() {
+		return time.Time{}
+	}
+	return time.Now().Add(max(gapFactor*x.route.MaxGap, gapLeast))
+}
+
+// write hands an event to the client.
+func (x *exchange) write(a *attempt, v forward.Event, more bool) error {
+	if !x.delivered {
+		x.head(a)
+	}
+	if _, err := x.w.Write(v.Bytes); err != nil {
+		return err
+	}
+	x.events++
+	if v.ID != "" {
+		x.request.LastEvent = v.ID
+	}
+	if more {
+		return nil
+	}
+	return x.control.Flush()
+}
+
+func (x *exchange) head(a *attempt) {
+	h := x.w.Header()
+	for k, v := range x.handler.options.Protocol.Inbound(a.reply.Header) {
+		h[k] = v
+	}
+	x.status, x.delivered = a.reply.Status, true
+	x.firstByte = time.Since(x.start)
+	x.w.WriteHeader(a.reply.Status)
+}
+
+func (a *attempt) complete() (step, string) {
+	x := a.exchange
+	if !x.delivered {
+		x.head(a)
+	}
+	if err := x.control.Flush(); err != nil {
+		x.note(err)
+		x.gone = true
+	}
+	a.finish(true, true)
+	a.judge(true)
+	return done, "complete"
+}
+
+// interrupted handles a stream that broke off or went silent.
+func (a *attempt) interrupted(err error) (step, string) {
+	x := a.exchange
+	x.note(err)
+	a.finish(false, false)
+	switch {
+	case x.left():
+		return done, "client left"
+	case forward.KindOf(err) == forward.ErrStopped:
+		return settled, "deadline"
+	}
+	x.avoid[a.choice.Endpoint.ID] = true
+	x.handler.balancer.outcome(time.Now(), a.choice.Endpoint, x.route.Name, false, false, 0)
+	if !x.route.Resumable {
+		return settled, "broken"
+	}
+	return again, "broken"
+}
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -20,14 +20,22 @@
 
 // Load reads and checks a settings file; an *Error lists all of its problems.
 func Load(path string) (Settings, error) {
+	b, err := read(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return Parse(path, b)
+}
+
+func read(path string) ([]byte, error) {
 	b, err := os.ReadFile(path)
 	if err == nil && len(b) > maxFile {
 		err = fmt.Errorf("%s has %d bytes, want %d or less", path, len(b), maxFile)
 	}
 	if err != nil {
-		return Settings{}, &Error{Op: "load", Kind: ErrRead, File: path, Err: err}
+		return nil, &Error{Op: "load", Kind: ErrRead, File: path, Err: err}
 	}
-	return Parse(path, b)
+	return b, nil
 }
 
 // Parse reads settings from the content of the file at path.
--- /dev/null
+++ b/internal/settings/ingress.go
@@ -0,0 +1,76 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Ingress is everything that an instance on the users' platform is told at its start.
+type Ingress struct {
+	Instance Instance       `json:"instance"`
+	Listen   IngressListen  `json:"listen"`
+	Store    netip.AddrPort `json:"store" validate:"required"` // the platform's store
+	Limits   IngressLimits  `json:"limits"`
+	Bounds   IngressBounds  `json:"bounds"`
+	Log      Log            `json:"log"`
+}
+
+// IngressListen holds the addresses that an instance serves.
+type IngressListen struct {
+	Requests  netip.AddrPort `json:"requests" validate:"required"`
+	Readiness netip.AddrPort `json:"readiness" validate:"required"`
+	Metrics   netip.AddrPort `json:"metrics" validate:"required"`
+}
+
+// IngressLimits is what the machine gives one process.
+type IngressLimits struct {
+	Memory Size `json:"memory" validate:"min=33554432"` // above it the process is killed
+}
+
+// IngressBounds is what the platform promises or asks for.
+type IngressBounds struct {
+	Drain       time.Duration `json:"drain" validate:"min=100ms"` // from an endpoint's notice until it may get no new work
+	Apply       time.Duration `json:"apply" validate:"min=100ms"` // from a configuration's acknowledgement until it is in force
+	Grace       time.Duration `json:"grace" validate:"min=1s"`    // from the request to stop until the process is killed
+	Session     time.Duration `json:"session" validate:"min=0s"`  // within which requests of a session belong together
+	RetryWindow time.Duration `json:"retry-window" validate:"min=1s"`
+	RetryRatio  float64       `json:"retry-ratio" validate:"min=0"` // further sends for each request in the window
+	RetrySlack  float64       `json:"retry-slack" validate:"min=0"` // the same without any request, of all instances together
+	Exposure    float64       `json:"exposure" validate:"gt=0,max=1"`
+}
+
+// DefaultIngress returns the settings that hold where a file says nothing.
+func DefaultIngress() Ingress {
+	return Ingress{
+		Limits: IngressLimits{Memory: 256 * MiB},
+		Bounds: IngressBounds{
+			Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 8 * time.Second, Session: 5 * time.Second,
+			RetryWindow: 10 * time.Second, RetryRatio: 0.2, Exposure: 0.1,
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
+// LoadIngress reads and checks a settings file of an instance on the platform; an *Error lists all of its problems.
+func LoadIngress(path string) (Ingress, error) {
+	b, err := read(path)
+	if err != nil {
+		return Ingress{}, err
+	}
+	s := DefaultIngress()
+	d := newDecoder(path, b)
+	if d.tree(&s) {
+		d.checkFields(s)
+	}
+	if err := d.result(); err != nil {
+		return Ingress{}, err
+	}
+	return s, nil
+}
+
+// String returns the instance's identity and addresses only.
+func (s Ingress) String() string {
+	return fmt.Sprintf("instance %s in %s (%s), requests %s, readiness %s, store %s",
+		s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.Region, s.Listen.Requests, s.Listen.Readiness, s.Store)
+}
--- a/internal/settings/rules.go
+++ b/internal/settings/rules.go
@@ -29,6 +29,13 @@
 
 // check adds the problems of values that were read, one by one and then together.
 func (d *decoder) check(s Settings) {
+	d.checkFields(s)
+	d.checkListeners(s)
+	d.checkTimes(s)
+}
+
+// checkFields adds the problems that the rules in the fields' tags find.
+func (d *decoder) checkFields(s any) {
 	var l validator.ValidationErrors
 	if errors.As(checker.Struct(s), &l) {
 		for _, f := range l {
@@ -36,8 +43,6 @@
 			d.fault(path, "nothing", want(f))
 		}
 	}
-	d.checkListeners(s)
-	d.checkTimes(s)
 }
 
 func (d *decoder) checkListeners(s Settings) {
