--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -104,18 +104,14 @@
 	return nil
 }
 
-// stop serves on until the balancer has noticed and the last request has ended, or the grace period is nearly over.
+// stop serves on until the balancer has noticed. Then it closes the connections without a request, as a client that
+// keeps one would go on sending until the process ends, and waits for the requests under way while the grace period lasts.
 func (i *Ingress) stop(s *http.Server) {
 	begin := time.Now()
 	i.stopping.Store(true)
 	i.options.Logger.Info("instance: Stopping.", zap.Int64("requests", i.active.Load()), zap.Duration("grace", i.options.Grace))
 	end := begin.Add(max(i.options.Grace-stopReserve, stopReserve))
-	for now := begin; now.Before(end); now = time.Now() {
-		if now.Sub(begin) >= leastStop && i.active.Load() == 0 {
-			break
-		}
-		time.Sleep(tick / 4)
-	}
+	time.Sleep(min(leastStop, i.options.Grace/2))
 	c, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := s.Shutdown(c)
