--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -111,7 +111,7 @@
 	return ingress.Options{
 		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Records: platform.Records{},
 		Operators: store.Topic(platform.TopicOperator), Registry: store.Topic(platform.TopicRegistry),
-		Status: store.Topic(platform.TopicStatus), Dialer: d,
+		Status: store.Topic(platform.TopicStatus), Schedules: store.Topic(platform.TopicSchedules), Dialer: d,
 		Feeds: ingress.Feeds{
 			Operators: feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
 			Registry: feed.Options{
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -21,7 +21,7 @@
 // requests of a roll-out.
 func DefaultSettings(exposure float64, session time.Duration) Settings {
 	return Settings{
-		Share: exposure * 2 / 3, Ramp: 0.5, Full: 0.6, Complete: 0.9,
+		Share: exposure * 2 / 3, Ramp: 0.55, Full: 0.65, Complete: 0.9,
 		Session: session, Sessions: 1 << 14,
 	}
 }
@@ -31,6 +31,9 @@
 	Target   string
 	Duration time.Duration
 	Started  time.Time
+	// Confirmed is set once the published state was read: a restarted instance must not send to a version that was
+	// rolled back before.
+	Confirmed bool
 }
 
 // Rollout is the state of one service; it is not safe for concurrent use.
@@ -54,19 +57,36 @@
 	return &Rollout{settings: s, sessions: map[string]pin{}}
 }
 
-// Order starts a roll-out; a repeated order changes nothing. Elapsed is how long ago it began if that is known.
-func (r *Rollout) Order(now time.Time, o directory.RolloutOrder, elapsed time.Duration) bool {
+// Order starts a roll-out; a repeated order changes nothing.
+func (r *Rollout) Order(now time.Time, o directory.RolloutOrder) bool {
 	if r.order != nil && r.order.Target == o.Target && r.order.Duration == o.Duration {
 		return false
 	}
 	if r.state == directory.RolloutCompleted && r.order != nil {
 		r.current = r.order.Target
 	}
-	r.order = &Order{Target: o.Target, Duration: o.Duration, Started: now.Add(-min(max(elapsed, 0), o.Duration))}
+	r.order = &Order{Target: o.Target, Duration: o.Duration, Started: now}
 	r.state, r.reason, r.fresh = directory.RolloutRunning, "ordered", newEvidence()
 	return true
 }
 
+// Began corrects the start of a roll-out to one that another instance saw earlier.
+func (r *Rollout) Began(now time.Time, elapsed time.Duration) {
+	if r.order == nil {
+		return
+	}
+	if t := now.Add(-min(elapsed, r.order.Duration)); t.Before(r.order.Started) {
+		r.order.Started = t
+	}
+}
+
+// Confirm records that the published states were read after the order.
+func (r *Rollout) Confirm() {
+	if r.order != nil {
+		r.order.Confirmed = true
+	}
+}
+
 // Published applies a state that was read from the store.
 func (r *Rollout) Published(s directory.RolloutStatus) bool {
 	if r.order == nil || s.Target != r.order.Target || s.State == directory.RolloutRunning || s.State == r.state {
@@ -138,7 +158,7 @@
 }
 
 func (r *Rollout) pick(now time.Time, session string, u float64) string {
-	if r.order == nil || r.state == directory.RolloutRolledBack {
+	if r.order == nil || r.state == directory.RolloutRolledBack || !r.order.Confirmed {
 		return r.current
 	}
 	if r.state == directory.RolloutCompleted {
@@ -166,7 +186,7 @@
 // Other returns the version to use while the picked one has no endpoint, or "".
 func (r *Rollout) Other(version string) string {
 	switch {
-	case r.order == nil || r.state != directory.RolloutRunning:
+	case r.order == nil || r.state != directory.RolloutRunning || !r.order.Confirmed:
 		return ""
 	case version == r.order.Target:
 		return r.current
@@ -218,7 +238,7 @@
 	if r.order == nil {
 		return "", false
 	}
-	if r.state == directory.RolloutRunning && r.progress(now) >= r.settings.Complete {
+	if r.state == directory.RolloutRunning && r.order.Confirmed && r.progress(now) >= r.settings.Complete {
 		return directory.RolloutCompleted, true
 	}
 	return r.state, true
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -129,7 +129,7 @@
 
 func (c *control) order(now time.Time, o directory.RolloutOrder, offset int64) {
 	c.balancer.mu.Lock()
-	started := c.balancer.rollout(o.Service).Order(now, o, 0)
+	started := c.balancer.rollout(o.Service).Order(now, o)
 	c.balancer.mu.Unlock()
 	if started {
 		c.options.Logger.Info("roll-out: Ordered.", zap.String("service", o.Service), zap.String("version", o.Target),
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -93,7 +93,7 @@
 	defer side.Close()
 	defer meters.Close()
 	defer i.pool.Close()
-	i.options.Logger.Info("instance: Started.", zap.String("instance", i.options.Instance))
+	i.options.Logger.Info("instance: Started.")
 	select {
 	case err := <-failed:
 		_ = requests.Close()
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -35,8 +35,8 @@
 	StatusRecord(s directory.RolloutStatus) (feed.Record, error)
 }
 
-// StatusTopic holds the states of roll-outs.
-type StatusTopic interface {
+// Topic is a topic that instances read and write.
+type Topic interface {
 	feed.Source
 	// Append adds a record if the topic still ends at the offset.
 	Append(ctx context.Context, r feed.Record, at int64) error
@@ -49,7 +49,8 @@
 	Records   Records
 	Operators feed.Source
 	Registry  feed.Source
-	Status    StatusTopic
+	Status    Topic
+	Schedules Topic // when roll-outs began, for instances that start during one
 	Dialer    forward.Dialer
 
 	Requests  net.Listener // of clients
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -20,17 +20,21 @@
 	balancer  *balancer
 	published map[string]directory.RolloutStatus
 	due       map[string]time.Time // when a state that the store lacks is to be written
+	schedules schedules
 }
 
 func newPublisher(o Options, b *balancer) *publisher {
-	return &publisher{options: o, balancer: b, published: map[string]directory.RolloutStatus{}, due: map[string]time.Time{}}
+	return &publisher{
+		options: o, balancer: b, published: map[string]directory.RolloutStatus{}, due: map[string]time.Time{},
+		schedules: schedules{options: o, balancer: b, settled: map[string]string{}},
+	}
 }
 
 // run reads and writes states until the context ends.
 func (p *publisher) run(ctx context.Context) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	read := time.Time{}
+	var read, failed time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -39,14 +43,16 @@
 		}
 		now := time.Now()
 		wanted := p.wanted(now)
-		if len(wanted) == 0 {
+		if len(wanted) == 0 || now.Sub(failed) < p.options.Feeds.Status {
 			continue
 		}
-		if now.Sub(read) < p.options.Feeds.Status && !p.anyDue(now, wanted) {
+		if due := p.anyDue(now, wanted); !due && now.Sub(read) < p.options.Feeds.Status {
 			continue
 		}
 		read = now
-		p.sync(ctx, wanted)
+		if !p.sync(ctx, wanted) {
+			failed = now
+		}
 	}
 }
 
@@ -84,14 +90,15 @@
 	return false
 }
 
-// sync reads the states of all roll-outs and writes those that are due.
-func (p *publisher) sync(ctx context.Context, wanted map[string]directory.RolloutStatus) {
+// sync reads the states of all roll-outs and writes those that are due; it reports whether the store answered.
+func (p *publisher) sync(ctx context.Context, wanted map[string]directory.RolloutStatus) bool {
 	c, cancel := context.WithTimeout(ctx, p.options.Feeds.Operators.Timeout)
 	defer cancel()
+	p.schedules.settle(c)
 	b, err := p.options.Status.Newest(c)
 	if err != nil {
 		p.options.Logger.Warn("roll-out: The published states can't be read.", zap.Error(err))
-		return
+		return false
 	}
 	for _, r := range b.Records {
 		s, err := p.options.Records.Status(r.Key, r.Value)
@@ -102,6 +109,7 @@
 			p.read(s)
 		}
 	}
+	p.confirm(wanted)
 	now := time.Now()
 	for s, w := range wanted {
 		o := p.published[s]
@@ -109,7 +117,17 @@
 			continue
 		}
 		p.write(c, w, b.Next)
-		return // the end of the topic has moved
+		break // the end of the topic has moved
+	}
+	return true
+}
+
+// confirm tells the roll-outs that the published states were read.
+func (p *publisher) confirm(wanted map[string]directory.RolloutStatus) {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	for s := range wanted {
+		p.balancer.rollout(s).Confirm()
 	}
 }
 
