--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -122,7 +122,7 @@
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation: escalation.DefaultSettings(),
 		Retries:    retry.Settings{Window: b.RetryWindow, Ratio: ratioShare * b.RetryRatio, Slack: b.RetrySlack / fleetGuess},
-		Exposure:   b.Exposure, Session: b.Session, Grace: b.Grace, IdleConns: idleConns,
+		Exposure:   b.Exposure, Grace: b.Grace, IdleConns: idleConns,
 	}
 }
 
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -9,21 +9,19 @@
 
 // Settings shape a roll-out; times are parts of the duration that the operator ordered.
 type Settings struct {
-	Share    float64       // of the requests for the new version until Ramp
-	Ramp     float64       // when the share begins to grow
-	Full     float64       // when all requests go to the new version
-	Complete float64       // when the roll-out is completed; requests on the old version have ended by then
-	Session  time.Duration // within which a session's next request stays on the version of the one before
-	Sessions int           // sessions remembered
+	// Begin is when the new version gets its first requests. Sessions move between instances, so one that has begun on
+	// the old version can't be told from a new one; it may change its version in the second half of a roll-out only.
+	Begin    float64
+	Share    float64 // of the requests, from Begin until Ramp
+	Ramp     float64 // when the share begins to grow
+	Full     float64 // when all requests go to the new version
+	Complete float64 // when the roll-out is completed; requests on the old version have ended by then
 }
 
 // DefaultSettings returns an instance's settings; exposure is the largest share that a bad version may get of all
 // requests of a roll-out.
-func DefaultSettings(exposure float64, session time.Duration) Settings {
-	return Settings{
-		Share: exposure * 2 / 3, Ramp: 0.55, Full: 0.65, Complete: 0.9,
-		Session: session, Sessions: 1 << 14,
-	}
+func DefaultSettings(exposure float64) Settings {
+	return Settings{Begin: 0.53, Share: exposure * 2 / 3, Ramp: 0.68, Full: 0.76, Complete: 0.92}
 }
 
 // Order is a roll-out as this instance knows it.
@@ -44,17 +42,11 @@
 	state    directory.RolloutState
 	reason   string
 	fresh    *evidence
-	sessions map[string]pin
-}
-
-type pin struct {
-	version string
-	at      time.Time
 }
 
 // New returns the state of a service without a roll-out.
 func New(s Settings) *Rollout {
-	return &Rollout{settings: s, sessions: map[string]pin{}}
+	return &Rollout{settings: s}
 }
 
 // Order starts a roll-out; a repeated order changes nothing.
@@ -131,6 +123,8 @@
 	}
 	s := r.settings
 	switch p := r.progress(now); {
+	case p < s.Begin:
+		return 0
 	case p < s.Ramp:
 		return s.Share
 	case p < s.Full:
@@ -147,37 +141,14 @@
 	return float64(now.Sub(r.order.Started)) / float64(r.order.Duration)
 }
 
-// Pick returns the version for a request; u is its place in [0, 1), the same for all requests of a session. The
-// version is empty while no endpoint is known.
-func (r *Rollout) Pick(now time.Time, session string, u float64) string {
-	v := r.pick(now, session, u)
-	if session != "" && r.order != nil {
-		r.pin(now, session, v)
-	}
-	return v
-}
-
-func (r *Rollout) pick(now time.Time, session string, u float64) string {
-	if r.order == nil || r.state == directory.RolloutRolledBack || !r.order.Confirmed {
-		return r.current
-	}
-	if r.state == directory.RolloutCompleted {
-		return r.order.Target
-	}
-	share := r.Share(now)
-	if p, ok := r.sessions[session]; ok && session != "" && now.Sub(p.at) < r.settings.Session {
-		switch {
-		case p.version == r.order.Target:
-			return p.version
-		case share < 1 && r.progress(now) < r.settings.Ramp:
-			return p.version
-		}
-	}
-	// Sessions may have begun before the order, on another instance, without being known here.
-	if session != "" && now.Sub(r.order.Started) < r.settings.Session {
+// Pick returns the version for a request; u is its place in [0, 1), the same for all requests of a session, so that a
+// session that has moved to the new version stays there as the share grows. The version is empty while no endpoint is
+// known.
+func (r *Rollout) Pick(now time.Time, u float64) string {
+	switch {
+	case r.order == nil || r.state == directory.RolloutRolledBack || !r.order.Confirmed:
 		return r.current
-	}
-	if u < share {
+	case r.state == directory.RolloutCompleted || u < r.Share(now):
 		return r.order.Target
 	}
 	return r.current
@@ -194,27 +165,6 @@
 	return ""
 }
 
-// Seen notes the version of a session's request, also outside of a roll-out, so that one that begins later keeps it.
-func (r *Rollout) Seen(now time.Time, session, version string) {
-	if session != "" {
-		r.pin(now, session, version)
-	}
-}
-
-func (r *Rollout) pin(now time.Time, session, version string) {
-	if len(r.sessions) >= r.settings.Sessions {
-		for k, p := range r.sessions {
-			if now.Sub(p.at) >= r.settings.Session {
-				delete(r.sessions, k)
-			}
-		}
-		if len(r.sessions) >= r.settings.Sessions {
-			return
-		}
-	}
-	r.sessions[session] = pin{version, now}
-}
-
 // Outcome records an answer; slowness is its time over the expected one, 0 if unknown. It reports whether the
 // roll-out was stopped by it.
 func (r *Rollout) Outcome(version, route string, failed bool, slowness float64) bool {
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -45,7 +45,7 @@
 func (b *balancer) rollout(service string) *canary.Rollout {
 	r := b.rollouts[service]
 	if r == nil {
-		r = canary.New(canary.DefaultSettings(b.options.Exposure, b.options.Session))
+		r = canary.New(canary.DefaultSettings(b.options.Exposure))
 		b.rollouts[service] = r
 	}
 	return r
@@ -69,7 +69,7 @@
 	u := float64(xxhash.Sum64String(service+"\x00"+k)>>11) / (1 << 53)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.rollout(service).Pick(now, q.Session, u)
+	return b.rollout(service).Pick(now, u)
 }
 
 // choose returns the endpoint for a request and records the send.
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -65,7 +65,6 @@
 	Escalation escalation.Settings
 	Retries    retry.Settings
 	Exposure   float64       // largest share of a roll-out's requests that a bad version may get
-	Session    time.Duration // within which requests of a session belong together
 	Grace      time.Duration // from a request to stop until the process is killed
 	IdleConns  int           // idle connections kept to one endpoint
 }
