Follow the store by bounded waiting reads, and share crash suspects and starts of roll-outs

Cause: polling the registry and the states cost most of the calls to the store. The registry changes rarely, so all topics are read with a wait now. Instances tell each other through a topic of their own when roll-outs began and which contents crash endpoints. A 503 or another status that promises not-run is handed on only with the endpoint's own word that it has not run.

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -29,17 +29,15 @@
 )
 
 const (
-	memoryShare   = 0.7                     // of the memory limit for the runtime's heap; sockets and stacks take the rest
-	dialTime      = 300 * time.Millisecond  // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
-	storeTime     = 700 * time.Millisecond  // for a call to the store, which answers within 0.3 s when it is slow
-	storeWait     = 1500 * time.Millisecond // of a read that waits for a record: a silent connection is noticed within the bound
-	storeRetry    = 250 * time.Millisecond
-	statusEvery   = 1500 * time.Millisecond // a third of the bound on stopping a bad version
-	registryShare = 0.5                     // of the drain bound, between reads of the registry
-	idleConns     = 8                       // idle connections kept to one endpoint
-	ratioShare    = 0.9                     // of the fleet's retry budget; the rest covers instances that count differently
-	fleetGuess    = 8                       // instances that share the slack of the retry budget
-	reloadEvery   = time.Second             // between looks at the settings file, which may change without a signal
+	memoryShare = 0.7                    // of the memory limit for the runtime's heap; sockets and stacks take the rest
+	dialTime    = 300 * time.Millisecond // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
+	storeTime   = 700 * time.Millisecond // for a call to the store, which answers within 0.3 s when it is slow
+	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
+	storeRetry  = 250 * time.Millisecond
+	idleConns   = 8           // idle connections kept to one endpoint
+	ratioShare  = 0.9         // of the fleet's retry budget; the rest covers instances that count differently
+	fleetGuess  = 8           // instances that share the slack of the retry budget
+	reloadEvery = time.Second // between looks at the settings file, which may change without a signal
 )
 
 func ingressCommand() *cli.Command {
@@ -111,13 +109,10 @@
 	return ingress.Options{
 		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Records: platform.Records{},
 		Operators: store.Topic(platform.TopicOperator), Registry: store.Topic(platform.TopicRegistry),
-		Status: store.Topic(platform.TopicStatus), Schedules: store.Topic(platform.TopicSchedules), Dialer: d,
+		Status: store.Topic(platform.TopicStatus), Board: store.Topic(platform.TopicBoard), Dialer: d,
 		Feeds: ingress.Feeds{
-			Operators: feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
-			Registry: feed.Options{
-				Interval: time.Duration(registryShare * float64(b.Drain)), Timeout: storeTime, Retry: storeRetry,
-			},
-			Status: statusEvery,
+			Operators: feed.Options{Wait: b.Stability, Timeout: storeTime, Retry: storeRetry},
+			Slow:      feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
 		},
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation: escalation.DefaultSettings(),
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -29,6 +29,7 @@
 	Target   string
 	Duration time.Duration
 	Started  time.Time
+	Settled  bool // all instances count from the same start
 	// Confirmed is set once the published state was read: a restarted instance must not send to a version that was
 	// rolled back before.
 	Confirmed bool
@@ -67,6 +68,7 @@
 	if r.order == nil {
 		return
 	}
+	r.order.Settled = true
 	if t := now.Add(-min(elapsed, r.order.Duration)); t.Before(r.order.Started) {
 		r.order.Started = t
 	}
@@ -210,5 +212,8 @@
 	return r.order.Started
 }
 
+// Settled reports whether the start is the one that all instances know.
+func (r *Rollout) Settled() bool { return r.order != nil && r.order.Settled }
+
 // Running reports whether a roll-out is under way.
 func (r *Rollout) Running() bool { return r.order != nil && r.state == directory.RolloutRunning }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -50,18 +50,19 @@
 	source  Source
 	options Options
 	emit    func(Update)
-	wake    chan struct{}
+	restart chan struct{}
 }
 
 // NewFollower returns a follower that hands each update to emit, from one goroutine.
 func NewFollower(s Source, o Options, emit func(Update)) *Follower {
-	return &Follower{source: s, options: o, emit: emit, wake: make(chan struct{}, 1)}
+	return &Follower{source: s, options: o, emit: emit, restart: make(chan struct{}, 1)}
 }
 
-// Wake makes the follower read at once instead of waiting for its interval to end.
-func (f *Follower) Wake() {
+// Restart abandons a call that waits and reads anew: a call that was under way while the store failed may never be
+// answered.
+func (f *Follower) Restart() {
 	select {
-	case f.wake <- struct{}{}:
+	case f.restart <- struct{}{}:
 	default:
 	}
 }
@@ -71,10 +72,13 @@
 	var next int64
 	loaded := false
 	for ctx.Err() == nil {
-		u := f.call(ctx, loaded, next)
+		u, restarted := f.call(ctx, loaded, next)
 		if ctx.Err() != nil {
 			return
 		}
+		if restarted {
+			continue
+		}
 		pause := f.options.Interval - time.Since(u.At)
 		switch {
 		case u.Err != nil:
@@ -94,23 +98,38 @@
 	}
 }
 
-func (f *Follower) call(ctx context.Context, loaded bool, next int64) Update {
+// call makes one call and reports whether it was abandoned.
+func (f *Follower) call(ctx context.Context, loaded bool, next int64) (Update, bool) {
+	wait := time.Duration(0)
+	if loaded {
+		wait = f.options.Wait
+	}
+	c, cancel := context.WithTimeout(ctx, wait+f.options.Timeout)
+	defer cancel()
 	u := Update{At: time.Now(), Full: !loaded}
+	done := make(chan struct{})
 	var b Batch
-	if loaded {
-		c, cancel := context.WithTimeout(ctx, f.options.Wait+f.options.Timeout)
-		defer cancel()
-		b, u.Err = f.source.Read(c, next, f.options.Wait)
-	} else {
-		c, cancel := context.WithTimeout(ctx, f.options.Timeout)
-		defer cancel()
-		b, u.Err = f.source.Newest(c)
+	go func() {
+		defer close(done)
+		if loaded {
+			b, u.Err = f.source.Read(c, next, wait)
+		} else {
+			b, u.Err = f.source.Newest(c)
+		}
+	}()
+	restarted := false
+	select {
+	case <-done:
+	case <-f.restart:
+		restarted = true
+		cancel()
+		<-done
 	}
 	u.Records, u.Next = b.Records, b.Next
 	if b.Trimmed {
 		u.Next = -1
 	}
-	return u
+	return u, restarted && u.Err != nil
 }
 
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
@@ -122,6 +141,6 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
-	case <-f.wake:
+	case <-f.restart:
 	}
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -55,6 +55,17 @@
 	return &conn{Conn: n, address: a, reader: bufio.NewReaderSize(n, readSize)}, nil
 }
 
+// Dead reports whether no connection can be made to an endpoint: after a connection that broke, it tells a lost answer
+// from the end of the process.
+func (p *Pool) Dead(ctx context.Context, a netip.AddrPort) bool {
+	c, err := p.dialer.Dial(ctx, a)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	p.put(&conn{Conn: c, address: a, reader: bufio.NewReaderSize(c, readSize)}, 0)
+	return false
+}
+
 func (p *Pool) take(a netip.AddrPort) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -76,12 +76,15 @@
 			x.handler.balancer.unreachable(time.Now(), id)
 		}
 		return again, fmt.Sprintf("not executed (%d)", reply.Status)
+	case !a.answer.Sealed || a.answer.Encoded:
+		x.ran = true
+		return a.spoilt(errors.New("an answer without the endpoint's signature"))
+	case promises(reply.Status):
+		x.ran = true
+		return a.spoilt(fmt.Errorf("status %d, which promises that the request has not run, without the endpoint's word for it", reply.Status))
 	case reply.Status >= http.StatusInternalServerError:
 		x.ran = true
 		return a.erred()
-	case reply.Status < http.StatusMultipleChoices && (!a.answer.Sealed || a.answer.Encoded):
-		x.ran = true
-		return a.spoilt(errors.New("an answer without the endpoint's signature"))
 	case x.delivered || a.isStream():
 		x.ran = true
 		return a.stream()
@@ -90,6 +93,15 @@
 	return a.plain()
 }
 
+// promises reports whether clients take a status as a promise that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // watch moves a request that may be repeated to another endpoint if this one stays silent.
 func (a *attempt) watch() func() {
 	x := a.exchange
@@ -132,6 +144,11 @@
 		}
 		x.allowed = true
 	}
+	if (kind == forward.ErrNoReply || kind == forward.ErrStale) && x.handler.pool.Dead(x.ctx, a.choice.Endpoint.Address) {
+		x.handler.board.death(now, id, x.content)
+		x.handler.log.endpoint(id, "dead", x.handler.balancer.unreachable(now, id), err)
+		x.avoid[id] = true
+	}
 	if kind != forward.ErrStale {
 		x.avoid[id] = true
 		x.handler.balancer.outcome(now, a.choice.Endpoint, x.route.Name, false, false, 0)
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -22,6 +22,7 @@
 	roster   *roster.Roster
 	updates  chan update
 	reached  map[string]bool // whether the last call for a topic succeeded
+	regained func()          // called when a topic was lost and is back
 	now      View
 }
 
@@ -40,7 +41,7 @@
 func newControl(o Options, b *balancer, v *atomic.Pointer[View]) *control {
 	return &control{
 		options: o, balancer: b, view: v, roster: roster.New(), updates: make(chan update, 16),
-		reached: map[string]bool{topicOperators: true, topicRegistry: true},
+		reached: map[string]bool{topicOperators: true, topicRegistry: true}, regained: func() {},
 	}
 }
 
@@ -95,6 +96,7 @@
 	}
 	c.reached[u.topic] = ok
 	if ok {
+		c.regained()
 		c.options.Logger.Info("store: Regained.", zap.String("topic", u.topic), zap.Int64("next", u.Next))
 	} else {
 		c.options.Logger.Warn("store: Lost; the last known state stays in use.", zap.String("topic", u.topic), zap.Error(u.Err))
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/call"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
@@ -22,6 +23,7 @@
 
 var (
 	errSilent   = errors.New("no byte within the expected time")
+	errSuspect  = errors.New("the content has crashed endpoints")
 	errDeadline = errors.New("the deadline has passed")
 )
 
@@ -41,6 +43,7 @@
 	request      call.Request
 	body         []byte
 	hasBody      bool
+	content      suspect.Content
 
 	service string
 	version string
@@ -128,6 +131,10 @@
 	if f := x.rematch(); f != nil {
 		return settled, f
 	}
+	if x.sends > 0 && x.handler.board.judge(now, x.content) {
+		x.note(errSuspect)
+		return settled, nil
+	}
 	if x.sends >= x.route.Attempts || x.missed >= maxConnects {
 		return settled, nil
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
@@ -24,6 +25,7 @@
 	view     *atomic.Pointer[View]
 	balancer *balancer
 	pool     *forward.Pool
+	board    *board
 	metrics  *metrics
 	log      *requestLog
 	stopping *atomic.Bool
@@ -63,8 +65,12 @@
 	if f := x.admit(x.view.Directory); f != nil {
 		return f
 	}
-	if err := x.readBody(); err != nil {
-		return err
+	if f := x.readBody(); f != nil {
+		return f
+	}
+	x.content = suspect.Sum(x.organisation, []byte(target(x.r)), x.body)
+	if x.handler.board.judge(x.start, x.content) {
+		return &failure{status: http.StatusServiceUnavailable, reason: "its content has crashed endpoints"}
 	}
 	wait := x.request.Deadline
 	if t := x.route.Timeout; t > 0 && (wait == 0 || t < wait) {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -35,6 +35,7 @@
 	balancer  *balancer
 	control   *control
 	publisher *publisher
+	board     *board
 	pool      *forward.Pool
 	handler   *handler
 }
@@ -45,9 +46,10 @@
 	i.view.Store(&View{})
 	i.balancer = newBalancer(o)
 	i.control = newControl(o, i.balancer, &i.view)
-	i.publisher = newPublisher(o, i.balancer)
+	i.board = newBoard(o, i.balancer)
+	i.publisher = newPublisher(o, i.balancer, i.board)
 	i.handler = &handler{
-		options: o, view: &i.view, balancer: i.balancer, pool: i.pool, metrics: newMetrics(o.Scope),
+		options: o, view: &i.view, balancer: i.balancer, pool: i.pool, board: i.board, metrics: newMetrics(o.Scope),
 		log: newRequestLog(o.Logger), stopping: &i.stopping,
 	}
 	return i
@@ -66,9 +68,17 @@
 			f(back)
 		}()
 	}
-	spawn(i.control.run)
 	spawn(feed.NewFollower(i.options.Operators, i.options.Feeds.Operators, i.control.follow(back, topicOperators)).Run)
-	spawn(feed.NewFollower(i.options.Registry, i.options.Feeds.Registry, i.control.follow(back, topicRegistry)).Run)
+	spawn(feed.NewFollower(i.options.Registry, i.options.Feeds.Operators, i.control.follow(back, topicRegistry)).Run)
+	states := feed.NewFollower(i.options.Status, i.options.Feeds.Slow, i.publisher.apply)
+	notes := feed.NewFollower(i.options.Board, i.options.Feeds.Slow, i.board.apply)
+	i.control.regained = func() {
+		states.Restart()
+		notes.Restart()
+	}
+	spawn(i.control.run)
+	spawn(states.Run)
+	spawn(notes.Run)
 	spawn(i.publisher.run)
 	spawn(i.sweep)
 	requests := &http.Server{
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -50,7 +50,7 @@
 	Operators feed.Source
 	Registry  feed.Source
 	Status    Topic
-	Schedules Topic // when roll-outs began, for instances that start during one
+	Board     Topic // what instances tell each other
 	Dialer    forward.Dialer
 
 	Requests  net.Listener // of clients
@@ -71,7 +71,6 @@
 
 // Feeds pace the followers of the store.
 type Feeds struct {
-	Operators feed.Options
-	Registry  feed.Options
-	Status    time.Duration // between reads of the states while a roll-out is under way
+	Operators feed.Options // and of the registry: both are bound to a time after a failure of the store
+	Slow      feed.Options // of the states of roll-outs and of the board, which are read anew after a failure
 }
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -3,104 +3,67 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 )
 
 // publishSpread is the time over which instances that reach the same state try to publish it; the first one wins and
 // the others read its record.
 const publishSpread = time.Second
 
-// publisher reads and writes the states of roll-outs while one is under way.
+// publisher follows the published states of roll-outs and writes those that are due.
 type publisher struct {
-	options   Options
-	balancer  *balancer
+	options  Options
+	balancer *balancer
+	board    *board
+
+	mu        sync.Mutex
+	loaded    bool
+	next      int64
 	published map[string]directory.RolloutStatus
 	due       map[string]time.Time // when a state that the store lacks is to be written
-	schedules schedules
 }
 
-func newPublisher(o Options, b *balancer) *publisher {
+func newPublisher(o Options, b *balancer, d *board) *publisher {
 	return &publisher{
-		options: o, balancer: b, published: map[string]directory.RolloutStatus{}, due: map[string]time.Time{},
-		schedules: schedules{options: o, balancer: b, settled: map[string]string{}},
+		options: o, balancer: b, board: d, published: map[string]directory.RolloutStatus{}, due: map[string]time.Time{},
 	}
 }
 
-// run reads and writes states until the context ends.
+// run writes what is due until the context ends.
 func (p *publisher) run(ctx context.Context) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
-	var read, failed time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		p.board.step(ctx)
 		now := time.Now()
-		wanted := p.wanted(now)
-		if len(wanted) == 0 || now.Sub(failed) < p.options.Feeds.Status {
-			continue
-		}
-		if due := p.anyDue(now, wanted); !due && now.Sub(read) < p.options.Feeds.Status {
-			continue
-		}
-		read = now
-		if !p.sync(ctx, wanted) {
-			failed = now
-		}
-	}
-}
-
-// wanted returns the states that the store has to hold, of the services whose last state is not final there.
-func (p *publisher) wanted(now time.Time) map[string]directory.RolloutStatus {
-	p.balancer.mu.Lock()
-	defer p.balancer.mu.Unlock()
-	out := map[string]directory.RolloutStatus{}
-	for s, r := range p.balancer.rollouts {
-		state, ok := r.Step(now)
-		if !ok {
-			continue
-		}
-		target, _, _ := r.Status()
-		w := directory.RolloutStatus{Service: s, Target: target, State: state}
-		if p.published[s] != w || state == directory.RolloutRunning {
-			out[s] = w
+		for _, s := range p.wanted(now) {
+			if at, ok := p.take(now, s); ok {
+				p.write(ctx, s, at)
+			}
 		}
 	}
-	return out
 }
 
-func (p *publisher) anyDue(now time.Time, wanted map[string]directory.RolloutStatus) bool {
-	for s, w := range wanted {
-		if p.published[s] == w {
-			continue
-		}
-		if p.due[s].IsZero() {
-			p.due[s] = now.Add(time.Duration(rand.Int64N(int64(publishSpread))))
-		}
-		if !now.Before(p.due[s]) {
-			return true
-		}
-	}
-	return false
-}
-
-// sync reads the states of all roll-outs and writes those that are due; it reports whether the store answered.
-func (p *publisher) sync(ctx context.Context, wanted map[string]directory.RolloutStatus) bool {
-	c, cancel := context.WithTimeout(ctx, p.options.Feeds.Operators.Timeout)
-	defer cancel()
-	p.schedules.settle(c)
-	b, err := p.options.Status.Newest(c)
-	if err != nil {
-		p.options.Logger.Warn("roll-out: The published states can't be read.", zap.Error(err))
-		return false
+// apply takes the records of the topic.
+func (p *publisher) apply(u feed.Update) {
+	if u.Err != nil {
+		return
 	}
-	for _, r := range b.Records {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loaded, p.next = true, u.Next
+	for _, r := range u.Records {
 		s, err := p.options.Records.Status(r.Key, r.Value)
 		switch {
 		case err != nil:
@@ -109,26 +72,6 @@
 			p.read(s)
 		}
 	}
-	p.confirm(wanted)
-	now := time.Now()
-	for s, w := range wanted {
-		o := p.published[s]
-		if o == w || o.Target == w.Target && o.State != directory.RolloutRunning || p.due[s].IsZero() || now.Before(p.due[s]) {
-			continue
-		}
-		p.write(c, w, b.Next)
-		break // the end of the topic has moved
-	}
-	return true
-}
-
-// confirm tells the roll-outs that the published states were read.
-func (p *publisher) confirm(wanted map[string]directory.RolloutStatus) {
-	p.balancer.mu.Lock()
-	defer p.balancer.mu.Unlock()
-	for s := range wanted {
-		p.balancer.rollout(s).Confirm()
-	}
 }
 
 // read applies a published state.
@@ -145,16 +88,57 @@
 		zap.String("state", string(s.State)), zap.Bool("changed", applied))
 }
 
-// write publishes a state if nothing was published since the read; otherwise the next read decides anew.
+// wanted returns the states of all roll-outs as this instance sees them, once the published ones were read.
+func (p *publisher) wanted(now time.Time) []directory.RolloutStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.loaded {
+		return nil
+	}
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	var out []directory.RolloutStatus
+	for service, r := range p.balancer.rollouts {
+		r.Published(p.published[service]) // read before the order was
+		r.Confirm()
+		if state, ok := r.Step(now); ok {
+			target, _, _ := r.Status()
+			out = append(out, directory.RolloutStatus{Service: service, Target: target, State: state})
+		}
+	}
+	return out
+}
+
+// take reports whether a state is to be written now, and the end of the topic for which that holds.
+func (p *publisher) take(now time.Time, s directory.RolloutStatus) (int64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o := p.published[s.Service]
+	if o == s || o.Target == s.Target && o.State != directory.RolloutRunning {
+		return 0, false
+	}
+	if p.due[s.Service].IsZero() {
+		p.due[s.Service] = now.Add(time.Duration(rand.Int64N(int64(publishSpread))))
+	}
+	if now.Before(p.due[s.Service]) {
+		return 0, false
+	}
+	delete(p.due, s.Service)
+	return p.next, true
+}
+
+// write publishes a state if nothing was published since the last read; otherwise the next read decides anew.
 func (p *publisher) write(ctx context.Context, s directory.RolloutStatus, at int64) {
+	c, cancel := context.WithTimeout(ctx, p.options.Feeds.Operators.Timeout)
+	defer cancel()
 	r, err := p.options.Records.StatusRecord(s)
 	if err == nil {
-		err = p.options.Status.Append(ctx, r, at)
+		err = p.options.Status.Append(c, r, at)
 	}
-	delete(p.due, s.Service)
 	if err != nil {
 		p.options.Logger.Warn("roll-out: The state was not published.", zap.String("service", s.Service), zap.String("state", string(s.State)), zap.Error(err))
 		return
 	}
-	p.read(s)
+	p.options.Logger.Info("roll-out: State published.", zap.String("service", s.Service), zap.String("version", s.Target),
+		zap.String("state", string(s.State)), zap.Int64("offset", at))
 }
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -30,9 +30,12 @@
 
 // IngressBounds is what the platform promises or asks for.
 type IngressBounds struct {
-	Drain       time.Duration `json:"drain" validate:"min=100ms"` // from an endpoint's notice until it may get no new work
-	Apply       time.Duration `json:"apply" validate:"min=100ms"` // from a configuration's acknowledgement until it is in force
-	Grace       time.Duration `json:"grace" validate:"min=1s"`    // from the request to stop until the process is killed
+	Drain time.Duration `json:"drain" validate:"min=100ms"` // from an endpoint's notice until it may get no new work
+	Apply time.Duration `json:"apply" validate:"min=100ms"` // from a configuration's acknowledgement until it is in force
+	// Stability is for how long the store has to be well again before bounds hold. A read waits no longer, so one that
+	// a failure left without an answer is repeated in time.
+	Stability   time.Duration `json:"stability" validate:"min=500ms,max=20s"`
+	Grace       time.Duration `json:"grace" validate:"min=1s"` // from the request to stop until the process is killed
 	RetryWindow time.Duration `json:"retry-window" validate:"min=1s"`
 	RetryRatio  float64       `json:"retry-ratio" validate:"min=0"` // further sends for each request in the window
 	RetrySlack  float64       `json:"retry-slack" validate:"min=0"` // the same without any request, of all instances together
@@ -44,7 +47,7 @@
 	return Ingress{
 		Limits: IngressLimits{Memory: 256 * MiB},
 		Bounds: IngressBounds{
-			Drain: 2 * time.Second, Apply: 2 * time.Second, Grace: 8 * time.Second,
+			Drain: 2 * time.Second, Apply: 2 * time.Second, Stability: 3 * time.Second, Grace: 8 * time.Second,
 			RetryWindow: 10 * time.Second, RetryRatio: 0.2, Exposure: 0.1,
 		},
 		Log: Log{Level: "info"},
