--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/urfave/cli/v3"
@@ -57,14 +58,15 @@
 	if err != nil {
 		return &Error{Op: "ingress", Kind: ErrFile, Err: err}
 	}
-	sink := logsink.New(os.Stdout)
+	sink := logsink.New(c.Root().Writer)
 	logger, err := sinkLogger(s.Log.Level, s.Instance.ID, sink)
 	if err != nil {
 		return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
 	}
 	defer func() { _ = logger.Sync() }()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.Memory)))
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "cassiaspoke", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -21,7 +21,7 @@
 // DefaultSettings returns an instance's settings; exposure is the largest share that a bad version may get of all
 // requests of a roll-out.
 func DefaultSettings(exposure float64) Settings {
-	return Settings{Begin: 0.53, Share: exposure * 2 / 3, Ramp: 0.68, Full: 0.76, Complete: 0.92}
+	return Settings{Begin: 0.53, Share: exposure * 2 / 3, Ramp: 0.68, Full: 0.76, Complete: 0.9}
 }
 
 // Order is a roll-out as this instance knows it.
@@ -196,6 +196,18 @@
 	return r.state, true
 }
 
+// Spread is the time over which instances that reach a state at the same time write it; the first one wins, and the
+// others read its record. It leaves time until the deadline after Complete.
+func (r *Rollout) Spread() time.Duration {
+	if r.order == nil {
+		return 0
+	}
+	return min(maxSpread, r.order.Duration/20)
+}
+
+// maxSpread is some times what a record takes through the store to all instances.
+const maxSpread = time.Second
+
 // Status describes the roll-out for logs.
 func (r *Rollout) Status() (target string, state directory.RolloutState, reason string) {
 	if r.order == nil {
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -34,7 +34,9 @@
 // ServeHTTP answers one request.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{handler: h, w: w, r: r, start: time.Now(), view: h.view.Load(), control: http.NewResponseController(w)}
-	if h.stopping.Load() {
+	// The server drops a Content-Length beside chunks, so such a message can't be told from a proper one. What follows
+	// it on the connection may be a part of its body by the length, and is not taken for a request.
+	if h.stopping.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	if f := x.prepare(); f != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -97,13 +97,12 @@
 	meters := &http.Server{Handler: i.options.Reporter, ReadHeaderTimeout: readinessTime}
 	serve(requests, i.options.Requests)
 	serve(side, i.options.Readiness)
-	if i.options.Metrics != nil {
-		serve(meters, i.options.Metrics)
-	}
+	serve(meters, i.options.Metrics)
 	defer side.Close()
 	defer meters.Close()
 	defer i.pool.Close()
-	i.options.Logger.Info("instance: Started.")
+	i.options.Logger.Info("instance: Started.", zap.Stringer("requests", i.options.Requests.Addr()),
+		zap.Stringer("readiness", i.options.Readiness.Addr()), zap.Stringer("metrics", i.options.Metrics.Addr()))
 	select {
 	case err := <-failed:
 		_ = requests.Close()
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -12,10 +12,6 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 )
 
-// publishSpread is the time over which instances that reach the same state try to publish it; the first one wins and
-// the others read its record.
-const publishSpread = time.Second
-
 // publisher follows the published states of roll-outs and writes those that are due.
 type publisher struct {
 	options  Options
@@ -111,6 +107,9 @@
 
 // take reports whether a state is to be written now, and the end of the topic for which that holds.
 func (p *publisher) take(now time.Time, s directory.RolloutStatus) (int64, bool) {
+	p.balancer.mu.Lock()
+	spread := p.balancer.rollout(s.Service).Spread()
+	p.balancer.mu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	o := p.published[s.Service]
@@ -118,7 +117,7 @@
 		return 0, false
 	}
 	if p.due[s.Service].IsZero() {
-		p.due[s.Service] = now.Add(time.Duration(rand.Int64N(int64(publishSpread))))
+		p.due[s.Service] = now.Add(time.Duration(rand.Int64N(int64(spread) + 1)))
 	}
 	if now.Before(p.due[s.Service]) {
 		return 0, false
