--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -33,6 +33,8 @@
 	memoryShare = 0.7                    // of the memory limit for the runtime's heap; sockets and stacks take the rest
 	dialTime    = 300 * time.Millisecond // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
 	storeTime   = 700 * time.Millisecond // for a call to the store, which answers within 0.3 s when it is slow
+	waitShare     = 0.75                   // of a bound, for which a read waits: the store may not wake it for a record
+	paceShare     = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
 	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
 	storeRetry  = 250 * time.Millisecond
 	idleConns   = 8           // idle connections kept to one endpoint
@@ -113,7 +115,13 @@
 		Operators: store.Topic(platform.TopicOperator), Registry: store.Topic(platform.TopicRegistry),
 		Status: store.Topic(platform.TopicStatus), Board: store.Topic(platform.TopicBoard), Dialer: d,
 		Feeds: ingress.Feeds{
-			Operators: feed.Options{Wait: b.Stability, Timeout: storeTime, Retry: storeRetry},
+			Operators: feed.Options{
+				Wait: min(b.Stability, time.Duration(waitShare*float64(b.Apply))), Timeout: storeTime, Retry: storeRetry,
+			},
+			Registry: feed.Options{
+				Wait: min(b.Stability, time.Duration(waitShare*float64(b.Drain))), Timeout: storeTime, Retry: storeRetry,
+				Interval: time.Duration(paceShare * float64(b.Drain)),
+			},
 			Slow:      feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
 		},
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -69,7 +69,7 @@
 		}()
 	}
 	spawn(feed.NewFollower(i.options.Operators, i.options.Feeds.Operators, i.control.follow(back, topicOperators)).Run)
-	spawn(feed.NewFollower(i.options.Registry, i.options.Feeds.Operators, i.control.follow(back, topicRegistry)).Run)
+	spawn(feed.NewFollower(i.options.Registry, i.options.Feeds.Registry, i.control.follow(back, topicRegistry)).Run)
 	states := feed.NewFollower(i.options.Status, i.options.Feeds.Slow, i.publisher.apply)
 	notes := feed.NewFollower(i.options.Board, i.options.Feeds.Slow, i.board.apply)
 	i.control.regained = func() {
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -71,6 +71,7 @@
 
 // Feeds pace the followers of the store.
 type Feeds struct {
-	Operators feed.Options // and of the registry: both are bound to a time after a failure of the store
+	Operators feed.Options
+	Registry  feed.Options
 	Slow      feed.Options // of the states of roll-outs and of the board, which are read anew after a failure
 }
