--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -33,8 +33,8 @@
 	memoryShare = 0.7                    // of the memory limit for the runtime's heap; sockets and stacks take the rest
 	dialTime    = 300 * time.Millisecond // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
 	storeTime   = 700 * time.Millisecond // for a call to the store, which answers within 0.3 s when it is slow
-	waitShare     = 0.75                   // of a bound, for which a read waits: the store may not wake it for a record
-	paceShare     = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
+	waitShare   = 0.75                   // of a bound, for which a read waits: the store may not wake it for a record
+	paceShare   = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
 	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
 	storeRetry  = 250 * time.Millisecond
 	idleConns   = 8           // idle connections kept to one endpoint
@@ -122,7 +122,7 @@
 				Wait: min(b.Stability, time.Duration(waitShare*float64(b.Drain))), Timeout: storeTime, Retry: storeRetry,
 				Interval: time.Duration(paceShare * float64(b.Drain)),
 			},
-			Slow:      feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
+			Slow: feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
 		},
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation: escalation.DefaultSettings(),
--- /dev/null
+++ b/internal/core/canary/canary_test.go
@@ -0,0 +1,132 @@
+package canary
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
+)
+
+const (
+	exposure = 0.15
+	slack    = 30 // requests for a bad version beyond its share, as the platform's rule has it
+	enough   = 50 // bad answers, after which a bad version has to be stopped
+	duration = 24 * time.Second
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ordered() *Rollout {
+	r := New(DefaultSettings(exposure))
+	r.Versions(map[string]int{"v1": 3})
+	r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration})
+	r.Confirm()
+	return r
+}
+
+// lateName is the case in which the version has nearly all requests before it fails: its share is beyond the bound by
+// then, and a low rate shows too few failures until the deadline.
+const lateName = "fails after the ramp"
+
+// play sends requests at a rate until the deadline; bad tells whether an answer of the new version fails, ratio how slow
+// it is. It returns the requests of both versions and when the roll-out ended.
+func play(r *Rollout, perSecond int, bad func(at time.Duration, route string) (bool, float64)) (old, fresh, failed int, end time.Duration, state directory.RolloutState) {
+	g := rand.New(rand.NewPCG(1, 2))
+	state = directory.RolloutRunning
+	for at := time.Duration(0); at < duration; at += time.Second / time.Duration(perSecond) {
+		now := start.Add(at)
+		if s, ok := r.Step(now); ok && s != directory.RolloutRunning && state == directory.RolloutRunning {
+			end, state = at, s
+			r.Published(directory.RolloutStatus{Target: "v2", State: s})
+		}
+		route := []string{"a", "b", "c"}[g.IntN(3)]
+		v := r.Pick(now, g.Float64())
+		if v == "v1" {
+			old++
+			r.Outcome(v, route, g.Float64() < 0.01, 1)
+			continue
+		}
+		fresh++
+		f, ratio := bad(at, route)
+		if f {
+			failed++
+		}
+		r.Outcome(v, route, f, ratio)
+	}
+	return old, fresh, failed, end, state
+}
+
+// TestRollouts guards against bad versions that are not rolled back or exposed to more than the allowed share of requests,
+// and against good versions that are not completed in time.
+func TestRollouts(t *testing.T) {
+	g := rand.New(rand.NewPCG(3, 4))
+	draw := func(p float64) bool { return g.Float64() < p }
+	cases := map[string]struct {
+		bad  func(at time.Duration, route string) (bool, float64)
+		want directory.RolloutState
+	}{
+		"good":                {func(time.Duration, string) (bool, float64) { return draw(0.01), 1 }, directory.RolloutCompleted},
+		"good, somewhat slow": {func(time.Duration, string) (bool, float64) { return draw(0.01), 1.5 }, directory.RolloutCompleted},
+		"fails often":         {func(time.Duration, string) (bool, float64) { return draw(0.5), 1 }, directory.RolloutRolledBack},
+		"slow":                {func(time.Duration, string) (bool, float64) { return false, 8 }, directory.RolloutRolledBack},
+		"fails on one route":  {func(_ time.Duration, r string) (bool, float64) { return r == "b" && draw(0.5), 1 }, directory.RolloutRolledBack},
+		"slow on one route": {func(_ time.Duration, r string) (bool, float64) {
+			return false, map[bool]float64{true: 8, false: 1}[r == "b"]
+		}, directory.RolloutRolledBack},
+		"fails under load": {func(at time.Duration, _ string) (bool, float64) { return at > 17*time.Second && draw(0.5), 1 }, directory.RolloutRolledBack},
+		"fails late":       {func(at time.Duration, _ string) (bool, float64) { return at > 15*time.Second && draw(0.5), 1 }, directory.RolloutRolledBack},
+		lateName:           {func(at time.Duration, _ string) (bool, float64) { return at > 20*time.Second && draw(0.5), 1 }, directory.RolloutRolledBack},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, rate := range []int{5, 30, 150} {
+				old, fresh, failed, end, state := play(ordered(), rate, c.bad)
+				if state != c.want && (c.want == directory.RolloutCompleted || failed >= enough || name != lateName) {
+					t.Errorf("%d a second: %s, want %s (%d of %d failed)", rate, state, c.want, failed, fresh)
+				}
+				if share := float64(fresh); state == directory.RolloutRolledBack && name != lateName && share > exposure*float64(old+fresh)+slack {
+					t.Errorf("%d a second: %d of %d requests went to the bad version", rate, fresh, old+fresh)
+				}
+				if c.want == directory.RolloutRolledBack && failed > enough {
+					t.Errorf("%d a second: %d failures until the end at %v", rate, failed, end)
+				}
+			}
+		})
+	}
+}
+
+// TestSessions guards against a session that changes its version in the first half, or goes back from a good new version.
+func TestSessions(t *testing.T) {
+	r := ordered()
+	last := map[int]string{}
+	for at := time.Duration(0); at < duration; at += 50 * time.Millisecond {
+		now := start.Add(at)
+		for s := range 100 {
+			v := r.Pick(now, float64(s)/100)
+			switch {
+			case at < duration/2 && v != "v1":
+				t.Fatalf("%v: session %d on %s in the first half", at, s, v)
+			case last[s] == "v2" && v != "v2":
+				t.Fatalf("%v: session %d back on %s", at, s, v)
+			}
+			last[s] = v
+		}
+		if s, ok := r.Step(now); ok && s == directory.RolloutCompleted {
+			r.Published(directory.RolloutStatus{Target: "v2", State: s})
+		}
+	}
+}
+
+// TestUnconfirmed guards against the use of a new version by an instance that does not know whether it was rolled back.
+func TestUnconfirmed(t *testing.T) {
+	r := New(DefaultSettings(exposure))
+	r.Versions(map[string]int{"v1": 3, "v2": 3})
+	r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration})
+	if v := r.Pick(start.Add(23*time.Second), 0); v != "v1" {
+		t.Errorf("picks %s", v)
+	}
+	if s, _ := r.Step(start.Add(23 * time.Second)); s != directory.RolloutRunning {
+		t.Errorf("would publish %s", s)
+	}
+}
--- /dev/null
+++ b/internal/core/retry/budget_test.go
@@ -0,0 +1,63 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestBudgetWindow guards against more extra sends than the bound in any window, whatever the order of requests. The
+// bound lets the requests of a window be those of the one before it, or of the one half a window before.
+func TestBudgetWindow(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Window: window, Ratio: 0.9, Slack: 5}
+		b := New(s)
+		now := time.Unix(1000, 0)
+		var requests, extras []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+			} else if b.Allow(now, 0) {
+				extras = append(extras, now)
+			}
+		}
+		for _, end := range extras {
+			from := end.Add(-window)
+			n := count(extras, from, end)
+			m := max(count(requests, from, end), count(requests, from.Add(-window/2), end.Add(-window/2)), count(requests, from.Add(-window), from))
+			if limit := s.Ratio*float64(m) + s.Slack; float64(n) > limit {
+				t.Fatalf("%d extra sends for %d requests, limit %.1f", n, m, limit)
+			}
+		}
+	})
+}
+
+func count(l []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range l {
+		if t.After(from) && !t.After(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestReserve guards against sends of little use taking the part that is kept for others.
+func TestReserve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Settings{Window: 10 * time.Second, Ratio: 1})
+	for range 100 {
+		b.Request(now)
+	}
+	n := 0
+	for b.Allow(now, 0.3) {
+		n++
+	}
+	if n != 70 || !b.Allow(now, 0) {
+		t.Errorf("%d sends with a reserve of 0.3", n)
+	}
+}
