Share the reads of the store: seeds read and hand the records on

The seeds of the settings read the store and stream its records to the others; an instance reads by itself as soon as the records it gets are older than the bound allows. Offsets of the store order all records.

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -25,6 +25,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 	"github.com/cassiaspoke/cassiaspoke/internal/ingress"
 	"github.com/cassiaspoke/cassiaspoke/internal/logsink"
+	"github.com/cassiaspoke/cassiaspoke/internal/relay"
 	"github.com/cassiaspoke/cassiaspoke/internal/settings"
 	"github.com/cassiaspoke/cassiaspoke/platform"
 )
@@ -37,10 +38,15 @@
 	paceShare   = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
 	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
 	storeRetry  = 250 * time.Millisecond
-	idleConns   = 8           // idle connections kept to one endpoint
-	ratioShare  = 0.9         // of the fleet's retry budget; the rest covers instances that count differently
-	fleetGuess  = 8           // instances that share the slack of the retry budget
-	reloadEvery = time.Second // between looks at the settings file, which may change without a signal
+	// Below the stability window, within which the store's return has to be noticed.
+	storeRetryMost = time.Second
+	joinNeeded     = 60 * time.Millisecond // some round trips; without these topics no request is served
+	joinSlow       = 2 * time.Second
+	relaySlack     = 300 * time.Millisecond // for a call to the store and its record to another instance
+	idleConns      = 8                      // idle connections kept to one endpoint
+	ratioShare     = 0.9                    // of the fleet's retry budget; the rest covers instances that count differently
+	fleetGuess     = 8                      // instances that share the slack of the retry budget
+	reloadEvery    = time.Second            // between looks at the settings file, which may change without a signal
 )
 
 func ingressCommand() *cli.Command {
@@ -74,8 +80,8 @@
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, metricsEvery)
 	defer func() { _ = closer.Close() }()
-	o := ingressOptions(s)
-	o.Logger, o.Scope, o.Reporter = logger, scope, reporter.HTTPHandler()
+	o := ingressOptions(s, logger)
+	o.Scope, o.Reporter = scope, reporter.HTTPHandler()
 	for _, l := range []struct {
 		listener *net.Listener
 		address  netip.AddrPort
@@ -84,6 +90,11 @@
 			return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
 		}
 	}
+	if s.Peers != nil {
+		if o.Peers, err = listen(ctx, s.Peers.Listen, nil, logger); err != nil {
+			return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
+		}
+	}
 	run, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go reload(run, path, s, logger)
@@ -103,27 +114,49 @@
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(e), out, l)).With(zap.String("instance", instance)), nil
 }
 
+// topic reads through other instances and writes to the store.
+type topic struct {
+	feed.Source
+	store platform.TopicClient
+}
+
+// Append adds a record if the topic still ends at the offset.
+func (t topic) Append(ctx context.Context, r feed.Record, at int64) error {
+	return t.store.Append(ctx, r, at)
+}
+
 // ingressOptions turns the settings of the file into the options of the parts.
-func ingressOptions(s settings.Ingress) ingress.Options {
+func ingressOptions(s settings.Ingress, logger *zap.Logger) ingress.Options {
 	d := forward.Dialer{Timeout: dialTime}
 	store := platform.NewStore(s.Store, &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
 	}})
 	b := s.Bounds
+	wait := func(bound time.Duration) feed.Options {
+		return feed.Options{
+			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: storeRetryMost,
+		}
+	}
+	feeds := ingress.Feeds{Operators: wait(b.Apply), Registry: wait(b.Drain), Slow: wait(b.Apply)}
+	feeds.Slow.Wait = storeWait
+	h := relay.Options{Instance: s.Instance.ID, Logger: logger, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", address)
+	}}
+	if s.Peers != nil {
+		h.Self, h.Seeds = s.Peers.Listen, s.Peers.Seeds
+	}
+	hub := relay.NewHub(h)
+	share := func(t platform.Topic, o feed.Options, every, join time.Duration) feed.Source {
+		return hub.Source(store.Topic(t), relay.Pace{Join: join, Interval: every, Fresh: max(every, o.Wait) + relaySlack})
+	}
+	pace := time.Duration(paceShare * float64(b.Drain))
+	// The order of the topics is the same on all instances.
+	operators, registry := share(platform.TopicOperator, feeds.Operators, 0, joinNeeded), share(platform.TopicRegistry, feeds.Registry, pace, joinNeeded)
+	status, board := store.Topic(platform.TopicStatus), store.Topic(platform.TopicBoard)
 	return ingress.Options{
-		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Records: platform.Records{},
-		Operators: store.Topic(platform.TopicOperator), Registry: store.Topic(platform.TopicRegistry),
-		Status: store.Topic(platform.TopicStatus), Board: store.Topic(platform.TopicBoard), Dialer: d,
-		Feeds: ingress.Feeds{
-			Operators: feed.Options{
-				Wait: min(b.Stability, time.Duration(waitShare*float64(b.Apply))), Timeout: storeTime, Retry: storeRetry,
-			},
-			Registry: feed.Options{
-				Wait: min(b.Stability, time.Duration(waitShare*float64(b.Drain))), Timeout: storeTime, Retry: storeRetry,
-				Interval: time.Duration(paceShare * float64(b.Drain)),
-			},
-			Slow: feed.Options{Wait: storeWait, Timeout: storeTime, Retry: storeRetry},
-		},
+		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Records: platform.Records{}, Logger: logger,
+		Operators: operators, Registry: registry, Dialer: d, Hub: hub, Feeds: feeds,
+		Status: topic{share(platform.TopicStatus, feeds.Slow, 0, joinSlow), status}, Board: topic{share(platform.TopicBoard, feeds.Slow, 0, joinSlow), board},
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation: escalation.DefaultSettings(),
 		Retries:    retry.Settings{Window: b.RetryWindow, Ratio: ratioShare * b.RetryRatio, Slack: b.RetrySlack / fleetGuess},
@@ -164,6 +197,6 @@
 			logger.Error("settings: The changed file can't be used; the settings in force stay.", zap.Bool("signal", asked), zap.Error(err))
 			continue
 		}
-		logger.Info("settings: Read again.", zap.Bool("signal", asked), zap.Bool("changed", s != current))
+		logger.Info("settings: Read again.", zap.Bool("signal", asked), zap.Bool("changed", s.String() != current.String() || s.Bounds != current.Bounds))
 	}
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -39,10 +39,11 @@
 
 // Options pace a follower.
 type Options struct {
-	Wait     time.Duration // for which the store holds a read until there is a record
-	Interval time.Duration // from the start of one read to the start of the next
-	Timeout  time.Duration // of a call, beside Wait
-	Retry    time.Duration // mean time from a failed call to the next
+	Wait    time.Duration // for which the store holds a read until there is a record
+	Timeout time.Duration // of a call, beside Wait
+	Retry   time.Duration // mean time from a failed call to the next; it doubles up to RetryMost
+	// RetryMost bounds the load of many instances on a store that refuses them.
+	RetryMost time.Duration
 }
 
 // Follower follows one topic.
@@ -70,7 +71,7 @@
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var next int64
-	loaded := false
+	loaded, retry := false, f.options.Retry
 	for ctx.Err() == nil {
 		u, restarted := f.call(ctx, loaded, next)
 		if ctx.Err() != nil {
@@ -79,17 +80,15 @@
 		if restarted {
 			continue
 		}
-		pause := f.options.Interval - time.Since(u.At)
+		pause := time.Duration(0)
 		switch {
 		case u.Err != nil:
-			pause = time.Duration((0.5 + rand.Float64()) * float64(f.options.Retry))
+			pause = time.Duration((0.5 + rand.Float64()) * float64(retry))
+			retry = min(2*retry, max(f.options.Retry, f.options.RetryMost))
 		case u.Next < 0: // trimmed
-			loaded, pause = false, 0
+			loaded = false
 		default:
-			if !loaded {
-				pause = 0 // records may have been added while pages were read
-			}
-			loaded, next = true, u.Next
+			loaded, next, retry = true, u.Next, f.options.Retry
 		}
 		if u.Next >= 0 {
 			f.emit(u)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -77,6 +77,14 @@
 		notes.Restart()
 	}
 	spawn(i.control.run)
+	if i.options.Peers != nil {
+		spawn(i.options.Hub.Run)
+		spawn(func(ctx context.Context) {
+			if err := i.options.Hub.Serve(ctx, i.options.Peers); err != nil {
+				i.options.Logger.Error("relay: The listener for other instances failed.", zap.Error(err))
+			}
+		})
+	}
 	spawn(states.Run)
 	spawn(notes.Run)
 	spawn(i.publisher.run)
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -16,6 +16,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+	"github.com/cassiaspoke/cassiaspoke/internal/relay"
 )
 
 // Protocol translates the headers of requests and answers.
@@ -53,6 +54,9 @@
 	Board     Topic // what instances tell each other
 	Dialer    forward.Dialer
 
+	Hub   *relay.Hub   // shares the reads of the store
+	Peers net.Listener // of other instances; nil if there are none
+
 	Requests  net.Listener // of clients
 	Readiness net.Listener
 	Metrics   net.Listener
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -11,6 +11,7 @@
 	Instance Instance       `json:"instance"`
 	Listen   IngressListen  `json:"listen"`
 	Store    netip.AddrPort `json:"store" validate:"required"` // the platform's store
+	Peers    *IngressPeers  `json:"peers"`                     // other instances; without it each reads the store by itself
 	Limits   IngressLimits  `json:"limits"`
 	Bounds   IngressBounds  `json:"bounds"`
 	Log      Log            `json:"log"`
@@ -23,6 +24,12 @@
 	Metrics   netip.AddrPort `json:"metrics" validate:"required"`
 }
 
+// IngressPeers says where this instance serves others and which ones read the store for all.
+type IngressPeers struct {
+	Listen netip.AddrPort   `json:"listen" validate:"required"`
+	Seeds  []netip.AddrPort `json:"seeds"`
+}
+
 // IngressLimits is what the machine gives one process.
 type IngressLimits struct {
 	Memory Size `json:"memory" validate:"min=33554432"` // above it the process is killed
