--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -12,15 +12,22 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/settings"
 )
 
-const flagFiles = "files"
+// Flags of the command check.
+const (
+	flagFiles   = "files"
+	flagIngress = "ingress"
+)
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
 		Usage:     "check a settings file and list all of its problems as file:line:column: message",
 		ArgsUsage: "FILE",
-		Flags:     []cli.Flag{&cli.BoolFlag{Name: flagFiles, Usage: "also read the secrets and certificates that it names"}},
-		Action:    check,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagFiles, Usage: "also read the secrets and certificates that it names"},
+			&cli.BoolFlag{Name: flagIngress, Usage: "the file is for the command ingress"},
+		},
+		Action: check,
 	}
 }
 
@@ -29,6 +36,14 @@
 	if err != nil {
 		return err
 	}
+	if c.Bool(flagIngress) {
+		s, err := settings.LoadIngress(path)
+		if err != nil {
+			return &Error{Op: "check", Kind: ErrFile, Err: err}
+		}
+		fmt.Fprintf(c.Root().Writer, "%s: %s\n", path, s)
+		return nil
+	}
 	s, err := settings.Load(path)
 	if err == nil && c.Bool(flagFiles) {
 		err = checkFiles(s)
--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -81,7 +81,7 @@
 	}, metricsEvery)
 	defer func() { _ = closer.Close() }()
 	o := ingressOptions(s, logger)
-	o.Scope, o.Reporter = scope, reporter.HTTPHandler()
+	o.Scope, o.Reporter, o.Dropped = scope, reporter.HTTPHandler(), sink.Dropped
 	for _, l := range []struct {
 		listener *net.Listener
 		address  netip.AddrPort
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -101,17 +101,13 @@
 	t.states = known
 }
 
-// Endpoints returns the endpoints of a service that may get work.
-func (t *Table) Endpoints(service string) []directory.Endpoint { return t.services[service] }
-
-// Has reports whether an endpoint may get work now.
-func (t *Table) Has(service, id string) bool {
-	for _, e := range t.services[service] {
-		if e.ID == id {
-			return true
-		}
+// Count returns how many endpoints of each service may get work.
+func (t *Table) Count() map[string]int {
+	out := make(map[string]int, len(t.services))
+	for s, l := range t.services {
+		out[s] = len(l)
 	}
-	return false
+	return out
 }
 
 // Choose returns the best endpoint, or false if none may get the request.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -41,6 +41,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	defer a.cancel(nil)
 	s, what := a.send()
+	x.handler.metrics.send(what)
 	x.trace = append(x.trace, hop{
 		endpoint: a.choice.Endpoint.ID, model: x.chosen(), version: a.choice.Endpoint.Version, outcome: what,
 		expected: a.choice.Start, took: time.Since(a.sent),
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// endpoints returns how many endpoints of each service may get work.
+func (b *balancer) endpoints() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Count()
+}
+
 func (b *balancer) rollout(service string) *canary.Rollout {
 	r := b.rollouts[service]
 	if r == nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -159,6 +159,7 @@
 	return e
 }
 
+// sweep closes old connections and updates the gauges.
 func (i *Ingress) sweep(ctx context.Context) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
@@ -168,6 +169,7 @@
 			return
 		case now := <-t.C:
 			i.pool.Sweep(now)
+			i.handler.metrics.state(i.view.Load(), i.active.Load(), i.balancer.endpoints(), i.handler.log, i.options.Dropped())
 		}
 	}
 }
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -63,6 +63,7 @@
 	Scope     tally.Scope
 	Reporter  http.Handler // of the metrics
 	Logger    *zap.Logger
+	Dropped   func() int64 // log lines that were dropped
 
 	Feeds      Feeds
 	Placement  placement.Settings
