--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -53,7 +53,9 @@
 func (a *attempt) send() (step, string) {
 	x, id := a.exchange, a.choice.Endpoint.ID
 	silence := a.watch()
-	reply, err := x.handler.pool.Send(a.ctx, a.choice.Endpoint.Address, x.outbound(a.choice, a.sent), !x.route.Repeatable(),
+	// A further send has no spare one behind it, so it does not risk a pooled connection that may have ended.
+	fresh := !x.route.Repeatable() || x.sends > 0
+	reply, err := x.handler.pool.Send(a.ctx, a.choice.Endpoint.Address, x.outbound(a.choice, a.sent), fresh,
 		func(h http.Header) bool {
 			return x.handler.options.Protocol.Answer(http.StatusOK, h).RequestID == x.request.ID
 		})
