--- a/internal/command/measure.go
+++ b/internal/command/measure.go
@@ -23,6 +23,7 @@
 	"cascade":  measure.Cascade,
 	"endpoint": measure.Endpoint,
 	"roll-out": measure.RollOut,
+	"routing":  measure.Routing,
 	"suspect":  measure.Suspect,
 }
 
@@ -35,7 +36,7 @@
 				Name: "policy", Usage: "compare the policies with naive ones in virtual time",
 				Flags: []cli.Flag{
 					&cli.Uint64Flag{Name: flagSeed, Usage: "of all draws", Value: 1},
-					&cli.StringSliceFlag{Name: flagOnly, Usage: "`NAME` of a measurement: cascade, endpoint, roll-out, suspect"},
+					&cli.StringSliceFlag{Name: flagOnly, Usage: "`NAME` of a measurement: cascade, endpoint, roll-out, routing, suspect"},
 				},
 				Action: measurePolicy,
 			},
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 )
@@ -31,7 +32,7 @@
 	for {
 		start := len(e.buffer)
 		if err := e.line(); err != nil {
-			if err == io.EOF && len(e.buffer) > 0 {
+			if errors.Is(err, io.EOF) && len(e.buffer) > 0 {
 				return Event{}, io.ErrUnexpectedEOF
 			}
 			return Event{}, err
@@ -57,7 +58,7 @@
 			return fmt.Errorf("an event of more than %d bytes", maxEvent)
 		case err == nil:
 			return nil
-		case err != bufio.ErrBufferFull:
+		case !errors.Is(err, bufio.ErrBufferFull):
 			return err
 		}
 	}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -37,6 +37,9 @@
 	until   time.Time // it is not used after this
 }
 
+// end closes the connection; an error changes nothing, as the connection is not used again.
+func (c *conn) end() { _ = c.Close() }
+
 // get returns a connection; a fresh one was never used.
 func (p *Pool) get(ctx context.Context, a netip.AddrPort, fresh bool) (*conn, error) {
 	if !fresh {
@@ -45,7 +48,7 @@
 				c.reused = true
 				return c, nil
 			}
-			c.Close()
+			c.end()
 		}
 	}
 	n, err := p.dialer.Dial(ctx, a)
@@ -87,18 +90,18 @@
 		idle = min(idleTime, idle-idleSpare)
 	}
 	if idle <= 0 || c.reader.Buffered() > 0 {
-		c.Close()
+		c.end()
 		return
 	}
 	c.until = time.Now().Add(idle)
 	if err := c.SetDeadline(time.Time{}); err != nil {
-		c.Close()
+		c.end()
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[c.address]) >= p.most {
-		c.Close()
+		c.end()
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
@@ -116,7 +119,7 @@
 				n++
 				continue
 			}
-			c.Close()
+			c.end()
 		}
 		clear(l[n:])
 		if p.idle[a] = l[:n]; n == 0 {
@@ -131,7 +134,7 @@
 	defer p.mu.Unlock()
 	for a, l := range p.idle {
 		for _, c := range l {
-			c.Close()
+			c.end()
 		}
 		delete(p.idle, a)
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -62,12 +62,12 @@
 		}
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, c.end)
 	w := &write{}
-	r, err := c.exchange(q, own, w)
+	r, err := c.exchange(q, own, w) //nolint:bodyclose // Reply.Close ends the connection or gives it back.
 	if err != nil {
 		stop()
-		c.Close()
+		c.end()
 		if ctx.Err() != nil {
 			return nil, &Error{Op: "send", Kind: ErrStopped, Err: context.Cause(ctx)}
 		}
@@ -197,7 +197,7 @@
 func (r *Reply) Close(whole bool) {
 	live := r.stop()
 	if !whole || !live || !r.keep || !r.wrote.done.Load() {
-		r.conn.Close()
+		r.conn.end()
 		return
 	}
 	r.pool.put(r.conn, r.idle)
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -29,7 +29,7 @@
 	}
 }
 
-func (b *balancer) setEndpoints(now time.Time, services map[string][]directory.Endpoint) {
+func (b *balancer) setEndpoints(services map[string][]directory.Endpoint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.SetEndpoints(services)
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -110,7 +110,7 @@
 		case err != nil:
 			c.options.Logger.Error("configuration: A record can't be read; the one in force stays.", zap.Int64("offset", r.Offset), zap.Error(err))
 		case o.Directory != nil:
-			c.configure(now, o.Directory, r.Offset)
+			c.configure(o.Directory, r.Offset)
 		case o.Order != nil:
 			c.order(now, *o.Order, r.Offset)
 		}
@@ -119,7 +119,7 @@
 }
 
 // configure puts a configuration in force unless a newer one is.
-func (c *control) configure(now time.Time, d *directory.Directory, offset int64) {
+func (c *control) configure(d *directory.Directory, offset int64) {
 	old := c.now.Directory
 	if old != nil && d.Version <= old.Version {
 		return
@@ -172,5 +172,5 @@
 			zap.String("availability-zone", a.Endpoint.AvailabilityZone), zap.Int64("sequence", a.Endpoint.Sequence),
 			zap.Duration("registry-age", now.Sub(c.now.RegistryAt)))
 	}
-	c.balancer.setEndpoints(now, c.roster.Usable())
+	c.balancer.setEndpoints(c.roster.Usable())
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"errors"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -104,7 +105,7 @@
 			f = append(f, zap.NamedError("error", x.failure.err))
 		}
 	}
-	if x.cause != nil && (x.failure == nil || x.failure.err != x.cause) {
+	if x.cause != nil && (x.failure == nil || !errors.Is(x.failure.err, x.cause)) {
 		f = append(f, zap.NamedError("cause", x.cause))
 	}
 	h.log.logger.Info("request: Ended.", f...)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return &Error{Op: "dial", Kind: ErrStream, Err: err}
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	s, err := relaypb.NewRelayClient(conn).Follow(c, &relaypb.FollowRequest{Instance: h.options.Instance})
 	if err != nil {
 		return &Error{Op: "follow", Kind: ErrStream, Err: err}
