Pace the seeds' reads within the time of a call, and bound retries by the fleet's size

Every instance took an eighth of the retry budget's slack, which 78 instances would exceed; it is 1/128 now, one at least. Failed calls are repeated after up to half of the stability window.

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -38,15 +38,14 @@
 	paceShare   = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
 	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
 	storeRetry  = 250 * time.Millisecond
-	// Below the stability window, within which the store's return has to be noticed.
-	storeRetryMost = time.Second
-	joinNeeded     = 60 * time.Millisecond // some round trips; without these topics no request is served
-	joinSlow       = 2 * time.Second
-	relaySlack     = 300 * time.Millisecond // for a call to the store and its record to another instance
-	idleConns      = 8                      // idle connections kept to one endpoint
-	ratioShare     = 0.9                    // of the fleet's retry budget; the rest covers instances that count differently
-	fleetGuess     = 8                      // instances that share the slack of the retry budget
-	reloadEvery    = time.Second            // between looks at the settings file, which may change without a signal
+	joinNeeded  = 60 * time.Millisecond // some round trips; without these topics no request is served
+	joinSlow    = 2 * time.Second
+	relaySlack  = 300 * time.Millisecond // for a call to the store and its record to another instance
+	idleConns   = 8                      // idle connections kept to one endpoint
+	ratioShare  = 0.9                    // of the fleet's retry budget; the rest covers instances that count differently
+	fleetMost   = 128                    // instances that share the slack of the retry budget; the rest of the ratio covers more
+	leastSlack  = 1                      // further sends of an instance that has had no request, so that the first one can be repeated
+	reloadEvery = time.Second            // between looks at the settings file, which may change without a signal
 )
 
 func ingressCommand() *cli.Command {
@@ -134,11 +133,11 @@
 	b := s.Bounds
 	wait := func(bound time.Duration) feed.Options {
 		return feed.Options{
-			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: storeRetryMost,
+			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: b.Stability / 2,
 		}
 	}
 	feeds := ingress.Feeds{Operators: wait(b.Apply), Registry: wait(b.Drain), Slow: wait(b.Apply)}
-	feeds.Slow.Wait = storeWait
+	feeds.Slow.Wait, feeds.Slow.RetryMost = storeWait, storeWait
 	h := relay.Options{Instance: s.Instance.ID, Logger: logger, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", address)
 	}}
@@ -159,7 +158,7 @@
 		Status: topic{share(platform.TopicStatus, feeds.Slow, 0, joinSlow), status}, Board: topic{share(platform.TopicBoard, feeds.Slow, 0, joinSlow), board},
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation: escalation.DefaultSettings(),
-		Retries:    retry.Settings{Window: b.RetryWindow, Ratio: ratioShare * b.RetryRatio, Slack: b.RetrySlack / fleetGuess},
+		Retries:    retry.Settings{Window: b.RetryWindow, Ratio: ratioShare * b.RetryRatio, Slack: max(leastSlack, b.RetrySlack/fleetMost)},
 		Exposure:   b.Exposure, Grace: b.Grace, IdleConns: idleConns,
 	}
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -8,6 +8,9 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
 )
 
+// goneFor is how long a removed entry is remembered; registrations that were overtaken arrive within seconds.
+const goneFor = 5 * time.Minute
+
 // lapseGrace is how long an entry that expired during an outage of the store may take to come back after it; the
 // platform states about two seconds.
 const lapseGrace = 2 * time.Second
@@ -43,7 +46,7 @@
 type entry struct {
 	endpoint directory.Endpoint
 	lapse    time.Time // when it is gone unless the entry comes back; zero if the entry stands
-	gone     bool      // its entry is kept only to recognise older registrations
+	gone     time.Time // since when its entry is kept only to recognise older registrations; zero if it stands
 }
 
 // Roster is the set of known endpoints.
@@ -98,7 +101,7 @@
 	}
 	reason := Reason("")
 	switch {
-	case o.gone:
+	case !o.gone.IsZero():
 		reason = joined(n)
 	case n.Born != o.endpoint.Born || n.Address != o.endpoint.Address || n.Version != o.endpoint.Version || n.Service != o.endpoint.Service:
 		reason = Replaced
@@ -124,24 +127,29 @@
 // remove takes an endpoint out, later if its entry may have expired because of an outage.
 func (r *Roster) remove(now time.Time, id string, out []Action) []Action {
 	o := r.entries[id]
-	if o == nil || o.gone || !o.lapse.IsZero() {
+	if o == nil || !o.gone.IsZero() || !o.lapse.IsZero() {
 		return out
 	}
 	if !o.endpoint.Leaving && !r.back.IsZero() && now.Before(r.back.Add(lapseGrace)) {
 		o.lapse = r.back.Add(lapseGrace)
 		return append(out, Action{id, o.endpoint, Lapsed})
 	}
-	o.gone = true
+	o.gone = now
 	return append(out, Action{id, o.endpoint, Removed})
 }
 
 func (r *Roster) expire(now time.Time, out []Action) []Action {
 	for _, id := range r.ids() {
 		if o := r.entries[id]; !o.lapse.IsZero() && !now.Before(o.lapse) {
-			o.lapse, o.gone = time.Time{}, true
+			o.lapse, o.gone = time.Time{}, now
 			out = append(out, Action{id, o.endpoint, Removed})
 		}
 	}
+	for id, o := range r.entries {
+		if !o.gone.IsZero() && now.Sub(o.gone) >= goneFor {
+			delete(r.entries, id)
+		}
+	}
 	return out
 }
 
@@ -149,7 +157,7 @@
 func (r *Roster) ids() []string {
 	out := make([]string, 0, len(r.entries))
 	for id, o := range r.entries {
-		if !o.gone {
+		if o.gone.IsZero() {
 			out = append(out, id)
 		}
 	}
@@ -161,7 +169,7 @@
 func (r *Roster) Usable() map[string][]directory.Endpoint {
 	out := map[string][]directory.Endpoint{}
 	for _, o := range r.entries {
-		if !o.gone && !o.endpoint.Leaving {
+		if o.gone.IsZero() && !o.endpoint.Leaving {
 			out[o.endpoint.Service] = append(out[o.endpoint.Service], o.endpoint)
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -261,3 +261,34 @@
 		t.Error("records before the full state are taken to be known")
 	}
 }
+
+// TestPace guards against more reads than the pace allows, and against a pause that uses up the time for the call, so that
+// a store that is well is taken to be lost.
+func TestPace(t *testing.T) {
+	l := newLog()
+	l.add("first")
+	h := NewHub(Options{Logger: zap.NewNop()})
+	r := &reader{log: l}
+	const interval = 250 * time.Millisecond
+	s := h.Source(r, Pace{Interval: interval, Fresh: fresh})
+	if _, err := s.Newest(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	next := int64(1)
+	start := time.Now()
+	for i := range 4 {
+		if i%2 == 0 {
+			l.add("again") // every second read finds a record at once
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), wait+interval/2)
+		b, err := s.Read(ctx, next, wait)
+		cancel()
+		if err != nil {
+			t.Fatalf("read %d: %v", i, err)
+		}
+		next = b.Next
+	}
+	if d := time.Since(start); d < 3*interval {
+		t.Errorf("four reads within %v", d)
+	}
+}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -87,6 +87,7 @@
 		if err := pause(ctx, d, nil); err != nil {
 			return feed.Batch{}, err
 		}
+		wait = max(0, wait-d) // the caller's time for the call covers both
 	}
 	s.last = time.Now()
 	b, err := s.store.Read(ctx, from, wait)
