--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -34,7 +34,7 @@
 	memoryShare = 0.7                    // of the memory limit for the runtime's heap; sockets and stacks take the rest
 	dialTime    = 300 * time.Millisecond // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
 	storeTime   = 700 * time.Millisecond // for a call to the store, which answers within 0.3 s when it is slow
-	waitShare   = 0.75                   // of a bound, for which a read waits: the store may not wake it for a record
+	waitShare   = 0.6                    // of a bound, for which a read waits: the store may not wake it for a record
 	paceShare   = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
 	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
 	storeRetry  = 250 * time.Millisecond
@@ -133,7 +133,7 @@
 	b := s.Bounds
 	wait := func(bound time.Duration) feed.Options {
 		return feed.Options{
-			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: b.Stability / 2,
+			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: b.Stability / 4,
 		}
 	}
 	feeds := ingress.Feeds{Operators: wait(b.Apply), Registry: wait(b.Drain), Slow: wait(b.Apply)}
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -167,17 +167,31 @@
 	return ""
 }
 
-// Outcome records an answer; slowness is its time over the expected one, 0 if unknown. It reports whether the
-// roll-out was stopped by it.
-func (r *Rollout) Outcome(version, route string, failed bool, slowness float64) bool {
+// Outcome records the end of an answer and reports whether the roll-out was stopped by it.
+func (r *Rollout) Outcome(version, route string, failed bool) bool {
 	if r.order == nil || r.state != directory.RolloutRunning {
 		return false
 	}
 	if version != r.order.Target {
-		r.fresh.old.add(failed, slowness)
+		r.fresh.old.add(failed)
 		return false
 	}
-	why := r.fresh.add(route, failed, slowness)
+	return r.stop(r.fresh.add(route, failed))
+}
+
+// Answered records the time until the first byte of an answer, or until it was given up, over the expected one.
+func (r *Rollout) Answered(version, route string, slowness float64) bool {
+	if r.order == nil || r.state != directory.RolloutRunning {
+		return false
+	}
+	if version != r.order.Target {
+		r.fresh.old.start(slowness)
+		return false
+	}
+	return r.stop(r.fresh.start(route, slowness))
+}
+
+func (r *Rollout) stop(why string) bool {
 	if why == "" {
 		return false
 	}
--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -44,7 +44,8 @@
 		v := r.Pick(now, g.Float64())
 		if v == "v1" {
 			old++
-			r.Outcome(v, route, g.Float64() < 0.01, 1)
+			r.Outcome(v, route, g.Float64() < 0.01)
+			r.Answered(v, route, 1)
 			continue
 		}
 		fresh++
@@ -52,7 +53,8 @@
 		if f {
 			failed++
 		}
-		r.Outcome(v, route, f, ratio)
+		r.Answered(v, route, ratio)
+		r.Outcome(v, route, f)
 	}
 	return old, fresh, failed, end, state
 }
--- a/internal/core/canary/evidence.go
+++ b/internal/core/canary/evidence.go
@@ -11,7 +11,7 @@
 	floorAt   = -3  // successes in advance count no more than this against later failures
 
 	slowRatio   = 3.0 // of expected times that counts as slow, against the old version's
-	slowSamples = 10
+	slowSamples = 6
 	maxRoutes   = 256
 )
 
@@ -31,15 +31,16 @@
 
 func newEvidence() *evidence { return &evidence{routes: map[string]*tally{}} }
 
-func (t *tally) add(failed bool, slowness float64) {
+func (t *tally) add(failed bool) {
 	t.n++
 	if failed {
 		t.failed++
 	}
-	if slowness > 0 {
-		t.slow += math.Log(min(max(slowness, 0.1), 20))
-		t.slowNumber++
-	}
+}
+
+func (t *tally) start(slowness float64) {
+	t.slow += math.Log(min(max(slowness, 0.1), 20))
+	t.slowNumber++
 }
 
 func (t *tally) test(failed bool, good float64) bool {
@@ -61,24 +62,39 @@
 }
 
 // add records an answer of the new version and returns why it is bad, or "".
-func (e *evidence) add(route string, failed bool, slowness float64) string {
+func (e *evidence) add(route string, failed bool) string {
 	good := min(0.6, max(goodShare, (float64(e.old.failed)+0.5)/float64(e.old.n+10)))
-	t := e.routes[route]
+	t := e.route(route)
+	t.add(failed)
+	e.all.add(failed)
+	byRoute, byAll := t.test(failed, good), e.all.test(failed, good)
+	switch {
+	case byAll:
+		return "failures"
+	case byRoute:
+		return "failures on one route"
+	}
+	return ""
+}
+
+func (e *evidence) route(name string) *tally {
+	t := e.routes[name]
 	if t == nil {
 		t = &tally{}
 		if len(e.routes) < maxRoutes {
-			e.routes[route] = t
+			e.routes[name] = t
 		}
 	}
-	t.add(failed, slowness)
-	e.all.add(failed, slowness)
-	byRoute, byAll := t.test(failed, good), e.all.test(failed, good)
+	return t
+}
+
+// start records how slow an answer of the new version began and returns why the version is bad, or "".
+func (e *evidence) start(route string, slowness float64) string {
+	t := e.route(route)
+	t.start(slowness)
+	e.all.start(slowness)
 	old := max(1, e.old.slowness())
 	switch {
-	case byAll:
-		return "failures"
-	case byRoute:
-		return "failures on one route"
 	case e.all.slowNumber >= slowSamples && e.all.slowness() > slowRatio*old:
 		return "slow"
 	case t.slowNumber >= slowSamples && t.slowness() > slowRatio*old:
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -64,6 +64,7 @@
 	sent     time.Time
 	started  bool
 	slowness float64
+	speed    float64 // of the endpoint at the send
 }
 
 // Table holds what is known of the load of all endpoints; it is not safe for concurrent use.
@@ -193,7 +194,7 @@
 	p := t.pace(r.Service, r.Model)
 	k := &Token{
 		ID: c.Endpoint.ID, model: key(r.Service, r.Model), prefill: c.Prefill, sent: now,
-		work: p.perToken * float64(c.Prefill) * s.speed, expected: float64(c.Start) / float64(time.Millisecond),
+		work: p.perToken * float64(c.Prefill) * s.speed, expected: float64(c.Start) / float64(time.Millisecond), speed: s.speed,
 	}
 	s.own++
 	s.pending += k.work
@@ -214,7 +215,7 @@
 	s.pending = max(0, s.pending-k.work)
 	ms := float64(now.Sub(k.sent)) / float64(time.Millisecond)
 	if k.expected > 0 {
-		k.slowness = ms * s.speed / k.expected
+		k.slowness = ms * k.speed / k.expected
 	}
 	t.paces[k.model].first(ms, k.prefill, s.speed)
 	s.learnSpeed(ms, k.expected)
@@ -266,5 +267,13 @@
 	return d
 }
 
+// Waited returns the time since the send over the expected one, for a request that has no answer yet.
+func (k *Token) Waited(now time.Time) float64 {
+	if k.expected <= 0 {
+		return 0
+	}
+	return float64(now.Sub(k.sent)) / float64(time.Millisecond) * k.speed / k.expected
+}
+
 // Slowness returns the time to the first byte over the expected one, or 0 if it has not come.
 func (k *Token) Slowness() float64 { return k.slowness }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -71,9 +71,9 @@
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var next int64
-	loaded, retry := false, f.options.Retry
+	loaded, lost, retry := false, false, f.options.Retry
 	for ctx.Err() == nil {
-		u, restarted := f.call(ctx, loaded, next)
+		u, restarted := f.call(ctx, loaded, next, lost)
 		if ctx.Err() != nil {
 			return
 		}
@@ -81,6 +81,7 @@
 			continue
 		}
 		pause := time.Duration(0)
+		lost = u.Err != nil
 		switch {
 		case u.Err != nil:
 			pause = time.Duration((0.5 + rand.Float64()) * float64(retry))
@@ -98,9 +99,10 @@
 }
 
 // call makes one call and reports whether it was abandoned.
-func (f *Follower) call(ctx context.Context, loaded bool, next int64) (Update, bool) {
+func (f *Follower) call(ctx context.Context, loaded bool, next int64, lost bool) (Update, bool) {
 	wait := time.Duration(0)
-	if loaded {
+	// A store that was lost is asked without a wait: a call that waits would hang longest just when the store returns.
+	if loaded && !lost {
 		wait = f.options.Wait
 	}
 	c, cancel := context.WithTimeout(ctx, wait+f.options.Timeout)
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -31,7 +31,10 @@
 
 func (s *scripted) Newest(ctx context.Context) (Batch, error) { return s.next(ctx, "newest") }
 
-func (s *scripted) Read(ctx context.Context, _ int64, _ time.Duration) (Batch, error) {
+func (s *scripted) Read(ctx context.Context, _ int64, wait time.Duration) (Batch, error) {
+	if wait == 0 {
+		return s.next(ctx, "read at once")
+	}
 	return s.next(ctx, "read")
 }
 
@@ -142,3 +145,16 @@
 		t.Errorf("five calls within %v", d)
 	}
 }
+
+// TestReturn guards against a read that waits at a store that was lost: it hangs longest just when the store returns.
+func TestReturn(t *testing.T) {
+	fail := func(context.Context) (Batch, error) { return Batch{}, errors.New("away") }
+	s := &scripted{replies: []func(context.Context) (Batch, error){batch(1, "a"), fail, batch(2, "b"), batch(3, "c")}}
+	run(t, s, quick, 4, nil)
+	want := []string{"newest", "read", "read at once", "read"}
+	for i, w := range want {
+		if s.calls[i] != w {
+			t.Errorf("call %d: %s, want %s", i, s.calls[i], w)
+		}
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -67,6 +67,9 @@
 	a.answer = x.handler.options.Protocol.Answer(reply.Status, reply.Header)
 	x.sends++
 	x.handler.balancer.started(time.Now(), a.token, a.answer.Load)
+	if !a.answer.NotExecuted {
+		a.stopped(x.handler.balancer.answered(a.choice.Endpoint, x.route.Name, a.token.Slowness()))
+	}
 	reply.SetIdle(a.answer.IdleTimeout)
 	if a.answer.Close {
 		reply.Leave()
@@ -146,6 +149,7 @@
 			return settled, "deadline"
 		}
 		x.allowed = true
+		a.stopped(x.handler.balancer.answered(a.choice.Endpoint, x.route.Name, a.token.Waited(now)))
 	}
 	if (kind == forward.ErrNoReply || kind == forward.ErrStale) && x.handler.pool.Dead(x.ctx, a.choice.Endpoint.Address) {
 		x.handler.board.death(now, id, x.content)
@@ -154,7 +158,7 @@
 	}
 	if kind != forward.ErrStale {
 		x.avoid[id] = true
-		x.handler.balancer.outcome(now, a.choice.Endpoint, x.route.Name, false, false, 0)
+		x.handler.balancer.outcome(now, a.choice.Endpoint, x.route.Name, false, false)
 	}
 	if !x.route.Repeatable() {
 		return settled, string(kind)
@@ -217,9 +221,14 @@
 // judge records how the endpoint did.
 func (a *attempt) judge(ok bool) {
 	x := a.exchange
-	why := x.handler.balancer.outcome(time.Now(), a.choice.Endpoint, x.route.Name, ok, true, a.token.Slowness())
+	why := x.handler.balancer.outcome(time.Now(), a.choice.Endpoint, x.route.Name, ok, true)
+	a.stopped(why)
+}
+
+// stopped logs why an answer stopped a roll-out, if it did.
+func (a *attempt) stopped(why string) {
 	if why != "" {
-		x.handler.log.rollout(x.service, a.choice.Endpoint.Version, why)
+		a.exchange.handler.log.rollout(a.exchange.service, a.choice.Endpoint.Version, why)
 	}
 }
 
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -135,8 +135,23 @@
 	return b.table.Unreachable(now, id)
 }
 
+// answered records how slow an endpoint began to answer; it returns the reason if that stopped a roll-out.
+func (b *balancer) answered(e directory.Endpoint, route string, slowness float64) string {
+	if slowness <= 0 {
+		return ""
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.rollout(e.Service)
+	if !r.Answered(e.Version, route, slowness) {
+		return ""
+	}
+	_, _, why := r.Status()
+	return why
+}
+
 // outcome records how an endpoint did; it returns the reason if that stopped a roll-out.
-func (b *balancer) outcome(now time.Time, e directory.Endpoint, route string, ok, answered bool, slowness float64) string {
+func (b *balancer) outcome(now time.Time, e directory.Endpoint, route string, ok, answered bool) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.Outcome(now, e.ID, ok)
@@ -144,7 +159,7 @@
 		return ""
 	}
 	r := b.rollout(e.Service)
-	if !r.Outcome(e.Version, route, !ok, slowness) {
+	if !r.Outcome(e.Version, route, !ok) {
 		return ""
 	}
 	_, _, why := r.Status()
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -136,7 +136,7 @@
 		return settled, "deadline"
 	}
 	x.avoid[a.choice.Endpoint.ID] = true
-	x.handler.balancer.outcome(time.Now(), a.choice.Endpoint, x.route.Name, false, false, 0)
+	x.handler.balancer.outcome(time.Now(), a.choice.Endpoint, x.route.Name, false, false)
 	if !x.route.Resumable {
 		return settled, "broken"
 	}
