--- a/cmd/cassiaspoke/ingress_test.go
+++ b/cmd/cassiaspoke/ingress_test.go
@@ -137,7 +137,7 @@
 		t.Fatal(err)
 	}
 	p.config["version"] = 9
-	p.config.Route("idempotent")["pathPrefix"] = "/moved/"
+	p.config.Move("idempotent", "/moved/")
 	p.store.Configure(p.config)
 	time.Sleep(2 * time.Second)
 	if err := p.cmd.Process.Signal(syscall.SIGCONT); err != nil {
