Rank the endpoints of a shared prompt alike on all instances

Cause: each instance expected a prompt only where it had sent it itself, and half of it at one endpoint of its zone. Change: the endpoints of a prompt are ranked by its hash over the whole fleet, or within the zone where a read costs less than the way to another zone; only the first ones are compared. A prompt that was read at many endpoints counts as everywhere. The time a request waited for others' prompts is left out of what is learned of a model's pace, and the first observations of a restarted instance weigh more.

--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -13,6 +13,8 @@
 	base     float64 // milliseconds to the first byte without a prompt
 	perToken float64 // milliseconds for a prompt token that has to be read
 	whole    float64 // milliseconds to the end of the answer
+	starts   int     // observations of the first byte
+	ends     int     // and of the end
 }
 
 func key(service, model string) string { return service + "\x00" + model }
@@ -30,7 +32,8 @@
 // first learns from the time to a first byte; the error is split between both terms by their share of the estimate.
 func (p *pace) first(ms float64, prefill int, speed float64) {
 	e := p.base + p.perToken*float64(prefill)
-	d := (ms/speed - e) * paceShare
+	p.starts++
+	d := (ms/speed - e) * weight(p.starts)
 	if d > e { // one very late answer moves the estimate twofold at most
 		d = e
 	}
@@ -41,4 +44,11 @@
 	}
 }
 
-func (p *pace) end(ms float64) { p.whole += (ms - p.whole) * paceShare }
+func (p *pace) end(ms float64) {
+	p.ends++
+	p.whole += (ms - p.whole) * weight(p.ends)
+}
+
+// weight is that of the n-th observation: the first ones count more than what was assumed beforehand, as a restarted
+// instance that takes every endpoint for slow moves requests in vain.
+func weight(n int) float64 { return max(paceShare, 1/float64(n+1)) }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -18,6 +18,7 @@
 	FailureHalf      time.Duration // half-life of the memory of failures
 	EjectBase        time.Duration // first time without work after an endpoint could not be reached; it doubles
 	EjectMax         time.Duration
+	Choices          int // endpoints, and as many of the own availability zone, that are compared for a shared prompt
 }
 
 // DefaultSettings returns an instance's settings.
@@ -31,6 +32,7 @@
 		FailureHalf:      2 * time.Second,
 		EjectBase:        300 * time.Millisecond,
 		EjectMax:         4 * time.Second, // engines restart within seconds
+		Choices:          3,               // one more than two choices, as one may be down
 	}
 }
 
@@ -65,6 +67,7 @@
 	started  bool
 	slowness float64
 	speed    float64 // of the endpoint at the send
+	queue    float64 // milliseconds of prefill ahead of it at the send
 }
 
 // Table holds what is known of the load of all endpoints; it is not safe for concurrent use.
@@ -73,11 +76,12 @@
 	services map[string][]directory.Endpoint
 	states   map[string]*state
 	paces    map[string]*pace // by service and model
+	uses     map[uint64]*use  // of shared prompts, by their chain
 }
 
 // New returns an empty table.
 func New(s Settings) *Table {
-	return &Table{settings: s, states: map[string]*state{}, paces: map[string]*pace{}}
+	return &Table{settings: s, states: map[string]*state{}, paces: map[string]*pace{}, uses: map[uint64]*use{}}
 }
 
 // SetEndpoints replaces the endpoints that may get work; what is known of those that stay is kept.
@@ -116,16 +120,13 @@
 	best, found := Choice{}, false
 	lowest := math.Inf(1)
 	p := t.pace(r.Service, r.Model)
-	top := t.home(now, r)
-	for _, e := range t.services[r.Service] {
-		if r.Avoid[e.ID] || r.Version != "" && e.Version != r.Version {
-			continue
-		}
+	q := t.prompt(now, r, p)
+	for i, e := range t.services[r.Service] {
 		s := t.states[e.ID]
-		if s.ejected(now) {
+		if !t.eligible(r, e) || s.ejected(now) || !q.considers(i) {
 			continue
 		}
-		c := t.estimate(now, r, e, s, p, e.ID == top)
+		c := t.estimate(now, e, s, p, q.uncached(i))
 		v := t.cost(now, r, e, s, c)
 		if v < lowest {
 			best, lowest, found = c, v, true
@@ -137,11 +138,15 @@
 	return best, true
 }
 
+func (t *Table) eligible(r Request, e directory.Endpoint) bool {
+	return !r.Avoid[e.ID] && (r.Version == "" || e.Version == r.Version)
+}
+
 // fallback picks an ejected endpoint whose time without work ends first, for a request that may be repeated.
 func (t *Table) fallback(now time.Time, r Request, p *pace) (Choice, bool) {
 	var best *directory.Endpoint
 	for i, e := range t.services[r.Service] {
-		if r.Avoid[e.ID] || r.Version != "" && e.Version != r.Version {
+		if !t.eligible(r, e) {
 			continue
 		}
 		if best == nil || t.states[e.ID].until.Before(t.states[best.ID].until) {
@@ -151,15 +156,14 @@
 	if best == nil || r.Risky && t.states[best.ID].until.Sub(now) > t.settings.EjectBase {
 		return Choice{}, false
 	}
-	return t.estimate(now, r, *best, t.states[best.ID], p, false), true
+	return t.estimate(now, *best, t.states[best.ID], p, r.Prompt), true
 }
 
-func (t *Table) estimate(now time.Time, r Request, e directory.Endpoint, s *state, p *pace, home bool) Choice {
-	uncached := s.uncached(now, r, t.settings.CacheFor, home)
+func (t *Table) estimate(now time.Time, e directory.Endpoint, s *state, p *pace, uncached int) Choice {
 	running := s.running(now, t.settings.ReportFor)
 	slots := float64(max(1, e.Slots))
 	ms := (p.base + p.perToken*float64(uncached)) * s.speed
-	ms += s.pending
+	ms += s.queue(now)
 	if over := running + 1 - slots; over > 0 {
 		ms += over / slots * p.whole * s.speed
 	}
@@ -176,7 +180,7 @@
 	v += p.perToken * float64(c.Prefill) // it delays the tokens of the requests beside it
 	v += c.Busy * p.base
 	if e.AvailabilityZone != t.settings.AvailabilityZone {
-		v += float64(t.settings.ZoneCost+time.Duration(r.Bytes)*t.settings.ZoneCostPerKB/1024) / float64(time.Millisecond)
+		v += float64(t.zoneCost(r)) / float64(time.Millisecond)
 	}
 	f := min(s.failing(now, t.settings.FailureHalf), maxFailing)
 	if r.Risky {
@@ -185,6 +189,11 @@
 	return (v + f*p.whole) / (1 - f)
 }
 
+// zoneCost is the price of an endpoint in another availability zone.
+func (t *Table) zoneCost(r Request) time.Duration {
+	return t.settings.ZoneCost + time.Duration(r.Bytes)*t.settings.ZoneCostPerKB/1024
+}
+
 // maxFailing bounds the share of failures in the cost, so that an endpoint is still compared with others.
 const maxFailing = 0.95
 
@@ -195,10 +204,11 @@
 	k := &Token{
 		ID: c.Endpoint.ID, model: key(r.Service, r.Model), prefill: c.Prefill, sent: now,
 		work: p.perToken * float64(c.Prefill) * s.speed, expected: float64(c.Start) / float64(time.Millisecond), speed: s.speed,
+		queue: s.queue(now),
 	}
 	s.own++
 	s.pending += k.work
-	s.remember(now, r)
+	t.remember(now, r, s)
 	return k
 }
 
@@ -217,7 +227,7 @@
 	if k.expected > 0 {
 		k.slowness = ms * k.speed / k.expected
 	}
-	t.paces[k.model].first(ms, k.prefill, s.speed)
+	t.paces[k.model].first(max(0, ms-k.queue), k.prefill, s.speed)
 	s.learnSpeed(ms, k.expected)
 }
 
