Bound what a bad version gets unseen, write crash marks together, and notice the store's return in time

Three causes that broke rules or cost calls; they share the options and the client of the store.

All requests now move so late that the bound holds without any failure seen: at a steady rate in the last 6 percent for a bound of 15, later in a burst, sooner where the slack covers it.

The marks commute, so they are now written in one call without a condition, after a short random wait; starts of roll-outs are written by the first instance of a random order.

Calls to a lost store are now paced from their start, by what the stability window leaves after that grace. TestRetryAfterSilence and TestLostRetry fail before.

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -21,6 +21,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/escalation"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/roster"
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 	"github.com/cassiaspoke/cassiaspoke/internal/ingress"
@@ -43,7 +44,7 @@
 	relaySlack  = 300 * time.Millisecond // for a call to the store and its record to another instance
 	idleConns   = 8                      // idle connections kept to one endpoint
 	ratioShare  = 0.9                    // of the fleet's retry budget; the rest covers instances that count differently
-	fleetMost   = 128                    // instances that share the slack of the retry budget; the rest of the ratio covers more
+	fleetMost   = 128                    // instances that share the slack of the retry budget and of the exposure; the rest of the ratios covers more
 	leastSlack  = 1                      // further sends of an instance that has had no request, so that the first one can be repeated
 	reloadEvery = time.Second            // between looks at the settings file, which may change without a signal
 )
@@ -119,9 +120,9 @@
 	store platform.TopicClient
 }
 
-// Append adds a record if the topic still ends at the offset.
-func (t topic) Append(ctx context.Context, r feed.Record, at int64) error {
-	return t.store.Append(ctx, r, at)
+// Append adds records if the topic still ends at the offset.
+func (t topic) Append(ctx context.Context, at int64, l ...feed.Record) error {
+	return t.store.Append(ctx, at, l...)
 }
 
 // ingressOptions turns the settings of the file into the options of the parts.
@@ -133,7 +134,7 @@
 	b := s.Bounds
 	wait := func(bound time.Duration) feed.Options {
 		return feed.Options{
-			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: b.Stability / 4,
+			Wait: min(b.Stability, time.Duration(waitShare*float64(bound))), Timeout: storeTime, Retry: storeRetry, RetryMost: lostRetry(b.Stability),
 		}
 	}
 	feeds := ingress.Feeds{Operators: wait(b.Apply), Registry: wait(b.Drain), Slow: wait(b.Apply)}
@@ -163,6 +164,16 @@
 	}
 }
 
+// lostRetry is the time between calls to a store that was lost. An instance may take an endpoint whose entry went
+// meanwhile for one that comes back, for the grace that such entries have from when it notices the store's return; that
+// has to be over when the bounds hold again.
+func lostRetry(stability time.Duration) time.Duration {
+	return max(storeRetry, (stability-roster.LapseGrace-returnSlack)*4/5) // calls vary by a quarter
+}
+
+// returnSlack is for the call that succeeds and for the look that finds the grace over.
+const returnSlack = 500 * time.Millisecond
+
 // reload checks the settings file when it changes. Addresses and bounds are taken at the start; a change is logged, so
 // that a broken file is known before the next start.
 func reload(ctx context.Context, path string, current settings.Ingress, logger *zap.Logger) {
--- a/internal/command/ingress_test.go
+++ b/internal/command/ingress_test.go
@@ -7,7 +7,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/roster"
 	"github.com/cassiaspoke/cassiaspoke/platform/standin"
 )
 
@@ -44,3 +46,15 @@
 		})
 	}
 }
+
+// TestLostRetry guards against an endpoint that left during a cut from the store and still gets work when the bounds hold
+// again, because its entry counts as one that may come back.
+func TestLostRetry(t *testing.T) {
+	for _, stability := range []time.Duration{3 * time.Second, 4 * time.Second, 10 * time.Second} {
+		const look = 100 * time.Millisecond
+		noticed := lostRetry(stability) * 5 / 4
+		if d := max(noticed, storeTime) + roster.LapseGrace + look; d > stability {
+			t.Errorf("stability %v: an endpoint that left gets work for %v after the return", stability, d)
+		}
+	}
+}
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -14,14 +14,34 @@
 	Begin    float64
 	Share    float64 // of the requests, from Begin until Ramp
 	Ramp     float64 // when the share begins to grow
-	Full     float64 // when all requests go to the new version
-	Complete float64 // when the roll-out is completed; requests on the old version have ended by then
+	Early    float64 // when all requests may go to the new version at the earliest, as where they are few
+	Full     float64 // when they may at a steady rate
+	Complete float64 // when the roll-out is completed
+	Exposure float64 // largest part of all requests that the new version may have had at the end, if it turns out to be bad
+	Slack    float64 // requests of this instance that it may have had beyond that part
 }
 
+// Parts of the exposure that the phases of a roll-out take.
+const (
+	exposureMargin = 0.8 // of the bound; the rest covers instances that know the start or the rate less well
+	canaryShare    = 2.0 / 3
+	rampShare      = 0.15
+	fullShare      = 0.4
+	slackShare     = 0.5
+	// drainShare is the part of the time after Full in which requests on the old version end; the rest is for the write
+	// of the state.
+	drainShare = 0.45
+)
+
 // DefaultSettings returns an instance's settings; exposure is the largest share that a bad version may get of all
-// requests of a roll-out.
-func DefaultSettings(exposure float64) Settings {
-	return Settings{Begin: 0.53, Share: exposure * 2 / 3, Ramp: 0.68, Full: 0.76, Complete: 0.9}
+// requests of a roll-out, and slack what it may get beyond. A version may fail only under the load of all requests, or late, and nothing tells it from a
+// good one before: so all requests move to it shortly before the deadline, and the bound holds without any failure seen.
+func DefaultSettings(exposure, slack float64) Settings {
+	full := 1 - fullShare*exposure
+	return Settings{
+		Begin: 0.53, Early: 0.72, Share: exposure * canaryShare, Ramp: full - rampShare*exposure, Full: full,
+		Complete: full + drainShare*(1-full), Exposure: exposure, Slack: slack,
+	}
 }
 
 // Order is a roll-out as this instance knows it.
@@ -33,6 +53,7 @@
 	// Confirmed is set once the published state was read: a restarted instance must not send to a version that was
 	// rolled back before.
 	Confirmed bool
+	Exact     bool // this instance saw the order when it was given
 }
 
 // Rollout is the state of one service; it is not safe for concurrent use.
@@ -43,6 +64,9 @@
 	state    directory.RolloutState
 	reason   string
 	fresh    *evidence
+	traffic  traffic // since the order
+	share    float64 // of the requests from Begin until Ramp; 0 before
+	full     bool    // all requests go to the new version
 }
 
 // New returns the state of a service without a roll-out.
@@ -50,25 +74,30 @@
 	return &Rollout{settings: s}
 }
 
-// Order starts a roll-out; a repeated order changes nothing.
-func (r *Rollout) Order(now time.Time, o directory.RolloutOrder) bool {
+// Order starts a roll-out; a repeated order changes nothing. Exact tells whether the order has just been given.
+func (r *Rollout) Order(now time.Time, o directory.RolloutOrder, exact bool) bool {
 	if r.order != nil && r.order.Target == o.Target && r.order.Duration == o.Duration {
 		return false
 	}
 	if r.state == directory.RolloutCompleted && r.order != nil {
 		r.current = r.order.Target
 	}
-	r.order = &Order{Target: o.Target, Duration: o.Duration, Started: now}
+	r.order = &Order{Target: o.Target, Duration: o.Duration, Started: now, Exact: exact}
 	r.state, r.reason, r.fresh = directory.RolloutRunning, "ordered", newEvidence()
+	r.traffic, r.share, r.full = traffic{since: now}, 0, false
 	return true
 }
 
-// Began corrects the start of a roll-out to one that another instance saw earlier.
+// Began corrects the start of a roll-out to one that another instance saw earlier, unless this one saw the order: the
+// times of day of two instances may be seconds apart.
 func (r *Rollout) Began(now time.Time, elapsed time.Duration) {
 	if r.order == nil {
 		return
 	}
 	r.order.Settled = true
+	if r.order.Exact {
+		return
+	}
 	if t := now.Add(-min(elapsed, r.order.Duration)); t.Before(r.order.Started) {
 		r.order.Started = t
 	}
@@ -124,21 +153,45 @@
 		return 0
 	}
 	s := r.settings
-	switch p := r.progress(now); {
-	case p < s.Begin:
+	p := r.progress(now)
+	if p < s.Begin {
 		return 0
+	}
+	if r.share == 0 {
+		// A service with few requests needs a larger part of them to show a failure, and the slack allows it.
+		r.share = min(maxRamp, s.Share+slackShare*s.Slack/(r.traffic.mean(now)*r.order.Duration.Seconds()))
+	}
+	switch {
+	case r.moves(p, now):
+		return 1
 	case p < s.Ramp:
-		return s.Share
-	case p < s.Full:
-		// Doubling shows a version that fails under load while few requests are exposed to it.
-		steps := math.Ceil(math.Log2(1 / s.Share))
-		k := math.Floor((p-s.Ramp)/(s.Full-s.Ramp)*steps) + 1
-		return min(1, s.Share*math.Exp2(k))
+		return r.share
 	default:
-		return 1
+		// Doubling shows a version that fails under load while few requests are exposed to it.
+		steps := math.Ceil(math.Log2(1 / r.share))
+		k := math.Floor((min(p, s.Full)-s.Ramp)/(s.Full-s.Ramp)*steps) + 1
+		return min(maxRamp, r.share*math.Exp2(k))
+	}
+}
+
+// maxRamp is the share until all requests move.
+const maxRamp = 0.5
+
+// moves reports whether all requests go to the new version from now on: not before the exposure allows that at the
+// present rate, and in any case before the roll-out is completed.
+func (r *Rollout) moves(p float64, now time.Time) bool {
+	s := r.settings
+	if !r.full && p >= s.Early {
+		left := r.traffic.rate(now) / r.traffic.mean(now) * (1 - p) / p // of the requests until now
+		bound := exposureMargin * (s.Exposure*(1+left) + s.Slack/float64(max(1, r.traffic.all)))
+		r.full = p >= s.Complete-lastMove*(1-s.Full) || r.traffic.share()+left <= bound
 	}
+	return r.full
 }
 
+// lastMove is the part of the time after Full that is left for the old version's requests at the least.
+const lastMove = 0.15
+
 func (r *Rollout) progress(now time.Time) float64 {
 	return float64(now.Sub(r.order.Started)) / float64(r.order.Duration)
 }
@@ -147,6 +200,14 @@
 // session that has moved to the new version stays there as the share grows. The version is empty while no endpoint is
 // known.
 func (r *Rollout) Pick(now time.Time, u float64) string {
+	v := r.pick(now, u)
+	if r.order != nil {
+		r.traffic.add(now, v == r.order.Target)
+	}
+	return v
+}
+
+func (r *Rollout) pick(now time.Time, u float64) string {
 	switch {
 	case r.order == nil || r.state == directory.RolloutRolledBack || !r.order.Confirmed:
 		return r.current
@@ -216,7 +277,8 @@
 	if r.order == nil {
 		return 0
 	}
-	return min(maxSpread, r.order.Duration/20)
+	left := time.Duration((1 - r.settings.Complete) * float64(r.order.Duration))
+	return min(maxSpread, left/3)
 }
 
 // maxSpread is some times what a record takes through the store to all instances.
--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -9,18 +9,19 @@
 )
 
 const (
-	exposure = 0.15
-	slack    = 30 // requests for a bad version beyond its share, as the platform's rule has it
-	enough   = 50 // bad answers, after which a bad version has to be stopped
-	duration = 24 * time.Second
+	exposure  = 0.15
+	slack     = 30                     // requests for a bad version beyond its share, as the platform's rule has it
+	leastTime = 100 * time.Millisecond // that many calls to the store take
+	enough    = 50                     // bad answers, after which a bad version has to be stopped
+	duration  = 24 * time.Second
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func ordered() *Rollout {
-	r := New(DefaultSettings(exposure))
+	r := New(DefaultSettings(exposure, slack))
 	r.Versions(map[string]int{"v1": 3})
-	r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration})
+	r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 	r.Confirm()
 	return r
 }
@@ -98,6 +99,79 @@
 	}
 }
 
+// TestExposure guards against a bad version that gets too many requests because nothing shows that it is bad, as one that
+// fails only after the deadline or under more load, and against a roll-out that is not completed in time.
+func TestExposure(t *testing.T) {
+	for name, c := range map[string]struct {
+		from, length time.Duration
+		factor       int
+	}{
+		"steady":                {0, 0, 1},
+		"burst before the move": {15 * time.Second, 3 * time.Second, 2},
+		"burst at the ramp":     {19 * time.Second, 3 * time.Second, 2},
+		"burst at the move":     {21500 * time.Millisecond, 2 * time.Second, 2},
+		"burst until the end":   {20 * time.Second, 4 * time.Second, 2},
+		"calm at the end":       {0, 18 * time.Second, 3},
+	} {
+		for _, bound := range []float64{0.15, 0.0975, 0.05} {
+			t.Run(name, func(t *testing.T) {
+				const instances, rate = 6, 200
+				var l []*Rollout
+				for range instances {
+					r := New(DefaultSettings(bound, slack/instances))
+					r.Versions(map[string]int{"v1": 3})
+					r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
+					r.Confirm()
+					l = append(l, r)
+				}
+				g := rand.New(rand.NewPCG(5, 6))
+				all, fresh, completed := 0, 0, time.Duration(0)
+				for at := time.Duration(0); at < duration; at += time.Second / rate {
+					now := start.Add(at)
+					n := 1
+					if at >= c.from && at < c.from+c.length {
+						n = c.factor
+					}
+					for range n {
+						all++
+						if l[g.IntN(instances)].Pick(now, g.Float64()) == "v2" {
+							fresh++
+						}
+					}
+					if s, _ := l[0].Step(now); s == directory.RolloutCompleted && completed == 0 {
+						completed = at + l[0].Spread()
+						for _, r := range l {
+							r.Published(directory.RolloutStatus{Target: "v2", State: s})
+						}
+					}
+				}
+				if m := bound*float64(all) + slack; float64(fresh) > m {
+					t.Errorf("%d of %d requests went to the new version, %.0f allowed", fresh, all, m)
+				}
+				if completed == 0 || completed > duration-leastTime {
+					t.Errorf("completed at %v of %v", completed, duration)
+				}
+			})
+		}
+	}
+}
+
+// TestClocksApart guards against a roll-out that runs ahead because another instance's time of day is wrong.
+func TestClocksApart(t *testing.T) {
+	r := ordered()
+	now := start.Add(time.Second)
+	r.Began(now, 9*time.Second)
+	if !r.Settled() || !r.Started().Equal(start) {
+		t.Errorf("started at %v, settled %v", r.Started(), r.Settled())
+	}
+	late := New(DefaultSettings(exposure, slack))
+	late.Order(now, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, false)
+	late.Began(now, 9*time.Second)
+	if !late.Started().Equal(now.Add(-9 * time.Second)) {
+		t.Errorf("an instance that did not see the order started it at %v", late.Started())
+	}
+}
+
 // TestSessions guards against a session that changes its version in the first half, or goes back from a good new version.
 func TestSessions(t *testing.T) {
 	r := ordered()
@@ -122,9 +196,9 @@
 
 // TestUnconfirmed guards against the use of a new version by an instance that does not know whether it was rolled back.
 func TestUnconfirmed(t *testing.T) {
-	r := New(DefaultSettings(exposure))
+	r := New(DefaultSettings(exposure, slack))
 	r.Versions(map[string]int{"v1": 3, "v2": 3})
-	r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration})
+	r.Order(start, directory.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 	if v := r.Pick(start.Add(23*time.Second), 0); v != "v1" {
 		t.Errorf("picks %s", v)
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -11,9 +11,9 @@
 // goneFor is how long a removed entry is remembered; registrations that were overtaken arrive within seconds.
 const goneFor = 5 * time.Minute
 
-// lapseGrace is how long an entry that expired during an outage of the store may take to come back after it; the
+// LapseGrace is how long an entry that expired during an outage of the store may take to come back after it; the
 // platform states about two seconds.
-const lapseGrace = 2 * time.Second
+const LapseGrace = 2 * time.Second
 
 // Event is what an instance learns of the registry; one field is set.
 type Event struct {
@@ -38,7 +38,7 @@
 	Joined   Reason = "joined"
 	Leaving  Reason = "leaving"  // it announced its stop
 	Removed  Reason = "removed"  // its entry is gone
-	Lapsed   Reason = "lapsed"   // its entry went with an outage of the store; it still gets work for lapseGrace
+	Lapsed   Reason = "lapsed"   // its entry went with an outage of the store; it still gets work for LapseGrace
 	Replaced Reason = "replaced" // another start under the same identifier
 	Returned Reason = "returned" // its entry is back after a lapse
 )
@@ -130,8 +130,8 @@
 	if o == nil || !o.gone.IsZero() || !o.lapse.IsZero() {
 		return out
 	}
-	if !o.endpoint.Leaving && !r.back.IsZero() && now.Before(r.back.Add(lapseGrace)) {
-		o.lapse = r.back.Add(lapseGrace)
+	if !o.endpoint.Leaving && !r.back.IsZero() && now.Before(r.back.Add(LapseGrace)) {
+		o.lapse = r.back.Add(LapseGrace)
 		return append(out, Action{id, o.endpoint, Lapsed})
 	}
 	o.gone = now
--- a/internal/core/suspect/register.go
+++ b/internal/core/suspect/register.go
@@ -224,10 +224,11 @@
 	case b && !a:
 		return -1
 	}
-	return cmp.Or(m.last().Compare(o.last()), cmp.Compare(m.Content, o.Content))
+	return cmp.Or(m.Last().Compare(o.Last()), cmp.Compare(m.Content, o.Content))
 }
 
-func (m *Mark) last() time.Time {
+// Last returns the time of the latest death.
+func (m *Mark) Last() time.Time {
 	var t time.Time
 	for _, d := range m.Deaths {
 		if d.At.After(t) {
@@ -250,7 +251,7 @@
 func (r *Register) expire(now time.Time) {
 	keep := max(r.settings.SuspectFor, r.settings.RefuseFor)
 	for c, m := range r.marks {
-		if now.Sub(m.last()) >= keep {
+		if now.Sub(m.Last()) >= keep {
 			delete(r.marks, c)
 			r.view = nil
 		}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,6 +20,9 @@
 	Trimmed bool  // the offset asked for is not kept any more
 }
 
+// AnyEnd appends to a topic wherever it ends.
+const AnyEnd = -1
+
 // Source reads one topic.
 type Source interface {
 	// Newest returns the newest record of each key and the offset from which changes are to be read.
@@ -41,11 +44,14 @@
 type Options struct {
 	Wait    time.Duration // for which the store holds a read until there is a record
 	Timeout time.Duration // of a call, beside Wait
-	Retry   time.Duration // mean time from a failed call to the next; it doubles up to RetryMost
+	Retry   time.Duration // mean time from the start of a failed call to the next; it doubles up to RetryMost
 	// RetryMost bounds the load of many instances on a store that refuses them.
 	RetryMost time.Duration
 }
 
+// jitter is the part by which the time to the next call varies, as many instances lose the store at the same time.
+const jitter = 0.25
+
 // Follower follows one topic.
 type Follower struct {
 	source  Source
@@ -84,7 +90,8 @@
 		lost = u.Err != nil
 		switch {
 		case u.Err != nil:
-			pause = time.Duration((0.5 + rand.Float64()) * float64(retry))
+			// The time for which the call hung counts, so that the store's return is noticed within the longer of both.
+			pause = time.Duration((1-jitter+2*jitter*rand.Float64())*float64(retry)) - time.Since(u.At)
 			retry = min(2*retry, max(f.options.Retry, f.options.RetryMost))
 		case u.Next < 0: // trimmed
 			loaded = false
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -146,6 +147,23 @@
 	}
 }
 
+// TestRetryAfterSilence guards against a return of the store that is noticed late because the time for which a call hung
+// came on top of the time to the next one.
+func TestRetryAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := func(ctx context.Context) (Batch, error) {
+			<-ctx.Done()
+			return Batch{}, ctx.Err()
+		}
+		s := &scripted{replies: []func(context.Context) (Batch, error){hang, hang, hang, hang, hang}}
+		o := Options{Wait: time.Second, Timeout: 700 * time.Millisecond, Retry: 500 * time.Millisecond, RetryMost: 500 * time.Millisecond}
+		l := run(t, s, o, 5, nil)
+		if d := l[4].At.Sub(l[0].At); d > 4*710*time.Millisecond {
+			t.Errorf("five calls took %v", d)
+		}
+	})
+}
+
 // TestReturn guards against a read that waits at a store that was lost: it hangs longest just when the store returns.
 func TestReturn(t *testing.T) {
 	fail := func(context.Context) (Batch, error) { return Batch{}, errors.New("away") }
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -52,7 +52,7 @@
 func (b *balancer) rollout(service string) *canary.Rollout {
 	r := b.rollouts[service]
 	if r == nil {
-		r = canary.New(canary.DefaultSettings(b.options.Exposure))
+		r = canary.New(canary.DefaultSettings(b.options.Exposure, b.options.ExposureSlack))
 		b.rollouts[service] = r
 	}
 	return r
@@ -102,6 +102,20 @@
 	return b.table.Choose(now, r)
 }
 
+// Own returns what this instance has under way at the endpoints.
+func (b *balancer) Own() placement.Loads {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Own()
+}
+
+// SetOthers takes what the other instances had under way at a time.
+func (b *balancer) SetOthers(at time.Time, l placement.Loads) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table.SetOthers(at, l)
+}
+
 func (b *balancer) request(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/ingress/board.go
+++ b/internal/ingress/board.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,13 +40,18 @@
 	next      int64
 	schedules map[string]schedule
 	suspects  *suspect.Register
-	marks     []suspect.Mark // to be written
+	marks     map[suspect.Content]suspect.Mark // to be written
+	marksDue  time.Time                        // when they are
+	startsDue map[string]time.Time             // when the start of a service's roll-out is to be written
 }
 
 func newBoard(o Options, b *balancer) *board {
 	s := suspect.DefaultSettings(o.Instance)
 	s.SuspectFor, s.RefuseFor, s.MassDeaths = suspectTime, refuseTime, massDeaths
-	return &board{options: o, balancer: b, schedules: map[string]schedule{}, suspects: suspect.New(s)}
+	return &board{
+		options: o, balancer: b, schedules: map[string]schedule{}, suspects: suspect.New(s),
+		marks: map[suspect.Content]suspect.Mark{}, startsDue: map[string]time.Time{},
+	}
 }
 
 // A content that was running at two deaths is refused for a time in which its client gives up; a content that is
@@ -64,13 +71,13 @@
 	defer b.mu.Unlock()
 	b.loaded, b.next = true, u.Next
 	for _, r := range u.Records {
-		if err := b.record(r); err != nil {
+		if err := b.read(r); err != nil {
 			b.options.Logger.Warn("board: A record can't be read.", zap.String("key", r.Key), zap.Error(err))
 		}
 	}
 }
 
-func (b *board) record(r feed.Record) error {
+func (b *board) read(r feed.Record) error {
 	if len(r.Value) == 0 {
 		return nil
 	}
@@ -92,8 +99,17 @@
 	return nil
 }
 
+// Instances that have something to write at the same time spread it: the start of a roll-out is written by the first one
+// only, and the contents that an endpoint was running when it died are written in one call.
+const (
+	startSpread = 600 * time.Millisecond // a few times what a record takes to all instances
+	markDelay   = 200 * time.Millisecond // in which the connections to a dead endpoint break
+	markSpread  = 600 * time.Millisecond
+	markMost    = 500 // in one call, which may have 2 MB
+)
+
 // step settles the starts of roll-outs and writes what other instances have to know.
-func (b *board) step(ctx context.Context) {
+func (b *board) step(ctx context.Context, now time.Time) {
 	for service, own := range b.open() {
 		b.mu.Lock()
 		k, ok := b.schedules[service]
@@ -102,24 +118,71 @@
 		switch {
 		case ok && k.Version == own.Version:
 			b.adopt(service, k)
-		case loaded:
-			b.write(ctx, keySchedule+service, own, next)
+		case loaded && due(now, b.startsDue, service, startSpread):
+			b.write(ctx, next, record{keySchedule + service, own})
 		}
 	}
+	l := b.takeMarks(now)
+	if len(l) == 0 {
+		return
+	}
+	records := make([]record, 0, len(l))
+	for _, m := range l {
+		records = append(records, record{keySuspect + strconv.FormatUint(uint64(m.Content), 16), m})
+	}
+	// The marks commute, so it does not matter where the topic ends.
+	if !b.write(ctx, feed.AnyEnd, records...) {
+		b.keepMarks(now, l)
+	}
+}
+
+// due reports whether a time drawn at the first call has come, and forgets it then.
+func due(now time.Time, times map[string]time.Time, key string, spread time.Duration) bool {
+	if times[key].IsZero() {
+		times[key] = now.Add(time.Duration(rand.Int64N(int64(spread) + 1)))
+	}
+	if now.Before(times[key]) {
+		return false
+	}
+	delete(times, key)
+	return true
+}
+
+// takeMarks returns the marks if they are due.
+func (b *board) takeMarks(now time.Time) []suspect.Mark {
 	b.mu.Lock()
-	l, next := b.marks, b.next
-	b.marks = nil
-	b.mu.Unlock()
+	defer b.mu.Unlock()
+	if len(b.marks) == 0 {
+		return nil
+	}
+	if b.marksDue.IsZero() {
+		b.marksDue = now.Add(markDelay + time.Duration(rand.Int64N(int64(markSpread))))
+	}
+	if now.Before(b.marksDue) {
+		return nil
+	}
+	b.marksDue = time.Time{}
+	var out []suspect.Mark
+	for c, m := range b.marks {
+		if len(out) == markMost {
+			break
+		}
+		out = append(out, m)
+		delete(b.marks, c)
+	}
+	return out
+}
+
+// keepMarks keeps marks that could not be written for a later call, and doubles the time until then.
+func (b *board) keepMarks(now time.Time, l []suspect.Mark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, m := range l {
-		// The marks commute, so a conflict with another instance's record is tried once more at the end that is then known.
-		if !b.write(ctx, keySuspect+strconv.FormatUint(uint64(m.Content), 16), m, next) {
-			b.mu.Lock()
-			b.marks = append(b.marks, m)
-			b.mu.Unlock()
-			return
+		if _, ok := b.marks[m.Content]; !ok && now.Sub(m.Last()) < suspectTime {
+			b.marks[m.Content] = m
 		}
-		next++
 	}
+	b.marksDue = now.Add(2*markDelay + time.Duration(rand.Int64N(int64(2*markSpread))))
 }
 
 // open returns the starts of roll-outs that are not settled.
@@ -144,16 +207,28 @@
 	b.options.Logger.Info("roll-out: Start read.", zap.String("service", service), zap.String("version", k.Version), zap.Duration("elapsed", elapsed))
 }
 
-// write adds a record if the topic ends where this instance has read to.
-func (b *board) write(ctx context.Context, key string, v any, at int64) bool {
+// record is a record before it is encoded.
+type record struct {
+	key   string
+	value any
+}
+
+// write adds records at an offset of the topic and reports whether that worked.
+func (b *board) write(ctx context.Context, at int64, l ...record) bool {
 	c, cancel := context.WithTimeout(ctx, b.options.Feeds.Operators.Timeout)
 	defer cancel()
-	raw, err := json.Marshal(v)
+	out := make([]feed.Record, 0, len(l))
+	var err error
+	for _, r := range l {
+		raw, e := json.Marshal(r.value)
+		err = errors.Join(err, e)
+		out = append(out, feed.Record{Key: r.key, Value: raw})
+	}
 	if err == nil {
-		err = b.options.Board.Append(c, feed.Record{Key: key, Value: raw}, at)
+		err = b.options.Board.Append(c, at, out...)
 	}
 	if err != nil {
-		b.options.Logger.Info("board: The record was not written.", zap.String("key", key), zap.Error(err))
+		b.options.Logger.Info("board: The records were not written.", zap.Int("records", len(l)), zap.String("first", l[0].key), zap.Error(err))
 		return false
 	}
 	return true
@@ -173,7 +248,7 @@
 	b.suspects.Death(now, endpoint, c)
 	for _, m := range b.suspects.Digest().Marks {
 		if m.Content == c {
-			b.marks = append(b.marks, m)
+			b.marks[c] = m
 		}
 	}
 }
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -12,7 +12,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 )
 
-const tick = 200 * time.Millisecond // between looks at what time alone changes
+const tick = 100 * time.Millisecond // between looks at what time alone changes
 
 // control owns the configuration and the registry; its goroutine alone changes them.
 type control struct {
@@ -112,7 +112,7 @@
 		case o.Directory != nil:
 			c.configure(o.Directory, r.Offset)
 		case o.Order != nil:
-			c.order(now, *o.Order, r.Offset)
+			c.order(now, *o.Order, r.Offset, !u.Full)
 		}
 	}
 	c.now.OperatorsAt = u.At
@@ -129,13 +129,14 @@
 		zap.Int("routes", len(d.Routes)), zap.Int("organisations", len(d.Organisations)))
 }
 
-func (c *control) order(now time.Time, o directory.RolloutOrder, offset int64) {
+// order starts a roll-out; exact tells whether the order has just been given.
+func (c *control) order(now time.Time, o directory.RolloutOrder, offset int64, exact bool) {
 	c.balancer.mu.Lock()
-	started := c.balancer.rollout(o.Service).Order(now, o)
+	started := c.balancer.rollout(o.Service).Order(now, o, exact)
 	c.balancer.mu.Unlock()
 	if started {
 		c.options.Logger.Info("roll-out: Ordered.", zap.String("service", o.Service), zap.String("version", o.Target),
-			zap.Duration("within", o.Duration), zap.Int64("offset", offset))
+			zap.Duration("within", o.Duration), zap.Int64("offset", offset), zap.Bool("just-given", exact))
 	}
 }
 
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -39,8 +39,8 @@
 // Topic is a topic that instances read and write.
 type Topic interface {
 	feed.Source
-	// Append adds a record if the topic still ends at the offset.
-	Append(ctx context.Context, r feed.Record, at int64) error
+	// Append adds records, all or none, if the topic still ends at the offset; feed.AnyEnd adds them in any case.
+	Append(ctx context.Context, at int64, l ...feed.Record) error
 }
 
 // Options are what an instance of the ingress is made of.
@@ -69,9 +69,11 @@
 	Placement  placement.Settings
 	Escalation escalation.Settings
 	Retries    retry.Settings
-	Exposure   float64       // largest share of a roll-out's requests that a bad version may get
-	Grace      time.Duration // from a request to stop until the process is killed
-	IdleConns  int           // idle connections kept to one endpoint
+	Exposure   float64 // largest share of a roll-out's requests that a bad version may get
+	// ExposureSlack is how many requests of this instance it may get beyond that share.
+	ExposureSlack float64
+	Grace         time.Duration // from a request to stop until the process is killed
+	IdleConns     int           // idle connections kept to one endpoint
 }
 
 // Feeds pace the followers of the store.
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +11,9 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 )
 
+// publishEvery is a fraction of the time that is left between the move of all requests and the deadline of a roll-out.
+const publishEvery = 50 * time.Millisecond
+
 // publisher follows the published states of roll-outs and writes those that are due.
 type publisher struct {
 	options  Options
@@ -33,7 +35,7 @@
 
 // run writes what is due until the context ends.
 func (p *publisher) run(ctx context.Context) {
-	t := time.NewTicker(tick)
+	t := time.NewTicker(publishEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -41,8 +43,8 @@
 			return
 		case <-t.C:
 		}
-		p.board.step(ctx)
 		now := time.Now()
+		p.board.step(ctx, now)
 		for _, s := range p.wanted(now) {
 			if at, ok := p.take(now, s); ok {
 				p.write(ctx, s, at)
@@ -116,14 +118,7 @@
 	if o == s || o.Target == s.Target && o.State != directory.RolloutRunning {
 		return 0, false
 	}
-	if p.due[s.Service].IsZero() {
-		p.due[s.Service] = now.Add(time.Duration(rand.Int64N(int64(spread) + 1)))
-	}
-	if now.Before(p.due[s.Service]) {
-		return 0, false
-	}
-	delete(p.due, s.Service)
-	return p.next, true
+	return p.next, due(now, p.due, s.Service, spread)
 }
 
 // write publishes a state if nothing was published since the last read; otherwise the next read decides anew.
@@ -132,7 +127,7 @@
 	defer cancel()
 	r, err := p.options.Records.StatusRecord(s)
 	if err == nil {
-		err = p.options.Status.Append(c, r, at)
+		err = p.options.Status.Append(c, at, r)
 	}
 	if err != nil {
 		p.options.Logger.Warn("roll-out: The state was not published.", zap.String("service", s.Service), zap.String("state", string(s.State)), zap.Error(err))
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -44,9 +44,11 @@
 	Stability   time.Duration `json:"stability" validate:"min=500ms,max=20s"`
 	Grace       time.Duration `json:"grace" validate:"min=1s"` // from the request to stop until the process is killed
 	RetryWindow time.Duration `json:"retry-window" validate:"min=1s"`
-	RetryRatio  float64       `json:"retry-ratio" validate:"min=0"` // further sends for each request in the window
-	RetrySlack  float64       `json:"retry-slack" validate:"min=0"` // the same without any request, of all instances together
-	Exposure    float64       `json:"exposure" validate:"gt=0,max=1"`
+	RetryRatio  float64       `json:"retry-ratio" validate:"min=0"`   // further sends for each request in the window
+	RetrySlack  float64       `json:"retry-slack" validate:"min=0"`   // the same without any request, of all instances together
+	Exposure    float64       `json:"exposure" validate:"gt=0,max=1"` // largest share of a roll-out's requests that a bad version may get
+	// ExposureSlack is how many requests of all instances together it may get beyond that share.
+	ExposureSlack float64 `json:"exposure-slack" validate:"min=0"`
 }
 
 // DefaultIngress returns the settings that hold where a file says nothing.
