Share the work under way at the endpoints among instances

Cause: 78 instances send 900 times a second to 60 engines, and each knew the others' sends only from the load that answers of the same engine state, one in several seconds. Sends were expected to begin after 18 ms and took 500 ms; one in 40 was given up and made again elsewhere. Change: each instance tells its seed ten times a second what it has under way (requests and prompt time not begun), and gets the sum of all others'. Seeds exchange their sums. Messages are small and their pace is bounded by followers and bytes; what was told counts for a second, after that the endpoints' own reports do.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,6 +45,9 @@
 	i := &Ingress{options: o, pool: forward.NewPool(o.Dialer, o.IdleConns)}
 	i.view.Store(&View{})
 	i.balancer = newBalancer(o)
+	if o.Hub != nil {
+		o.Hub.SetWork(i.balancer)
+	}
 	i.control = newControl(o, i.balancer, &i.view)
 	i.board = newBoard(o, i.balancer)
 	i.publisher = newPublisher(o, i.balancer, i.board)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,14 +44,21 @@
 	relaypb.UnimplementedRelayServer
 
 	options   Options
+	work      Work // of this instance; nil if loads are not shared
 	bell      *bell
 	topics    []*topic
+	board     *board
 	following atomic.Bool
 	started   time.Time
 }
 
 // NewHub returns a hub without topics.
-func NewHub(o Options) *Hub { return &Hub{options: o, bell: newBell(), started: time.Now()} }
+func NewHub(o Options) *Hub {
+	return &Hub{options: o, bell: newBell(), board: newBoard(), started: time.Now()}
+}
+
+// SetWork makes this instance share its loads; call it before Run and Serve.
+func (h *Hub) SetWork(w Work) { h.work = w }
 
 // joining returns how much is left of a time after the start; none if this instance reads for others.
 func (h *Hub) joining(d time.Duration) time.Duration {
@@ -134,6 +142,7 @@
 // Run takes records from another instance until the context ends, unless this one reads for others.
 func (h *Hub) Run(ctx context.Context) {
 	if h.Reads() {
+		h.lead(ctx)
 		return
 	}
 	l := slices.Clone(h.options.Seeds)
@@ -162,8 +171,34 @@
 	}
 }
 
-// take follows one instance until it breaks off or has lost the store.
-func (h *Hub) take(ctx context.Context, a netip.AddrPort) error {
+// lead sums up the loads of those who follow this instance, with those that the other seeds have summed up.
+func (h *Hub) lead(ctx context.Context) {
+	if h.work == nil || len(h.options.Seeds) == 0 {
+		return
+	}
+	var w sync.WaitGroup
+	defer w.Wait()
+	w.Go(func() { h.tell(ctx) })
+	for _, a := range h.options.Seeds {
+		if a == h.options.Self {
+			continue
+		}
+		w.Go(func() {
+			for ctx.Err() == nil {
+				err := h.call(ctx, a, func(c context.Context, r relaypb.RelayClient) error {
+					return h.gather(c, r, "seed "+a.String())
+				})
+				if ctx.Err() == nil {
+					h.options.Logger.Info("relay: Another seed's loads are unknown.", zap.Stringer("from", a), zap.Error(err))
+				}
+				_ = pause(ctx, again, nil) // the loop's condition checks the context
+			}
+		})
+	}
+}
+
+// call connects to another instance for the time of a function.
+func (h *Hub) call(ctx context.Context, a netip.AddrPort, f func(context.Context, relaypb.RelayClient) error) error {
 	c, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+a.String(), grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -173,29 +208,44 @@
 		return &Error{Op: "dial", Kind: ErrStream, Err: err}
 	}
 	defer func() { _ = conn.Close() }()
-	s, err := relaypb.NewRelayClient(conn).Follow(c, &relaypb.FollowRequest{Instance: h.options.Instance})
-	if err != nil {
-		return &Error{Op: "follow", Kind: ErrStream, Err: err}
-	}
-	// Messages come with each successful call to the store; without any, the other instance or the way to it has failed.
-	idle := time.AfterFunc(patience, cancel)
-	defer idle.Stop()
-	for {
-		m, err := s.Recv()
+	return f(c, relaypb.NewRelayClient(conn))
+}
+
+// take follows one instance until it breaks off or has lost the store.
+func (h *Hub) take(ctx context.Context, a netip.AddrPort) error {
+	return h.call(ctx, a, func(ctx context.Context, r relaypb.RelayClient) error {
+		c, cancel := context.WithCancel(ctx)
+		defer cancel()
+		s, err := r.Follow(c, &relaypb.FollowRequest{Instance: h.options.Instance})
 		if err != nil {
-			return &Error{Op: "receive", Kind: ErrStream, Err: err}
-		}
-		idle.Reset(patience)
-		if int(m.GetTopic()) >= len(h.topics) {
-			continue // of a newer release
+			return &Error{Op: "follow", Kind: ErrStream, Err: err}
 		}
-		if !h.merge(m) {
-			return &Error{Op: "merge", Kind: ErrGap}
+		var w sync.WaitGroup
+		defer w.Wait()
+		defer cancel()
+		if h.work != nil {
+			w.Go(func() { h.share(c, r) })
 		}
-		if !h.following.Swap(true) {
-			h.options.Logger.Info("relay: Following.", zap.Stringer("from", a))
+		// Messages come with each successful call to the store; without any, the other instance or the way to it has failed.
+		idle := time.AfterFunc(patience, cancel)
+		defer idle.Stop()
+		for {
+			m, err := s.Recv()
+			if err != nil {
+				return &Error{Op: "receive", Kind: ErrStream, Err: err}
+			}
+			idle.Reset(patience)
+			if int(m.GetTopic()) >= len(h.topics) {
+				continue // of a newer release
+			}
+			if !h.merge(m) {
+				return &Error{Op: "merge", Kind: ErrGap}
+			}
+			if !h.following.Swap(true) {
+				h.options.Logger.Info("relay: Following.", zap.Stringer("from", a))
+			}
 		}
-	}
+	})
 }
 
 func (h *Hub) merge(m *relaypb.Batch) bool {
--- /dev/null
+++ b/internal/relay/share.go
@@ -0,0 +1,223 @@
+package relay
+
+import (
+	"context"
+	"maps"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
+)
+
+const (
+	shareEvery    = 100 * time.Millisecond // a fraction of the time that a prompt takes, as many instances choose meanwhile
+	shareFollower = 2 * time.Millisecond   // added for each follower, which bounds the processor time of the one that sums up
+	shareBytes    = 8 << 10                // bytes a second to one instance; a longer message is sent less often
+	shareFor      = time.Second            // for which what an instance told counts
+	endpointBytes = 8                      // bytes of an endpoint's entry, about
+)
+
+// Work tells and takes the work under way at the endpoints.
+type Work interface {
+	Own() placement.Loads
+	SetOthers(at time.Time, l placement.Loads)
+}
+
+// board holds what each instance told of its work.
+type board struct {
+	mu      sync.Mutex
+	told    map[string]told
+	streams int
+	keys    int
+}
+
+type told struct {
+	loads placement.Loads
+	at    time.Time
+	seed  bool
+}
+
+func newBoard() *board { return &board{told: map[string]told{}} }
+
+// key returns a name for a new stream.
+func (b *board) key() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keys++
+	return strconv.Itoa(b.keys)
+}
+
+func (b *board) set(key string, t told) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told[key] = t
+}
+
+func (b *board) drop(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.told, key)
+}
+
+// sum adds up what all but one instance told lately; the sums of other seeds only if they are asked for, as each seed
+// hears the others by itself.
+func (b *board) sum(now time.Time, but string, seeds bool) placement.Loads {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := placement.Loads{}
+	for k, t := range b.told {
+		if k == but || t.seed && !seeds || now.Sub(t.at) >= shareFor {
+			continue
+		}
+		merge(out, t.loads)
+	}
+	return out
+}
+
+func merge(to, from placement.Loads) {
+	for e, l := range from {
+		o := to[e]
+		to[e] = placement.Outstanding{Requests: o.Requests + l.Requests, Prefill: o.Prefill + l.Prefill}
+	}
+}
+
+// pace is the time from one message to an instance to the next.
+func (b *board) pace(endpoints int) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	bytes := time.Duration(endpoints*endpointBytes) * time.Second / shareBytes
+	return max(shareEvery, time.Duration(b.streams)*shareFollower, bytes)
+}
+
+func (b *board) count(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.streams += n
+}
+
+func encodeLoads(l placement.Loads) *relaypb.Loads {
+	m := &relaypb.Loads{}
+	for e, o := range l {
+		m.Endpoints = append(m.Endpoints, e)
+		m.Requests = append(m.Requests, uint32(max(0, o.Requests)))
+		m.PrefillMilliseconds = append(m.PrefillMilliseconds, uint32(max(0, o.Prefill)))
+	}
+	return m
+}
+
+// decodeLoads drops entries that lack a field.
+func decodeLoads(m *relaypb.Loads) placement.Loads {
+	r, p := m.GetRequests(), m.GetPrefillMilliseconds()
+	out := make(placement.Loads, len(m.GetEndpoints()))
+	for i, e := range m.GetEndpoints() {
+		if i < len(r) && i < len(p) {
+			out[e] = placement.Outstanding{Requests: int(r[i]), Prefill: float64(p[i])}
+		}
+	}
+	return out
+}
+
+// Share sums up the loads of the instances that follow this one.
+func (h *Hub) Share(s grpc.BidiStreamingServer[relaypb.Loads, relaypb.Loads]) error {
+	if h.work == nil {
+		return &Error{Op: "share", Kind: ErrStream}
+	}
+	m, err := s.Recv()
+	if err != nil {
+		return &Error{Op: "share", Kind: ErrStream, Err: err}
+	}
+	seed := m.GetSeed()
+	key := h.board.key()
+	h.board.count(1)
+	defer h.board.count(-1)
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	if !seed {
+		h.board.set(key, told{loads: decodeLoads(m), at: time.Now()})
+		defer h.board.drop(key)
+	}
+	go func() {
+		defer cancel()
+		for {
+			m, err := s.Recv()
+			if err != nil {
+				return // the stream has ended; the sender below sees that too
+			}
+			h.board.set(key, told{loads: decodeLoads(m), at: time.Now()})
+		}
+	}()
+	for {
+		l := h.board.sum(time.Now(), key, !seed)
+		merge(l, h.work.Own())
+		if err := s.Send(encodeLoads(l)); err != nil {
+			return &Error{Op: "share", Kind: ErrStream, Err: err}
+		}
+		if err := pause(ctx, h.board.pace(len(l)), nil); err != nil {
+			return &Error{Op: "share", Kind: ErrStream, Err: err}
+		}
+	}
+}
+
+// share tells another instance this one's loads and takes those of all others, until the connection ends.
+func (h *Hub) share(ctx context.Context, c relaypb.RelayClient) {
+	s, err := c.Share(ctx)
+	if err != nil {
+		h.options.Logger.Warn("relay: The loads are not shared.", zap.Error(err))
+		return
+	}
+	go func() {
+		sent := placement.Loads{}
+		for at := (time.Time{}); ; {
+			if l := h.work.Own(); !maps.Equal(l, sent) || time.Since(at) >= shareFor/2 {
+				if err := s.Send(encodeLoads(l)); err != nil {
+					return // the receiver below gets the cause
+				}
+				sent, at = l, time.Now()
+			}
+			if err := pause(ctx, shareEvery, nil); err != nil {
+				return
+			}
+		}
+	}()
+	for {
+		m, err := s.Recv()
+		if err != nil {
+			if ctx.Err() == nil {
+				h.options.Logger.Warn("relay: The loads are not shared any more.", zap.Error(err))
+			}
+			return
+		}
+		h.work.SetOthers(time.Now(), decodeLoads(m))
+	}
+}
+
+// gather takes the loads of the instances that follow another seed.
+func (h *Hub) gather(ctx context.Context, c relaypb.RelayClient, key string) error {
+	s, err := c.Share(ctx)
+	if err == nil {
+		err = s.Send(&relaypb.Loads{Seed: true})
+	}
+	for err == nil {
+		var m *relaypb.Loads
+		if m, err = s.Recv(); err == nil {
+			h.board.set(key, told{loads: decodeLoads(m), at: time.Now(), seed: true})
+		}
+	}
+	return &Error{Op: "gather", Kind: ErrStream, Err: err}
+}
+
+// tell hands the loads of all others to this instance, which sums them up.
+func (h *Hub) tell(ctx context.Context) {
+	for {
+		now := time.Now()
+		h.work.SetOthers(now, h.board.sum(now, "", true))
+		if err := pause(ctx, shareEvery, nil); err != nil {
+			return
+		}
+	}
+}
