Add a fault soak that runs instances as processes

The program runs as separate processes on loopback, between links that delay, silence one or both ways and reset, with stand-ins of the store and of endpoints that fail. Processes are killed, paused, stopped and reloaded by signals; faults and planned changes overlap, then planned changes run alone. Checks compare what clients and endpoints saw: runs of requests, truth of 'not run', whole and own answers, order of events, leaving endpoints, configuration in time and never back, keys, planned changes that cut nothing, recovery. A seed sets requests and faults; cassiaspoke soak plays seeds.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -32,6 +32,7 @@
 			tryCommand(),
 			standinCommand(),
 			measureCommand(),
+			soakCommand(),
 			loadCommand(),
 			checkCommand(),
 			profileCommand(),
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// seeds that have failed, with the cause, and one that runs in any case.
+var playedSeeds = map[string]uint64{
+	"first": 1,
+}
+
+// TestSoak guards against broken promises while processes, links, endpoints and the store fail.
+func TestSoak(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "cassiaspoke")
+	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", bin, "../../cmd/cassiaspoke").CombinedOutput(); err != nil {
+		t.Fatalf("go build: %v\n%s", err, out)
+	}
+	for name, seed := range playedSeeds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, err := Run(t.Context(), Options{
+				Program: bin, Dir: t.TempDir(), Seed: seed, Length: 6 * time.Second, Instances: 3, Engines: 4,
+			})
+			if err != nil {
+				t.Errorf("%v\n%s\n%s", err, lines(r.Broken), lines(r.Acts))
+			}
+			t.Logf("%d of %d requests served, %d acts", r.Served, r.Requests, len(r.Acts))
+		})
+	}
+}
+
+func lines(l []string) string {
+	s := ""
+	for _, x := range l {
+		s += fmt.Sprintln(x)
+	}
+	return s
+}
