--- a/cmd/cassiaspoke/ingress_test.go
+++ b/cmd/cassiaspoke/ingress_test.go
@@ -116,6 +116,10 @@
 		t.Fatal(err)
 	}
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		// The settings may change while the instance stops.
+		if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
 		if a := p.do(standin.PathOnce); a.Status != http.StatusOK {
 			t.Fatalf("while stopping: status %d, %v", a.Status, a.Err)
 		}
--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -61,6 +61,9 @@
 }
 
 func serveIngress(ctx context.Context, c *cli.Command) error {
+	// Without a handler the signal ends the process, so it stays until the end, also while the instance stops.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	path := c.String(flagSettings)
 	s, err := settings.LoadIngress(path)
 	if err != nil {
@@ -97,7 +100,9 @@
 	}
 	run, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go reload(run, path, s, logger)
+	running, ended := context.WithCancel(context.WithoutCancel(ctx))
+	defer ended()
+	go reload(running, hup, path, s, logger)
 	if err := ingress.New(o).Run(run); err != nil {
 		return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
 	}
@@ -176,10 +181,7 @@
 
 // reload checks the settings file when it changes. Addresses and bounds are taken at the start; a change is logged, so
 // that a broken file is known before the next start.
-func reload(ctx context.Context, path string, current settings.Ingress, logger *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func reload(ctx context.Context, hup <-chan os.Signal, path string, current settings.Ingress, logger *zap.Logger) {
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
 	var seen time.Time
--- a/internal/ingress/control.go
+++ b/internal/ingress/control.go
@@ -24,6 +24,7 @@
 	reached  map[string]bool // whether the last call for a topic succeeded
 	regained func()          // called when a topic was lost and is back
 	now      View
+	ready    chan struct{} // closed when requests can be served
 }
 
 // update is an update of one topic.
@@ -42,6 +43,7 @@
 	return &control{
 		options: o, balancer: b, view: v, roster: roster.New(), updates: make(chan update, 16),
 		reached: map[string]bool{topicOperators: true, topicRegistry: true}, regained: func() {},
+		ready: make(chan struct{}),
 	}
 }
 
@@ -85,7 +87,9 @@
 		c.registry(now, u)
 	}
 	v := c.now
-	c.view.Store(&v)
+	if old := c.view.Swap(&v); v.Ready() && !old.Ready() {
+		close(c.ready)
+	}
 }
 
 // reach logs when the store is lost and regained.
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -16,7 +17,10 @@
 const (
 	bodyTime    = 10 * time.Second       // for a client to send a body after its head
 	defaultWait = time.Minute            // for requests that state no deadline on a route without a timeout
-	startWait   = 500 * time.Millisecond // until a client of an instance without a configuration may come back
+	startHold   = 250 * time.Millisecond // for an instance that has just started to read the configuration, some calls to the store
+	holdShare   = 0.125                  // of the client's time, if that is shorter
+	startWait   = 500 * time.Millisecond // least time until a client of an instance without a configuration may come back
+	startMost   = 3 * time.Second        // the longest
 )
 
 // handler serves the clients' requests.
@@ -29,6 +33,8 @@
 	metrics  *metrics
 	log      *requestLog
 	stopping *atomic.Bool
+	started  time.Time
+	ready    <-chan struct{} // closed when the configuration and the endpoints are known
 }
 
 // ServeHTTP answers one request.
@@ -61,8 +67,11 @@
 	if q.ID == "" {
 		return refusal(http.StatusBadRequest, "no request identifier", nil)
 	}
+	if !x.view.Ready() {
+		x.hold()
+	}
 	if x.view.Directory == nil {
-		return &failure{status: http.StatusServiceUnavailable, reason: "no configuration", wait: startWait}
+		return &failure{status: http.StatusServiceUnavailable, reason: "no configuration", wait: startRetry(x.start.Sub(x.handler.started))}
 	}
 	if f := x.admit(x.view.Directory); f != nil {
 		return f
@@ -85,6 +94,29 @@
 	return nil
 }
 
+// hold waits a little for the first configuration and the endpoints, which a starting instance reads within some calls.
+func (x *exchange) hold() {
+	d := startHold
+	if q := time.Duration(holdShare * float64(x.request.Deadline)); q > 0 {
+		d = min(d, q)
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-x.handler.ready:
+	case <-t.C:
+	case <-x.r.Context().Done():
+	}
+	x.view = x.handler.view.Load()
+}
+
+// startRetry is when a client of an instance without a configuration may come back. The longer the store has been away,
+// the longer it is expected to stay away; the spread keeps clients from coming back together.
+func startRetry(up time.Duration) time.Duration {
+	d := min(max(startWait, up), startMost)
+	return d + time.Duration(rand.Int64N(int64(d/2)))
+}
+
 // admit matches the request against a configuration.
 func (x *exchange) admit(d *directory.Directory) *failure {
 	path, _, _ := strings.Cut(target(x.r), "?")
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -54,6 +54,7 @@
 	i.handler = &handler{
 		options: o, view: &i.view, balancer: i.balancer, pool: i.pool, board: i.board, metrics: newMetrics(o.Scope),
 		log: newRequestLog(o.Logger), stopping: &i.stopping,
+		started: time.Now(), ready: i.control.ready,
 	}
 	return i
 }
@@ -112,8 +113,14 @@
 	defer side.Close()
 	defer meters.Close()
 	defer i.pool.Close()
-	i.options.Logger.Info("instance: Started.", zap.Stringer("requests", i.options.Requests.Addr()),
-		zap.Stringer("readiness", i.options.Readiness.Addr()), zap.Stringer("metrics", i.options.Metrics.Addr()))
+	listening := []zap.Field{
+		zap.Stringer("requests", i.options.Requests.Addr()), zap.Stringer("readiness", i.options.Readiness.Addr()),
+		zap.Stringer("metrics", i.options.Metrics.Addr()),
+	}
+	if i.options.Peers != nil {
+		listening = append(listening, zap.Stringer("peers", i.options.Peers.Addr()))
+	}
+	i.options.Logger.Info("instance: Started.", listening...)
 	select {
 	case err := <-failed:
 		_ = requests.Close()
--- /dev/null
+++ b/internal/ingress/start_test.go
@@ -0,0 +1,30 @@
+package ingress
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStartRetry guards against clients of restarted instances that come back together, or too soon while the store
+// stays away.
+func TestStartRetry(t *testing.T) {
+	for name, c := range map[string]struct{ up, least, most time.Duration }{
+		"just started":        {0, startWait, startWait * 3 / 2},
+		"store away for 2 s":  {2 * time.Second, 2 * time.Second, 3 * time.Second},
+		"store away for long": {time.Minute, startMost, startMost * 3 / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			seen := map[time.Duration]bool{}
+			for range 20 {
+				d := startRetry(c.up)
+				if d < c.least || d > c.most {
+					t.Errorf("%v, want %v to %v", d, c.least, c.most)
+				}
+				seen[d] = true
+			}
+			if len(seen) < 10 {
+				t.Errorf("only %d different times", len(seen))
+			}
+		})
+	}
+}
