Hold clients to the configuration's limits on header and idle time

The server's own time-outs can't change while it runs. Change: a watch for each connection closes it when the head of a request or the next request takes longer than the configuration in force allows. TestSlowClients: before, an idle connection stays open beyond the limit.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -18,8 +18,6 @@
 
 const (
 	maxHeader     = 64 << 10 // bytes of a request's head that are read; the configuration's limit is checked after that
-	headerTime    = 5 * time.Second
-	idleTime      = time.Minute
 	sweepEvery    = time.Second
 	leastStop     = 3 * time.Second        // the balancer sees two failed checks, one a second, before it stops new connections
 	stopReserve   = 500 * time.Millisecond // of the grace period, left for the process to end
@@ -93,8 +91,9 @@
 	spawn(notes.Run)
 	spawn(i.publisher.run)
 	spawn(i.sweep)
-	requests := &http.Server{
-		Handler: i.count(i.handler), MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime,
+	l := newClients(&i.view)
+	requests := &http.Server{ //nolint:gosec // clients bounds the time for a request's head, by the configuration.
+		Handler: i.count(i.handler), MaxHeaderBytes: maxHeader, ConnState: l.state, ConnContext: l.context,
 		ErrorLog: zap.NewStdLog(i.options.Logger.Named("http")),
 	}
 	failed := make(chan error, 3)
@@ -151,6 +150,7 @@
 // count keeps the number of requests under way.
 func (i *Ingress) count(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun(r.Context())
 		i.active.Add(1)
 		defer i.active.Add(-1)
 		h.ServeHTTP(w, r)
