Draw the logs of instances on one page

Cause: on-call engineers had to read log lines to see how load, refusals, placement and a roll-out went. Change: cassiaspoke report LOG... writes one HTML page that needs nothing else: requests by outcome, times to the first byte by route, expected and observed times of sends, sends by version, and tables of reasons, outcomes and endpoints. The charts are SVG of gonum/plot.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -33,6 +33,7 @@
 			standinCommand(),
 			measureCommand(),
 			soakCommand(),
+			reportCommand(),
 			loadCommand(),
 			checkCommand(),
 			profileCommand(),
--- /dev/null
+++ b/internal/report/error.go
@@ -0,0 +1,25 @@
+package report
+
+import "fmt"
+
+// ErrorKind tells what failed.
+type ErrorKind string
+
+// Kinds of error.
+const (
+	ErrInput ErrorKind = "input" // the logs can't be read or hold no request
+	ErrDraw  ErrorKind = "chart"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind ErrorKind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("report: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
