Leave the operator time to read a completed roll-out, and describe what came with the shared loads

Change: the first share takes half of the bound, so the move may come a little earlier, and the rate is taken over more requests.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -22,8 +22,8 @@
 // Parts of the exposure that the phases of a roll-out take.
 const (
 	exposureMargin = 0.8 // of the bound; the rest covers instances that know the start or the rate less well
-	canaryShare    = 2.0 / 3
-	fullShare      = 0.36
+	canaryShare    = 0.5
+	fullShare      = 0.45
 	slackShare     = 0.6
 	// drainShare is the part of the time after Full in which requests on the old version end; streams that last longer go
 	// on at the new one. The rest is for the write of the state, and for the operator who reads it about every half second.
--- a/internal/core/canary/traffic.go
+++ b/internal/core/canary/traffic.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// rateFor is over how long the present rate of requests is taken; bursts last seconds.
+// rateFor is over how long the present rate of requests is taken, longer where they are few; bursts last seconds.
 const rateFor = 500 * time.Millisecond
 
 // traffic counts the requests of a service that an instance has had since a roll-out began.
@@ -27,7 +27,7 @@
 	if t.from.IsZero() {
 		t.from = now
 	}
-	if d := now.Sub(t.from); d >= rateFor {
+	if d := now.Sub(t.from); d >= rateFor && t.count >= leastCount {
 		t.last, t.lastInterval, t.count, t.from = t.count, d, 0, now
 	}
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -61,6 +61,8 @@
 	{"store", (*fleet).failStore},
 	{"history is dropped", func(f *fleet, _ time.Duration) { f.store.CompactAll() }},
 	{"endpoint fails", (*fleet).failEndpoint},
+	{"endpoint fails", (*fleet).failEndpoint}, // often, as it has many ways to fail
+	{"endpoint fails", (*fleet).failEndpoint},
 	{"endpoint crashes", (*fleet).crash},
 	{"endpoint's address is used again", (*fleet).reuse},
 }
