Judge a new version by the gaps of its streams, ask less of confidence where the larger model would be late, and pass ranks on

Now the mean gap between events is compared with the old version's of the same route and model, at twice instead of three times, as half of the answers may be fast; and expectations are compared with the old version's, also where those were generous. TestSlowStreams fails before. The confidence asked fell only with the share of taken slots, which long prompts don't show.

--- a/internal/core/call/call.go
+++ b/internal/core/call/call.go
@@ -39,6 +39,7 @@
 	Deadline     time.Duration // what is left
 	Model        string        // replaces the client's if not empty
 	LastEvent    string        // replaces the client's if not empty
+	Urgency      int           // 0 is the most urgent
 }
 
 // Answer is what an endpoint says of its answer.
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -256,6 +256,14 @@
 	return r.stop(r.fresh.start(route, slowness))
 }
 
+// Streamed records the mean time between the events of a stream that has ended; kind tells which streams are alike.
+func (r *Rollout) Streamed(version, kind string, gap time.Duration) bool {
+	if r.order == nil || r.state != directory.RolloutRunning {
+		return false
+	}
+	return r.stop(r.fresh.gap(kind, version == r.order.Target, float64(gap)/float64(time.Millisecond)))
+}
+
 func (r *Rollout) stop(why string) bool {
 	if why == "" {
 		return false
--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -215,3 +215,44 @@
 		t.Errorf("would publish %s", s)
 	}
 }
+
+// TestSlowStreams guards against a slow version that looks fast because its engines' prompts were expected to take longer,
+// and against a good one that is stopped because other kinds of stream have other gaps.
+func TestSlowStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		factor float64
+		want   directory.RolloutState
+	}{
+		"good":            {1, directory.RolloutRunning},
+		"a little slower": {1.6, directory.RolloutRunning},
+		"slow":            {8, directory.RolloutRolledBack},
+		"half of it slow": {-8, directory.RolloutRolledBack},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := ordered()
+			g := rand.New(rand.NewPCG(7, 8))
+			for i := range 400 {
+				kind, ms := "short", 8.0
+				if g.IntN(2) == 0 {
+					kind, ms = "long", 60
+				}
+				ms *= 0.5 + g.Float64()
+				v := "v1"
+				if i%25 == 0 {
+					v = "v2"
+					switch {
+					case c.factor > 0:
+						ms *= c.factor
+					case i%50 == 0:
+						ms *= -c.factor
+					}
+				}
+				r.Answered(v, kind, 0.8)
+				r.Streamed(v, kind, time.Duration(ms*float64(time.Millisecond)))
+			}
+			if _, s, why := r.Status(); s != c.want {
+				t.Errorf("%s (%s), want %s", s, why, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/canary/evidence.go
+++ b/internal/core/canary/evidence.go
@@ -11,6 +11,8 @@
 	floorAt   = -3  // successes in advance count no more than this against later failures
 
 	slowRatio   = 3.0 // of expected times that counts as slow, against the old version's
+	slowLeast   = 0.5 // of the old version's ratio, so that generous expectations don't make every time look slow
+	gapRatio    = 2.0 // of the old version's gaps; half of the answers may be as fast as before
 	slowSamples = 6
 	maxRoutes   = 256
 )
@@ -20,6 +22,21 @@
 	old    tally
 	routes map[string]*tally
 	all    tally
+	gaps   map[string]*gaps // by kind of stream
+	slower gapTally
+}
+
+// gaps are the times between events of one kind of stream, on the old version.
+type gaps struct {
+	n   int
+	sum float64 // of logarithms
+}
+
+// gapTally compares the new version's gaps with the old one's of the same kinds. They don't depend on what of a prompt is in
+// an engine's memory, which the engines of a new version have yet to read.
+type gapTally struct {
+	n   int
+	sum float64 // of logarithms of ratios
 }
 
 type tally struct {
@@ -29,7 +46,7 @@
 	slowNumber int
 }
 
-func newEvidence() *evidence { return &evidence{routes: map[string]*tally{}} }
+func newEvidence() *evidence { return &evidence{routes: map[string]*tally{}, gaps: map[string]*gaps{}} }
 
 func (t *tally) add(failed bool) {
 	t.n++
@@ -93,7 +110,7 @@
 	t := e.route(route)
 	t.start(slowness)
 	e.all.start(slowness)
-	old := max(1, e.old.slowness())
+	old := max(slowLeast, e.old.slowness())
 	switch {
 	case e.all.slowNumber >= slowSamples && e.all.slowness() > slowRatio*old:
 		return "slow"
@@ -102,3 +119,31 @@
 	}
 	return ""
 }
+
+// gap records the mean time between the events of a stream and returns why the new version is bad, or "".
+func (e *evidence) gap(kind string, fresh bool, ms float64) string {
+	g := e.gaps[kind]
+	if g == nil {
+		if len(e.gaps) >= maxRoutes {
+			return ""
+		}
+		g = &gaps{}
+		e.gaps[kind] = g
+	}
+	x := math.Log(max(ms, leastGap))
+	if !fresh {
+		g.n, g.sum = g.n+1, g.sum+x
+		return ""
+	}
+	if g.n < slowSamples {
+		return ""
+	}
+	e.slower.n, e.slower.sum = e.slower.n+1, e.slower.sum+x-g.sum/float64(g.n)
+	if e.slower.n >= slowSamples && e.slower.sum/float64(e.slower.n) > math.Log(gapRatio) {
+		return "slow streams"
+	}
+	return ""
+}
+
+// leastGap is the shortest time between events that is told apart, in milliseconds.
+const leastGap = 0.5
--- a/internal/core/escalation/escalation.go
+++ b/internal/core/escalation/escalation.go
@@ -8,11 +8,14 @@
 	Late       int     // the same, if the larger model's answer would be late
 	EaseFrom   float64 // busy share of the larger model's endpoint above which the confidence asked falls
 	EaseTo     float64 // busy share at which it has fallen to Late
+	// WaitFrom is the part of the time until the answer is late that the larger model is expected to take for its first
+	// event, above which the confidence asked falls; at all of it, it has fallen to Late.
+	WaitFrom float64
 }
 
 // DefaultSettings returns an instance's settings.
 func DefaultSettings() Settings {
-	return Settings{Confidence: 50, Late: 25, EaseFrom: 0.7, EaseTo: 1.3}
+	return Settings{Confidence: 50, Late: 25, EaseFrom: 0.7, EaseTo: 1.3, WaitFrom: 0.4}
 }
 
 // Case is what is known when the head of an answer is here.
@@ -42,7 +45,9 @@
 	if c.Start > c.Remaining {
 		return s.Late
 	}
-	x := (c.Busy - s.EaseFrom) / (s.EaseTo - s.EaseFrom)
-	x = min(max(x, 0), 1)
+	busy := (c.Busy - s.EaseFrom) / (s.EaseTo - s.EaseFrom)
+	// Long waits for prompts show a load that the share of the slots does not.
+	wait := (float64(c.Start)/float64(max(1, c.Remaining)) - s.WaitFrom) / (1 - s.WaitFrom)
+	x := min(max(busy, wait, 0), 1)
 	return s.Confidence - int(x*float64(s.Confidence-s.Late))
 }
--- a/internal/core/escalation/escalation_test.go
+++ b/internal/core/escalation/escalation_test.go
@@ -22,6 +22,8 @@
 		"one model":                    {func(c *Case) { c.Models = models[:1] }, ""},
 		"would be late":                {func(c *Case) { c.Start = 2 * time.Second }, ""},
 		"would be late, very unsure":   {func(c *Case) { c.Start, c.Confidence = 2*time.Second, 10 }, "large"},
+		"would take most of the time":  {func(c *Case) { c.Start, c.Confidence = 800*time.Millisecond, 40 }, ""},
+		"would take some of the time":  {func(c *Case) { c.Start, c.Confidence = 300*time.Millisecond, 49 }, "large"},
 		"engines busy":                 {func(c *Case) { c.Busy = 1.4 }, ""},
 		"engines busy, very unsure":    {func(c *Case) { c.Busy, c.Confidence = 1.4, 10 }, "large"},
 		"engines filling, less unsure": {func(c *Case) { c.Busy, c.Confidence = 1.0, 45 }, ""},
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -30,6 +30,8 @@
 	choice   placement.Choice
 	token    *placement.Token
 	sent     time.Time
+	first    time.Time // when the first event came
+	last     time.Time // and the newest one
 	reply    *forward.Reply
 	answer   call.Answer
 	ctx      context.Context
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -164,6 +164,18 @@
 	return why
 }
 
+// streamed records the mean time between the events of a stream; it returns the reason if that stopped a roll-out.
+func (b *balancer) streamed(e directory.Endpoint, kind string, gap time.Duration) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.rollout(e.Service)
+	if !r.Streamed(e.Version, kind, gap) {
+		return ""
+	}
+	_, _, why := r.Status()
+	return why
+}
+
 // outcome records how an endpoint did; it returns the reason if that stopped a roll-out.
 func (b *balancer) outcome(now time.Time, e directory.Endpoint, route string, ok, answered bool) string {
 	b.mu.Lock()
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -40,6 +40,7 @@
 	view         *View
 	route        *directory.Route
 	organisation string
+	urgency      int
 	request      call.Request
 	body         []byte
 	hasBody      bool
@@ -238,6 +239,7 @@
 func (x *exchange) outbound(c placement.Choice, now time.Time) forward.Outbound {
 	s := call.Send{
 		Endpoint: c.Endpoint.ID, Organisation: x.organisation, Deadline: x.until.Sub(now), Model: x.model,
+		Urgency: x.urgency,
 	}
 	if x.delivered {
 		s.LastEvent = x.request.LastEvent
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -124,13 +124,16 @@
 	if x.route == nil {
 		return refusal(http.StatusNotFound, "no route", nil)
 	}
-	x.organisation = ""
+	x.organisation, x.urgency = "", x.route.Priority
 	if !x.route.Public && d.Closed() {
 		o := d.Holder(x.request.Key)
 		if o == nil {
 			return refusal(http.StatusUnauthorized, "unknown key", nil)
 		}
 		x.organisation = o.Name
+		if o.Priority != nil {
+			x.urgency = *o.Priority
+		}
 	}
 	if n := headerBytes(x.r.Header); d.Limits.HeaderBytes > 0 && n > d.Limits.HeaderBytes {
 		return refusal(http.StatusRequestHeaderFieldsTooLarge, "header too large", nil)
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -28,17 +28,22 @@
 		return again, "confidence " + strconv.Itoa(a.answer.Confidence)
 	}
 	e := forward.NewEvents(a.reply.Body)
-	for {
+	for n := 0; ; n++ {
 		if err := a.reply.Wait(a.gap()); err != nil {
 			return a.interrupted(err)
 		}
 		v, err := e.Next()
 		switch {
 		case errors.Is(err, io.EOF):
+			a.paced(n)
 			return a.complete()
 		case err != nil:
 			return a.interrupted(a.reply.Failure("read event", err))
 		}
+		a.last = time.Now()
+		if n == 0 {
+			a.first = a.last
+		}
 		if err := x.write(a, v, e.Buffered()); err != nil {
 			x.note(err)
 			x.gone = true
@@ -48,6 +53,15 @@
 	}
 }
 
+// paced records the mean time between the events of the answer.
+func (a *attempt) paced(events int) {
+	if events > 1 {
+		x := a.exchange
+		gap := a.last.Sub(a.first) / time.Duration(events-1)
+		a.stopped(x.handler.balancer.streamed(a.choice.Endpoint, x.route.Name+" "+x.chosen(), gap))
+	}
+}
+
 // larger returns the model to ask instead, or "".
 func (a *attempt) larger() string {
 	x := a.exchange
