Tell refused clients when there is room, and don't wait for unused connections at a stop

Clients that no endpoint could take were told to come back after 0.3 to 1 s whatever the reason. The time is now that until the first endpoint that is left out gets work again, or until the shortest queue is worked off, with a spread of the same length.

--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,12 @@
 
 # Generated histories with new seeds; HISTORIES sets how many.
 HISTORIES ?= 100000
+# Seeds of the fault soak, which runs the program as processes.
+FAULT_SEEDS ?= 8
 soak:
 	CASSIASPOKE_SOAK=$(HISTORIES) $(GO) test -count=1 -timeout 80m -v ./internal/ledger -run Histories
 	CASSIASPOKE_SOAK=$(HISTORIES) $(GO) test -count=1 -timeout 80m ./internal/core/composed
+	$(GO) run ./cmd/cassiaspoke soak --seeds $(FAULT_SEEDS)
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/core/cascade ./internal/core/endpoint ./internal/gateway ./internal/ledger
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -260,6 +260,21 @@
 	}
 }
 
+// Room estimates when a service can take a request that no endpoint takes now: when the first endpoint that is left out gets
+// work again, or when the shortest queue has been worked off.
+func (t *Table) Room(now time.Time, service string) time.Duration {
+	least := t.settings.EjectMax
+	for _, e := range t.services[service] {
+		s := t.states[e.ID]
+		d := time.Duration(s.queue(now) * float64(time.Millisecond))
+		if s.ejected(now) {
+			d = s.until.Sub(now)
+		}
+		least = min(least, d)
+	}
+	return least
+}
+
 // Unreachable records that no connection to an endpoint could be made, or that it went silent.
 func (t *Table) Unreachable(now time.Time, id string) time.Duration {
 	s := t.states[id]
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -116,6 +116,13 @@
 	b.table.SetOthers(at, l)
 }
 
+// room estimates when a service can take a request that no endpoint takes now.
+func (b *balancer) room(now time.Time, service string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Room(now, service)
+}
+
 func (b *balancer) request(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/ingress/clients.go
+++ b/internal/ingress/clients.go
@@ -26,9 +26,10 @@
 
 // watch is the time within which something has to come on a connection.
 type watch struct {
-	mu    sync.Mutex
-	timer *time.Timer
-	armed bool
+	mu     sync.Mutex
+	timer  *time.Timer
+	armed  bool
+	unused bool // no byte has come
 }
 
 type watchKey struct{}
@@ -40,7 +41,7 @@
 // context adds a watch for a new connection, and hands it to the connection's requests.
 func (l *clients) context(ctx context.Context, c net.Conn) context.Context {
 	_, idle := l.limits()
-	w := &watch{armed: true}
+	w := &watch{armed: true, unused: true}
 	w.timer = time.AfterFunc(idle, func() { w.expire(c) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -71,6 +72,20 @@
 	}
 }
 
+// closeUnused ends the connections on which no byte has come. The server takes them for active for some seconds, so
+// that a stop would wait for them.
+func (l *clients) closeUnused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, w := range l.conns {
+		w.mu.Lock()
+		if w.unused {
+			_ = c.Close() // the server notices the end by itself
+		}
+		w.mu.Unlock()
+	}
+}
+
 func (l *clients) limits() (header, idle time.Duration) {
 	header, idle = headerTime, idleTime
 	if d := l.view.Load().Directory; d != nil {
@@ -94,7 +109,7 @@
 func (w *watch) arm(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.armed = true
+	w.armed, w.unused = true, false
 	w.timer.Reset(d)
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -18,7 +18,7 @@
 	maxConnects = 6                      // endpoints that one request may fail to reach
 	lateAnswer  = 50 * time.Millisecond  // after the deadline, for an endpoint's own answer that it has passed
 	backWait    = 300 * time.Millisecond // least time until a refused client may come back
-	backSpread  = 700 * time.Millisecond // over which clients that are refused together come back
+	backSpread  = 700 * time.Millisecond // least time over which clients that are refused together come back
 )
 
 var (
@@ -223,7 +223,8 @@
 	case x.ran:
 		x.refuse(&failure{status: http.StatusBadGateway, reason: "no whole answer", err: x.cause})
 	default:
-		wait := backWait + time.Duration(rand.Int64N(int64(backSpread)))
+		wait := max(backWait, x.handler.balancer.room(time.Now(), x.service))
+		wait += time.Duration(rand.Int64N(int64(max(wait, backSpread))))
 		x.refuse(&failure{status: http.StatusServiceUnavailable, reason: "no endpoint can take it", wait: wait, err: x.cause})
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,6 +22,7 @@
 	leastStop     = 3 * time.Second        // the balancer sees two failed checks, one a second, before it stops new connections
 	stopReserve   = 500 * time.Millisecond // of the grace period, left for the process to end
 	readinessTime = time.Second
+	unusedEvery   = 100 * time.Millisecond // between looks at connections without a request during a stop
 )
 
 // Ingress is one instance.
@@ -126,13 +127,13 @@
 		return err
 	case <-ctx.Done():
 	}
-	i.stop(requests)
+	i.stop(requests, l)
 	return nil
 }
 
 // stop serves on until the balancer has noticed. Then it closes the connections without a request, as a client that
 // keeps one would go on sending until the process ends, and waits for the requests under way while the grace period lasts.
-func (i *Ingress) stop(s *http.Server) {
+func (i *Ingress) stop(s *http.Server, l *clients) {
 	begin := time.Now()
 	i.stopping.Store(true)
 	i.options.Logger.Info("instance: Stopping.", zap.Int64("requests", i.active.Load()), zap.Duration("grace", i.options.Grace))
@@ -140,7 +141,17 @@
 	time.Sleep(min(leastStop, i.options.Grace/2))
 	c, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		for c.Err() == nil {
+			l.closeUnused()
+			time.Sleep(unusedEvery)
+		}
+	}()
 	err := s.Shutdown(c)
+	cancel()
+	<-closed
 	if err != nil {
 		_ = s.Close()
 	}
