--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,14 +47,14 @@
 	work      Work // of this instance; nil if loads are not shared
 	bell      *bell
 	topics    []*topic
-	board     *board
+	shares    *shares
 	following atomic.Bool
 	started   time.Time
 }
 
 // NewHub returns a hub without topics.
 func NewHub(o Options) *Hub {
-	return &Hub{options: o, bell: newBell(), board: newBoard(), started: time.Now()}
+	return &Hub{options: o, bell: newBell(), shares: newShares(), started: time.Now()}
 }
 
 // SetWork makes this instance share its loads; call it before Run and Serve.
@@ -178,7 +178,7 @@
 	}
 	var w sync.WaitGroup
 	defer w.Wait()
-	w.Go(func() { h.tell(ctx) })
+	w.Go(func() { h.deliver(ctx) })
 	for _, a := range h.options.Seeds {
 		if a == h.options.Self {
 			continue
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -28,8 +28,8 @@
 	SetOthers(at time.Time, l placement.Loads)
 }
 
-// board holds what each instance told of its work.
-type board struct {
+// shares holds what each instance told of its work.
+type shares struct {
 	mu      sync.Mutex
 	told    map[string]told
 	streams int
@@ -42,44 +42,46 @@
 	seed  bool
 }
 
-func newBoard() *board { return &board{told: map[string]told{}} }
+func newShares() *shares { return &shares{told: map[string]told{}} }
 
 // key returns a name for a new stream.
-func (b *board) key() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.keys++
-	return strconv.Itoa(b.keys)
+func (s *shares) key() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys++
+	return strconv.Itoa(s.keys)
 }
 
-func (b *board) set(key string, t told) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.told[key] = t
+func (s *shares) set(key string, t told) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told[key] = t
 }
 
-func (b *board) drop(key string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.told, key)
+func (s *shares) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.told, key)
 }
 
-// sum adds up what all but one instance told lately; the sums of other seeds only if they are asked for, as each seed
+// sum adds up what all but one instance told lately, and forgets what was told before; the sums of other seeds only if they are asked for, as each seed
 // hears the others by itself.
-func (b *board) sum(now time.Time, but string, seeds bool) placement.Loads {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (s *shares) sum(now time.Time, but string, seeds bool) placement.Loads {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	out := placement.Loads{}
-	for k, t := range b.told {
-		if k == but || t.seed && !seeds || now.Sub(t.at) >= shareFor {
-			continue
+	for k, t := range s.told {
+		switch {
+		case now.Sub(t.at) >= shareFor:
+			delete(s.told, k)
+		case k != but && (seeds || !t.seed):
+			addLoads(out, t.loads)
 		}
-		merge(out, t.loads)
 	}
 	return out
 }
 
-func merge(to, from placement.Loads) {
+func addLoads(to, from placement.Loads) {
 	for e, l := range from {
 		o := to[e]
 		to[e] = placement.Outstanding{Requests: o.Requests + l.Requests, Prefill: o.Prefill + l.Prefill}
@@ -87,17 +89,17 @@
 }
 
 // pace is the time from one message to an instance to the next.
-func (b *board) pace(endpoints int) time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (s *shares) pace(endpoints int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	bytes := time.Duration(endpoints*endpointBytes) * time.Second / shareBytes
-	return max(shareEvery, time.Duration(b.streams)*shareFollower, bytes)
+	return max(shareEvery, time.Duration(s.streams)*shareFollower, bytes)
 }
 
-func (b *board) count(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.streams += n
+func (s *shares) count(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams += n
 }
 
 func encodeLoads(l placement.Loads) *relaypb.Loads {
@@ -132,14 +134,14 @@
 		return &Error{Op: "share", Kind: ErrStream, Err: err}
 	}
 	seed := m.GetSeed()
-	key := h.board.key()
-	h.board.count(1)
-	defer h.board.count(-1)
+	key := h.shares.key()
+	h.shares.count(1)
+	defer h.shares.count(-1)
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
 	if !seed {
-		h.board.set(key, told{loads: decodeLoads(m), at: time.Now()})
-		defer h.board.drop(key)
+		h.shares.set(key, told{loads: decodeLoads(m), at: time.Now()})
+		defer h.shares.drop(key)
 	}
 	go func() {
 		defer cancel()
@@ -148,16 +150,16 @@
 			if err != nil {
 				return // the stream has ended; the sender below sees that too
 			}
-			h.board.set(key, told{loads: decodeLoads(m), at: time.Now()})
+			h.shares.set(key, told{loads: decodeLoads(m), at: time.Now()})
 		}
 	}()
 	for {
-		l := h.board.sum(time.Now(), key, !seed)
-		merge(l, h.work.Own())
+		l := h.shares.sum(time.Now(), key, !seed)
+		addLoads(l, h.work.Own())
 		if err := s.Send(encodeLoads(l)); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
-		if err := pause(ctx, h.board.pace(len(l)), nil); err != nil {
+		if err := pause(ctx, h.shares.pace(len(l)), nil); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
 	}
@@ -205,17 +207,17 @@
 	for err == nil {
 		var m *relaypb.Loads
 		if m, err = s.Recv(); err == nil {
-			h.board.set(key, told{loads: decodeLoads(m), at: time.Now(), seed: true})
+			h.shares.set(key, told{loads: decodeLoads(m), at: time.Now(), seed: true})
 		}
 	}
 	return &Error{Op: "gather", Kind: ErrStream, Err: err}
 }
 
-// tell hands the loads of all others to this instance, which sums them up.
-func (h *Hub) tell(ctx context.Context) {
+// deliver hands the loads of all others to this instance, which sums them up.
+func (h *Hub) deliver(ctx context.Context) {
 	for {
 		now := time.Now()
-		h.work.SetOthers(now, h.board.sum(now, "", true))
+		h.work.SetOthers(now, h.shares.sum(now, "", true))
 		if err := pause(ctx, shareEvery, nil); err != nil {
 			return
 		}
