--- a/internal/core/composed/check_test.go
+++ b/internal/core/composed/check_test.go
@@ -281,7 +281,7 @@
 func (w *world) checkEnd() {
 	f, counted, unproven := bill.NewFold(0), map[record.BillID]int{}, map[record.BillID]bool{}
 	for _, e := range w.log.stream("bills").all {
-		l, err := f.Apply(uint64(e.Offset), e.Time, decode[record.BillBatch](w.nodes[0], e))
+		l, err := f.Apply(uint64(e.Offset), e.Time, w.nodes[0].billBatch(e))
 		if err != nil {
 			w.t.Fatal(err)
 		}
--- a/internal/core/composed/ledger_test.go
+++ b/internal/core/composed/ledger_test.go
@@ -32,7 +32,7 @@
 	}
 	n.logNow = p.Now
 	for _, e := range p.Entries {
-		l, err := n.claims.Apply(uint64(e.Offset), e.Time, decode[record.ClaimBatch](n, e))
+		l, err := n.claims.Apply(uint64(e.Offset), e.Time, n.claimBatch(e))
 		if err != nil {
 			n.w.t.Fatal(err)
 		}
@@ -66,12 +66,26 @@
 	return claim.NewFold(uint64(at), before)
 }
 
-func decode[T any](n *node, e platform.Entry) T {
-	var v T
-	if err := json.Unmarshal(e.Data, &v); err != nil {
+// decode reads the record of an entry.
+func (n *node) decode(e platform.Entry, v any) {
+	if err := json.Unmarshal(e.Data, v); err != nil {
 		n.w.t.Fatal(err)
 	}
-	return v
+}
+
+func (n *node) claimBatch(e platform.Entry) (b record.ClaimBatch) {
+	n.decode(e, &b)
+	return b
+}
+
+func (n *node) grantBatch(e platform.Entry) (b record.GrantBatch) {
+	n.decode(e, &b)
+	return b
+}
+
+func (n *node) billBatch(e platform.Entry) (b record.BillBatch) {
+	n.decode(e, &b)
+	return b
 }
 
 // flushClaims mirrors partition.flush.
@@ -110,7 +124,7 @@
 	if !kept {
 		from := uint64(p.First)
 		for i, e := range n.w.log.stream("grants").all {
-			if uint64(i) >= from && decode[record.GrantBatch](n, e).Snapshot != nil {
+			if uint64(i) >= from && n.grantBatch(e).Snapshot != nil {
 				from = uint64(i)
 			}
 		}
@@ -118,7 +132,7 @@
 		return
 	}
 	for _, e := range p.Entries {
-		l, err := n.grants.Apply(uint64(e.Offset), e.Time, decode[record.GrantBatch](n, e))
+		l, err := n.grants.Apply(uint64(e.Offset), e.Time, n.grantBatch(e))
 		if err != nil {
 			return // a snapshot moved the fold back
 		}
@@ -217,7 +231,7 @@
 		if before.IsZero() && p.First > 0 {
 			before = e.Time
 		}
-		r, err := f.Apply(uint64(e.Offset), e.Time, decode[record.BillBatch](n, e))
+		r, err := f.Apply(uint64(e.Offset), e.Time, n.billBatch(e))
 		if err != nil {
 			n.w.t.Fatal(err)
 		}
--- a/internal/core/endpoint/choose.go
+++ b/internal/core/endpoint/choose.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/spread"
 )
 
 // maxExclude bounds the endpoints that one query leaves out; it covers the attempts of one request.
@@ -200,7 +202,7 @@
 		if tried&(1<<i) != 0 {
 			continue
 		}
-		if s := mix(key ^ p.zones[i].hash); s >= score {
+		if s := spread.Mix(key ^ p.zones[i].hash); s >= score {
 			best, score = i, s
 		}
 	}
@@ -296,7 +298,7 @@
 // score ranks a member for the request: first the session's endpoint, then those known to hold the prefix or
 // adapter, then by rendezvous hashing.
 func (r *search) score(m *member) uint64 {
-	s := mix(r.query.Prefix^m.seed) & rankMask
+	s := spread.Mix(r.query.Prefix^m.seed) & rankMask
 	if m.handle == r.query.Session {
 		return s | bonusSession
 	}
@@ -365,13 +367,4 @@
 
 func (r *search) excluded(h Handle) bool { return slices.Contains(r.query.Exclude[:], h) }
 
-// mix is the finaliser of splitmix64; it spreads the bits of a prefix and an endpoint's seed.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func hashText(s string) uint64 { return xxhash.Sum64String(s) }
--- a/internal/core/endpoint/health.go
+++ b/internal/core/endpoint/health.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/spread"
 )
 
 // maxDoublings bounds the exponent of the ejection time; EjectMax takes effect before.
@@ -108,7 +110,7 @@
 }
 
 func (t *Table) jittered(e *entry, d time.Duration, salt uint64) time.Duration {
-	draw := float64(mix(mix(t.settings.Seed)^e.seed^salt)>>11) / (1 << 53)
+	draw := float64(spread.Mix(spread.Mix(t.settings.Seed)^e.seed^salt)>>11) / (1 << 53)
 	return time.Duration(float64(d) * (1 + t.settings.Jitter*draw))
 }
 
--- a/internal/core/endpoint/naive_test.go
+++ b/internal/core/endpoint/naive_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/spread"
 )
 
 // naiveMember is an endpoint as the slow reference sees it.
@@ -45,7 +47,7 @@
 			return -1
 		case b == q.Zone:
 			return 1
-		case mix(q.Prefix^hashText(a)) > mix(q.Prefix^hashText(b)):
+		case spread.Mix(q.Prefix^hashText(a)) > spread.Mix(q.Prefix^hashText(b)):
 			return -1
 		}
 		return 1
@@ -122,7 +124,7 @@
 		if c := class(b) - class(a); c != 0 {
 			return c
 		}
-		if mix(q.Prefix^a.e.seed)&rankMask > mix(q.Prefix^b.e.seed)&rankMask {
+		if spread.Mix(q.Prefix^a.e.seed)&rankMask > spread.Mix(q.Prefix^b.e.seed)&rankMask {
 			return -1
 		}
 		return 1
--- a/internal/core/placement/prompt.go
+++ b/internal/core/placement/prompt.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/call"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/spread"
 )
 
 const (
@@ -53,18 +54,18 @@
 	}
 	for i, h := range hashes {
 		tokens += shared[i].Tokens
-		spread := 0
+		endpoints := 0
 		for k, e := range l {
 			if last, ok := t.states[e.ID].chains[h]; ok && now.Sub(last) < t.settings.CacheFor {
 				q.held[k] = tokens
-				spread++
+				endpoints++
 			}
 		}
 		u := t.uses[h]
-		if u == nil || spread < commonLeast {
+		if u == nil || endpoints < commonLeast {
 			continue
 		}
-		if f := float64(spread); f >= commonShare*float64(len(l)) || f >= commonShare*u.decayed(now, t.settings.CacheFor) {
+		if f := float64(endpoints); f >= commonShare*float64(len(l)) || f >= commonShare*u.decayed(now, t.settings.CacheFor) {
 			common = tokens
 		}
 	}
@@ -87,7 +88,7 @@
 		if !t.eligible(r, e) || s.ejected(now) {
 			continue
 		}
-		v := mix(h ^ s.hash)
+		v := spread.Mix(h ^ s.hash)
 		top.add(k, v)
 		if e.AvailabilityZone == t.settings.AvailabilityZone {
 			near.add(k, v)
@@ -143,15 +144,6 @@
 	}
 }
 
-// mix is the finalizer of splitmix64; it spreads the bits of a value.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // remember records that an endpoint reads a request's prompt.
 func (t *Table) remember(now time.Time, r Request, s *state) {
 	shared := (&call.Request{Prefix: r.Prefix}).SharedPrefix()
