--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	workers     = 4 // clients of one instance, each with a connection that it keeps
-	thinkMost   = 40 * time.Millisecond
+	workers     = 4                       // clients of one instance, each with a connection that it keeps
+	thinkMost   = 40 * time.Millisecond   // of a client of up to thinkFleet instances; longer in proportion in a larger fleet
+	thinkFleet  = 10                      // whose clients one machine serves beside the stand-ins
 	clientWait  = 2 * time.Second         // stated in the requests
 	answerSlack = 1500 * time.Millisecond // for an answer after that; the machine may be busy
 	downWait    = 20 * time.Millisecond   // until an instance that is down is tried again
@@ -34,6 +35,7 @@
 // client sends requests to one instance on a connection that it uses until it breaks.
 func (f *fleet) client(ctx context.Context, n *instance, number int) {
 	g := rand.New(rand.NewPCG(f.options.Seed, uint64(n.index*workers+number)+100))
+	think := thinkMost * time.Duration(max(thinkFleet, len(f.instances))) / thinkFleet
 	var conn *standin.Conn
 	last := 0
 	for i := 0; ctx.Err() == nil; i++ {
@@ -56,7 +58,7 @@
 			_ = conn.Close()
 			conn = nil
 		}
-		time.Sleep(time.Duration(g.Int64N(int64(thinkMost))))
+		time.Sleep(time.Duration(g.Int64N(int64(think))))
 	}
 	if conn != nil {
 		_ = conn.Close()
