Bound what endpoints send, and give a silent run up only when another send is certain

Heads have 32 KiB with interim answers, answers and bodies share a budget by the settings' memory, streams end after as many events as the client allows tokens, and comments alone don't count as progress (TestEndless/drip-body, TestEndlessStreams).

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/escalation"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/patience"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/roster"
@@ -26,17 +27,20 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 	"github.com/cassiaspoke/cassiaspoke/internal/ingress"
 	"github.com/cassiaspoke/cassiaspoke/internal/logsink"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 	"github.com/cassiaspoke/cassiaspoke/internal/relay"
 	"github.com/cassiaspoke/cassiaspoke/internal/settings"
 	"github.com/cassiaspoke/cassiaspoke/platform"
 )
 
 const (
-	memoryShare = 0.7                    // of the memory limit for the runtime's heap; sockets and stacks take the rest
+	memoryShare = 0.6                    // of the memory limit for the runtime; the program itself and unread bytes of sockets take the rest
+	heldShare   = 1. / 16                // of the memory limit for bodies of clients, and as much for answers; a copy of each may wait for collection
 	dialTime    = 300 * time.Millisecond // a connection across zones takes a few ms; a lost first packet is sent again after 1 s
 	storeTime   = 700 * time.Millisecond // for a call to the store, which answers within 0.3 s when it is slow
 	waitShare   = 0.6                    // of a bound, for which a read waits: the store may not wake it for a record
 	paceShare   = 0.6                    // of the drain bound, between reads of the registry, whose records are frequent
+	storeHead   = 32 << 10               // bytes of the head of a store's reply
 	storeWait   = 20 * time.Second       // of a read of topics that bound nothing
 	storeRetry  = 250 * time.Millisecond
 	joinNeeded  = 60 * time.Millisecond // some round trips; without these topics no request is served
@@ -64,6 +68,8 @@
 	// Without a handler the signal ends the process, so it stays until the end, also while the instance stops.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	run, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	path := c.String(flagSettings)
 	s, err := settings.LoadIngress(path)
 	if err != nil {
@@ -98,8 +104,6 @@
 			return &Error{Op: "ingress", Kind: ErrFailed, Err: err}
 		}
 	}
-	run, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	running, ended := context.WithCancel(context.WithoutCancel(ctx))
 	defer ended()
 	go reload(running, hup, path, s, logger)
@@ -134,7 +138,7 @@
 func ingressOptions(s settings.Ingress, logger *zap.Logger) ingress.Options {
 	d := forward.Dialer{Timeout: dialTime}
 	store := platform.NewStore(s.Store, &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute,
+		DialContext: d.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: storeHead,
 	}})
 	b := s.Bounds
 	wait := func(bound time.Duration) feed.Options {
@@ -158,6 +162,8 @@
 	// The order of the topics is the same on all instances.
 	operators, registry := share(platform.TopicOperator, feeds.Operators, 0, joinNeeded), share(platform.TopicRegistry, feeds.Registry, pace, joinNeeded)
 	status, board := store.Topic(platform.TopicStatus), store.Topic(platform.TopicBoard)
+	held := int64(heldShare * float64(s.Limits.Memory))
+	bodies, answers := memory.NewBudget(held), memory.NewBudget(held)
 	return ingress.Options{
 		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Records: platform.Records{}, Logger: logger,
 		Operators: operators, Registry: registry, Dialer: d, Hub: hub, Feeds: feeds,
@@ -165,7 +171,9 @@
 		Placement:  placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation: escalation.DefaultSettings(),
 		Retries:    retry.Settings{Window: b.RetryWindow, Ratio: ratioShare * b.RetryRatio, Slack: max(leastSlack, b.RetrySlack/fleetMost)},
-		Exposure:   b.Exposure, Grace: b.Grace, IdleConns: idleConns,
+		Exposure:   b.Exposure, Grace: b.Grace, IdleConns: idleConns, Patience: patience.DefaultSettings(),
+		Bodies: bodies, Answers: answers,
+		MaxBody: min(int64(s.Limits.Body), bodies.Most()), MaxAnswer: min(int64(s.Limits.Answer), answers.Most()),
 	}
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -261,8 +261,11 @@
 }
 
 // Room estimates when a service can take a request that no endpoint takes now: when the first endpoint that is left out gets
-// work again, or when the shortest queue has been worked off.
+// work again, or when the shortest queue has been worked off. It is 0 for a service without endpoints.
 func (t *Table) Room(now time.Time, service string) time.Duration {
+	if len(t.services[service]) == 0 {
+		return 0
+	}
 	least := t.settings.EjectMax
 	for _, e := range t.services[service] {
 		s := t.states[e.ID]
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -21,6 +21,7 @@
 	maxLine       = 1 << 20 // bytes of one event of a stream
 	maxErrorBody  = 4 << 10 // bytes read of an error reply
 	maxProbeReply = 64 << 10
+	maxHead       = 32 << 10 // bytes of the head of a reply
 )
 
 // Settings bounds the calls to endpoints.
@@ -60,8 +61,8 @@
 		s.Clock = noStamps{}
 	}
 	d := &net.Dialer{Timeout: s.Dial}
-	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}
-	fresh := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
+	fresh := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead}
 	return &Client{s: s, pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
 }
 
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -61,7 +61,7 @@
 	first <- l.conn
 	// net/http repeats a request that carries an Idempotency-Key when a connection fails;
 	// with a single connection there is nothing to repeat it on.
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHead, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		select {
 		case c := <-first:
 			return c, nil
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -14,16 +14,20 @@
 type Event struct {
 	Bytes []byte // valid until the next call
 	ID    string // empty if it has none
+	Data  bool   // carries a piece of the answer, and is not only a sign of life
 }
 
 // Events reads whole events of a stream.
 type Events struct {
 	reader *bufio.Reader
 	buffer []byte
+	grow   func(n int64) error
 }
 
-// NewEvents reads events from the body of an answer.
-func NewEvents(r io.Reader) *Events { return &Events{reader: bufio.NewReaderSize(r, readSize)} }
+// NewEvents reads events from the body of an answer; grow is asked before the buffer grows.
+func NewEvents(r io.Reader, grow func(n int64) error) *Events {
+	return &Events{reader: bufio.NewReaderSize(r, readSize), grow: grow}
+}
 
 // Next returns the next event, or io.EOF where the stream ends between two events.
 func (e *Events) Next() (Event, error) {
@@ -41,6 +45,7 @@
 		if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
 			out.ID = string(bytes.TrimSpace(v))
 		}
+		out.Data = out.Data || out.ID != "" || bytes.HasPrefix(l, []byte("data:"))
 		if len(l) == 0 {
 			out.Bytes = e.buffer
 			return out, nil
@@ -52,10 +57,18 @@
 func (e *Events) line() error {
 	for {
 		b, err := e.reader.ReadSlice('\n')
+		if len(e.buffer)+len(b) > maxEvent {
+			return fmt.Errorf("an event of more than %d bytes", maxEvent)
+		}
+		if n := len(e.buffer) + len(b); n > cap(e.buffer) {
+			n = max(n, 2*cap(e.buffer))
+			if err := e.grow(int64(n - cap(e.buffer))); err != nil {
+				return err
+			}
+			e.buffer = append(make([]byte, 0, n), e.buffer...)
+		}
 		e.buffer = append(e.buffer, b...)
 		switch {
-		case len(e.buffer) > maxEvent:
-			return fmt.Errorf("an event of more than %d bytes", maxEvent)
 		case err == nil:
 			return nil
 		case !errors.Is(err, bufio.ErrBufferFull):
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -1,24 +1,24 @@
 package forward
 
 import (
-	"bufio"
 	"context"
-	"net"
+	"errors"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
 const (
 	idleTime  = 4 * time.Second // for which an unused connection is kept if the endpoint states no time
 	idleSpare = time.Second     // a connection is not used in the last second of the time that the endpoint states
-	readSize  = 4 << 10         // bytes; an event or the head of an answer fits
 )
 
 // Pool keeps idle connections to endpoints.
 type Pool struct {
 	dialer Dialer
 	most   int // idle connections to one endpoint
+	signs  *signs
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn // most recently used last
@@ -26,25 +26,14 @@
 
 // NewPool returns a pool that keeps at most a number of idle connections to one endpoint.
 func NewPool(d Dialer, most int) *Pool {
-	return &Pool{dialer: d, most: most, idle: map[netip.AddrPort][]*conn{}}
+	return &Pool{dialer: d, most: most, signs: newSigns(), idle: map[netip.AddrPort][]*conn{}}
 }
 
-type conn struct {
-	net.Conn
-	address netip.AddrPort
-	reader  *bufio.Reader
-	reused  bool
-	until   time.Time // it is not used after this
-}
-
-// end closes the connection; an error changes nothing, as the connection is not used again.
-func (c *conn) end() { _ = c.Close() }
-
-// get returns a connection; a fresh one was never used.
-func (p *Pool) get(ctx context.Context, a netip.AddrPort, fresh bool) (*conn, error) {
+// get returns a connection for a request with an identifier; a fresh one was never used.
+func (p *Pool) get(ctx context.Context, a netip.AddrPort, id string, fresh bool) (*conn, error) {
 	if !fresh {
 		for c := p.take(a); c != nil; c = p.take(a) {
-			if time.Now().Before(c.until) && c.quiet() {
+			if time.Now().Before(c.until) && c.quiet() && c.claim(id) {
 				c.reused = true
 				return c, nil
 			}
@@ -55,18 +44,32 @@
 	if err != nil {
 		return nil, &Error{Op: "dial " + a.String(), Kind: ErrConnect, Err: err}
 	}
-	return &conn{Conn: n, address: a, reader: bufio.NewReaderSize(n, readSize)}, nil
+	c := newConn(n, a, p.signs.of(a))
+	c.claim(id)
+	return c, nil
 }
 
-// Dead reports whether no connection can be made to an endpoint: after a connection that broke, it tells a lost answer
-// from the end of the process.
-func (p *Pool) Dead(ctx context.Context, a netip.AddrPort) bool {
+// Life is what a new connection tells of an endpoint.
+type Life int
+
+// Lives of an endpoint.
+const (
+	Alive   Life = iota
+	Ended        // nothing listens at its address
+	Unknown      // it did not answer in time: it may only be slow or cut off for a moment
+)
+
+// Probe connects to an endpoint: after a connection that broke, it tells a lost answer from the end of the process.
+func (p *Pool) Probe(ctx context.Context, a netip.AddrPort) Life {
 	c, err := p.dialer.Dial(ctx, a)
-	if err != nil {
-		return ctx.Err() == nil
+	switch {
+	case err == nil:
+		p.put(newConn(c, a, p.signs.of(a)), 0)
+		return Alive
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Ended
 	}
-	p.put(&conn{Conn: c, address: a, reader: bufio.NewReaderSize(c, readSize)}, 0)
-	return false
+	return Unknown
 }
 
 func (p *Pool) take(a netip.AddrPort) *conn {
@@ -109,6 +112,7 @@
 
 // Sweep closes connections that are too old to be used.
 func (p *Pool) Sweep(now time.Time) {
+	p.signs.sweep(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a, l := range p.idle {
--- a/internal/forward/quiet.go
+++ b/internal/forward/quiet.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -8,11 +9,11 @@
 
 // quiet reports whether an idle connection is open and holds no bytes: an endpoint may have closed it, or sent a
 // second answer that belongs to no request.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && Quiet(c.Conn) }
+
+// Quiet reports whether a connection is open and no bytes wait to be read.
+func Quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -21,11 +22,11 @@
 		return false
 	}
 	open := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Unlike Read, Control works after the connection's deadline too.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		open = n <= 0 && (e == unix.EAGAIN || e == unix.EINTR)
-		return true
 	})
 	return err == nil && open
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -19,9 +19,10 @@
 	silenceFactor = 4
 	silenceBase   = 100 * time.Millisecond
 	silenceShare  = 0.5
-	gapFactor     = 2           // times the route's longest pause, after which a stream goes on elsewhere
-	gapLeast      = time.Second // above the delay that a long prompt causes to the streams beside it
-	maxBody       = 16 << 20    // bytes of an answer that is not a stream
+	gapFactor     = 2                     // times the route's longest pause, after which a stream may go on elsewhere
+	gapLeast      = time.Second           // above the delay that a long prompt causes to the streams beside it
+	gapBytes      = 4 << 10               // of a body within gapLeast, which a slow answer has and a stalled one has not
+	drainTime     = 50 * time.Millisecond // for the rest of a refusal, which saves a connection
 )
 
 // attempt is one send to one endpoint.
@@ -42,12 +43,13 @@
 	x := a.exchange
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	defer a.cancel(nil)
-	s, what := a.send()
+	h := hop{
+		endpoint: a.choice.Endpoint.ID, service: x.service, model: x.chosen(), version: a.choice.Endpoint.Version, expected: a.choice.Start,
+	}
+	s, what := a.send() // may pick the model of the next send
 	x.handler.metrics.send(what)
-	x.trace = append(x.trace, hop{
-		endpoint: a.choice.Endpoint.ID, model: x.chosen(), version: a.choice.Endpoint.Version, outcome: what,
-		expected: a.choice.Start, took: time.Since(a.sent),
-	})
+	h.outcome, h.took = what, time.Since(a.sent)
+	x.trace = append(x.trace, h)
 	return s
 }
 
@@ -79,7 +81,7 @@
 	switch {
 	case a.answer.NotExecuted:
 		x.avoid[id] = true
-		a.finish(false, a.drain())
+		a.finish(false, a.reply.Drain(drainTime))
 		if reply.Status == http.StatusMisdirectedRequest {
 			x.handler.balancer.unreachable(time.Now(), id)
 		}
@@ -110,24 +112,6 @@
 	return false
 }
 
-// watch moves a request that may be repeated to another endpoint if this one stays silent.
-func (a *attempt) watch() func() {
-	x := a.exchange
-	if !x.route.Repeatable() || x.sends+1 >= x.route.Attempts {
-		return func() {}
-	}
-	d := max(silenceFactor*a.choice.Start+silenceBase, time.Duration(silenceShare*float64(x.route.Objective)))
-	t := time.AfterFunc(d, func() {
-		if x.handler.balancer.allow(time.Now(), x.service, silenceReserve) {
-			a.cancel(errSilent)
-		}
-	})
-	return func() { t.Stop() }
-}
-
-// silenceReserve is the part of the retry budget that is kept for requests that have failed.
-const silenceReserve = 0.3
-
 // failed handles a send without an answer.
 func (a *attempt) failed(err error) (step, string) {
 	x, id, now := a.exchange, a.choice.Endpoint.ID, time.Now()
@@ -153,10 +137,8 @@
 		x.allowed = true
 		a.stopped(x.handler.balancer.answered(a.choice.Endpoint, x.route.Name, a.token.Waited(now)))
 	}
-	if (kind == forward.ErrNoReply || kind == forward.ErrStale) && x.handler.pool.Dead(x.ctx, a.choice.Endpoint.Address) {
-		x.handler.board.death(now, id, x.content)
-		x.handler.log.endpoint(id, "dead", x.handler.balancer.unreachable(now, id), err)
-		x.avoid[id] = true
+	if kind == forward.ErrNoReply || kind == forward.ErrStale {
+		a.probe(err)
 	}
 	if kind != forward.ErrStale {
 		x.avoid[id] = true
@@ -168,11 +150,27 @@
 	return again, string(kind)
 }
 
+// probe finds out whether the endpoint has ended. Only then its requests are suspected of having crashed it.
+func (a *attempt) probe(cause error) {
+	x, id := a.exchange, a.choice.Endpoint.ID
+	l := x.handler.pool.Probe(x.ctx, a.choice.Endpoint.Address)
+	if l == forward.Alive || x.ctx.Err() != nil {
+		return
+	}
+	now, state := time.Now(), "unreachable"
+	if l == forward.Ended {
+		state = "dead"
+		x.handler.board.death(now, id, x.content)
+	}
+	x.handler.log.endpoint(id, state, x.handler.balancer.unreachable(now, id), cause)
+	x.avoid[id] = true
+}
+
 // erred handles a failure that the endpoint answered.
 func (a *attempt) erred() (step, string) {
 	x := a.exchange
 	what := strconv.Itoa(a.reply.Status)
-	b, err := a.reply.ReadAll(maxBody)
+	b, err := a.readAll()
 	if err != nil {
 		return a.spoilt(err)
 	}
@@ -210,7 +208,7 @@
 // plain delivers an answer that is not a stream.
 func (a *attempt) plain() (step, string) {
 	x := a.exchange
-	b, err := a.reply.ReadAll(maxBody)
+	b, err := a.readAll()
 	if err != nil {
 		return a.spoilt(err)
 	}
@@ -240,13 +238,13 @@
 	a.exchange.handler.balancer.ended(time.Now(), a.token, answered)
 }
 
-// drain reads the short body of a refusal and reports whether that worked.
-func (a *attempt) drain() bool {
-	_, err := a.reply.ReadAll(maxBody)
-	if err != nil {
-		a.exchange.note(err)
+// readAll reads a body that is not a stream.
+func (a *attempt) readAll() ([]byte, error) {
+	x := a.exchange
+	if err := a.guardBody(); err != nil {
+		return nil, err
 	}
-	return err == nil
+	return a.reply.ReadAll(x.handler.options.MaxAnswer, x.answers.Grow)
 }
 
 // deliver writes a whole answer to the client.
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -83,14 +83,9 @@
 func (b *balancer) choose(now time.Time, r placement.Request) (placement.Choice, *placement.Token, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c, ok := b.table.Choose(now, r)
+	c, ok := b.pick(now, &r)
 	if !ok {
-		if r.Version = b.rollout(r.Service).Other(r.Version); r.Version == "" {
-			return c, nil, false
-		}
-		if c, ok = b.table.Choose(now, r); !ok {
-			return c, nil, false
-		}
+		return c, nil, false
 	}
 	return c, b.table.Sent(now, r, c), true
 }
@@ -99,7 +94,19 @@
 func (b *balancer) look(now time.Time, r placement.Request) (placement.Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.table.Choose(now, r)
+	return b.pick(now, &r)
+}
+
+// pick falls back to the other version of a roll-out if no endpoint of the request's version may get it.
+func (b *balancer) pick(now time.Time, r *placement.Request) (placement.Choice, bool) {
+	c, ok := b.table.Choose(now, *r)
+	if ok {
+		return c, true
+	}
+	if r.Version = b.rollout(r.Service).Other(r.Version); r.Version == "" {
+		return c, false
+	}
+	return b.table.Choose(now, *r)
 }
 
 // Own returns what this instance has under way at the endpoints.
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
 const (
@@ -55,6 +56,8 @@
 	allowed bool // the next send is within the retry budget
 	ran     bool // an endpoint may have run it
 	last    *whole
+	bodies  *memory.Hold // of the client's body
+	answers *memory.Hold // of endpoints' answers
 
 	delivered bool // the client has the head of the answer
 	status    int
@@ -63,13 +66,15 @@
 	trace     []hop
 	failure   *failure
 	abort     bool
-	gone      bool // the client left
+	gone      bool   // the client left
+	ended     string // why no further send was made
 	cause     error
 }
 
 // hop is one send as the log shows it.
 type hop struct {
 	endpoint string
+	service  string
 	model    string
 	version  string
 	outcome  string
@@ -127,30 +132,42 @@
 		return done, nil
 	}
 	if !now.Before(x.until) {
-		return settled, nil
+		return x.settle("deadline"), nil
 	}
 	if f := x.rematch(); f != nil {
-		return settled, f
+		return x.settle("configuration"), f
 	}
 	if x.sends > 0 && x.handler.board.judge(now, x.content) {
 		x.note(errSuspect)
-		return settled, nil
+		return x.settle("content"), nil
 	}
-	if x.sends >= x.route.Attempts || x.missed >= maxConnects {
-		return settled, nil
+	if !x.more() {
+		return x.settle("attempts"), nil
 	}
-	q := x.placement()
-	c, k, ok := x.handler.balancer.choose(now, q)
+	if x.missed >= maxConnects {
+		return x.settle("unreachable endpoints"), nil
+	}
+	c, k, ok := x.handler.balancer.choose(now, x.placement())
 	if !ok {
-		return settled, nil
+		return x.settle("no endpoint"), nil
 	}
 	if x.sends > 0 && !x.allowed && !x.handler.balancer.allow(now, x.service, 0) {
 		x.handler.balancer.ended(now, k, false)
-		return settled, nil
+		return x.settle("retry budget"), nil
 	}
 	x.allowed = false
 	a := &attempt{exchange: x, choice: c, token: k, sent: now}
-	return a.run(), nil
+	s := a.run()
+	if s == settled {
+		x.settle("may have run")
+	}
+	return s, nil
+}
+
+// settle records why no further send is made.
+func (x *exchange) settle(why string) step {
+	x.ended = why
+	return settled
 }
 
 func (x *exchange) placement() placement.Request {
@@ -223,12 +240,16 @@
 	case x.ran:
 		x.refuse(&failure{status: http.StatusBadGateway, reason: "no whole answer", err: x.cause})
 	default:
-		wait := max(backWait, x.handler.balancer.room(time.Now(), x.service))
-		wait += time.Duration(rand.Int64N(int64(max(wait, backSpread))))
+		wait := spreadWait(max(backWait, x.handler.balancer.room(time.Now(), x.service)))
 		x.refuse(&failure{status: http.StatusServiceUnavailable, reason: "no endpoint can take it", wait: wait, err: x.cause})
 	}
 }
 
+// spreadWait spreads a time to come back, so that clients that are refused together do not come back together.
+func spreadWait(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Int64N(int64(max(d, backSpread))))
+}
+
 // note keeps the first error for the log.
 func (x *exchange) note(err error) {
 	if x.cause == nil {
@@ -246,7 +267,7 @@
 		s.LastEvent = x.request.LastEvent
 	}
 	return forward.Outbound{
-		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Body: x.body, HasBody: x.hasBody,
+		ID: x.request.ID, Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Body: x.body, HasBody: x.hasBody,
 		Header: x.handler.options.Protocol.Outbound(x.r.Header, s),
 	}
 }
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -12,6 +13,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
 const (
@@ -33,13 +35,19 @@
 	metrics  *metrics
 	log      *requestLog
 	stopping *atomic.Bool
+	closed   *atomic.Bool // the grace period is over, so connections were closed under requests
 	started  time.Time
 	ready    <-chan struct{} // closed when the configuration and the endpoints are known
 }
 
 // ServeHTTP answers one request.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{handler: h, w: w, r: r, start: time.Now(), view: h.view.Load(), control: http.NewResponseController(w)}
+	x := &exchange{
+		handler: h, w: w, r: r, start: time.Now(), view: h.view.Load(), control: http.NewResponseController(w),
+		bodies: h.options.Bodies.Hold(), answers: h.options.Answers.Hold(),
+	}
+	defer x.bodies.Free()
+	defer x.answers.Free()
 	// The server drops a Content-Length beside chunks, so such a message can't be told from a proper one. What follows
 	// it on the connection may be a part of its body by the length, and is not taken for a request.
 	if h.stopping.Load() || len(r.TransferEncoding) > 0 {
@@ -53,6 +61,9 @@
 	x.report()
 	if x.abort {
 		// Ends the connection without the end of the body, so that a cut answer does not look complete.
+		if !r.ProtoAtLeast(1, 1) {
+			resetAtEnd(r.Context()) // without chunks only a reset differs from the end of the body
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -70,8 +81,12 @@
 	if !x.view.Ready() {
 		x.hold()
 	}
-	if x.view.Directory == nil {
-		return &failure{status: http.StatusServiceUnavailable, reason: "no configuration", wait: startRetry(x.start.Sub(x.handler.started))}
+	if !x.view.Ready() {
+		f := &failure{status: http.StatusServiceUnavailable, reason: "no configuration", wait: startRetry(x.start.Sub(x.handler.started))}
+		if x.view.Directory != nil {
+			f.reason = "endpoints not known yet"
+		}
+		return f
 	}
 	if f := x.admit(x.view.Directory); f != nil {
 		return f
@@ -96,11 +111,7 @@
 
 // hold waits a little for the first configuration and the endpoints, which a starting instance reads within some calls.
 func (x *exchange) hold() {
-	d := startHold
-	if q := time.Duration(holdShare * float64(x.request.Deadline)); q > 0 {
-		d = min(d, q)
-	}
-	t := time.NewTimer(d)
+	t := time.NewTimer(x.briefly())
 	defer t.Stop()
 	select {
 	case <-x.handler.ready:
@@ -110,6 +121,14 @@
 	x.view = x.handler.view.Load()
 }
 
+// briefly is for how long a request may wait before it has a place here.
+func (x *exchange) briefly() time.Duration {
+	if q := time.Duration(holdShare * float64(x.request.Deadline)); q > 0 {
+		return min(startHold, q)
+	}
+	return startHold
+}
+
 // startRetry is when a client of an instance without a configuration may come back. The longer the store has been away,
 // the longer it is expected to stay away; the spread keeps clients from coming back together.
 func startRetry(up time.Duration) time.Duration {
@@ -142,26 +161,28 @@
 }
 
 func (x *exchange) readBody() *failure {
-	limit := x.view.Directory.Limits.BodyBytes
+	limit := x.handler.options.MaxBody
+	if l := x.view.Directory.Limits.BodyBytes; l > 0 {
+		limit = min(l, x.handler.options.Bodies.Most())
+	}
 	if x.r.ContentLength == 0 {
 		return nil
 	}
 	x.hasBody = true
-	if limit > 0 && x.r.ContentLength > limit {
+	if x.r.ContentLength > limit {
 		return refusal(http.StatusRequestEntityTooLarge, "body too large", nil)
 	}
 	if err := x.control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
 		return refusal(http.StatusBadRequest, "connection lost", err)
 	}
-	body := x.r.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(x.w, body, limit)
-	}
-	b, err := io.ReadAll(body)
+	b, err := memory.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit), limit, x.room)
 	var large *http.MaxBytesError
+	var full *memory.Error
 	switch {
 	case errors.As(err, &large):
 		return refusal(http.StatusRequestEntityTooLarge, "body too large", nil)
+	case errors.As(err, &full):
+		return &failure{status: http.StatusServiceUnavailable, reason: "no memory for its body", wait: spreadWait(backWait), err: err}
 	case err != nil:
 		return refusal(http.StatusBadRequest, "body cut off", err)
 	}
@@ -173,6 +194,13 @@
 	return nil
 }
 
+// room waits a little for memory for the body.
+func (x *exchange) room(n int64) error {
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.briefly())
+	defer cancel()
+	return x.bodies.Wait(ctx, n)
+}
+
 // target is the path and query as the client sent them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,7 +22,7 @@
 	leastStop     = 3 * time.Second        // the balancer sees two failed checks, one a second, before it stops new connections
 	stopReserve   = 500 * time.Millisecond // of the grace period, left for the process to end
 	readinessTime = time.Second
-	unusedEvery   = 100 * time.Millisecond // between looks at connections without a request during a stop
+	idleEvery     = 100 * time.Millisecond // between looks at connections without a request during a stop
 )
 
 // Ingress is one instance.
@@ -30,6 +30,7 @@
 	options   Options
 	view      atomic.Pointer[View]
 	stopping  atomic.Bool
+	closed    atomic.Bool
 	active    atomic.Int64
 	balancer  *balancer
 	control   *control
@@ -52,7 +53,7 @@
 	i.publisher = newPublisher(o, i.balancer, i.board)
 	i.handler = &handler{
 		options: o, view: &i.view, balancer: i.balancer, pool: i.pool, board: i.board, metrics: newMetrics(o.Scope),
-		log: newRequestLog(o.Logger), stopping: &i.stopping,
+		log: newRequestLog(o.Logger), stopping: &i.stopping, closed: &i.closed,
 		started: time.Now(), ready: i.control.ready,
 	}
 	return i
@@ -92,7 +93,7 @@
 	spawn(notes.Run)
 	spawn(i.publisher.run)
 	spawn(i.sweep)
-	l := newClients(&i.view)
+	l := newClients(i.options.Requests, &i.view)
 	requests := &http.Server{ //nolint:gosec // clients bounds the time for a request's head, by the configuration.
 		Handler: i.count(i.handler), MaxHeaderBytes: maxHeader, ConnState: l.state, ConnContext: l.context,
 		ErrorLog: zap.NewStdLog(i.options.Logger.Named("http")),
@@ -100,14 +101,14 @@
 	failed := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		go func() {
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !i.stopping.Load() {
 				failed <- &Error{Op: "serve", Kind: ErrListener, Err: err}
 			}
 		}()
 	}
 	side := &http.Server{Handler: i.readiness(), ReadHeaderTimeout: readinessTime}
 	meters := &http.Server{Handler: i.options.Reporter, ReadHeaderTimeout: readinessTime}
-	serve(requests, i.options.Requests)
+	serve(requests, l)
 	serve(side, i.options.Readiness)
 	serve(meters, i.options.Metrics)
 	defer side.Close()
@@ -131,31 +132,27 @@
 	return nil
 }
 
-// stop serves on until the balancer has noticed. Then it closes the connections without a request, as a client that
-// keeps one would go on sending until the process ends, and waits for the requests under way while the grace period lasts.
+// stop serves on until the balancer has noticed. Then it takes no further connections, ends those without a request, as
+// a client that keeps one would go on sending until the process ends, and waits for the requests under way while the
+// grace period lasts. The server's own Shutdown closes idle connections without a look at what has just come on them.
 func (i *Ingress) stop(s *http.Server, l *clients) {
 	begin := time.Now()
 	i.stopping.Store(true)
 	i.options.Logger.Info("instance: Stopping.", zap.Int64("requests", i.active.Load()), zap.Duration("grace", i.options.Grace))
 	end := begin.Add(max(i.options.Grace-stopReserve, stopReserve))
 	time.Sleep(min(leastStop, i.options.Grace/2))
-	c, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		for c.Err() == nil {
-			l.closeUnused()
-			time.Sleep(unusedEvery)
-		}
-	}()
-	err := s.Shutdown(c)
-	cancel()
-	<-closed
-	if err != nil {
-		_ = s.Close()
+	if err := l.finish(); err != nil {
+		i.options.Logger.Error("instance: The listener could not be closed.", zap.Error(err))
+	}
+	left := 1
+	for left > 0 && time.Now().Before(end) {
+		time.Sleep(idleEvery)
+		left = l.endIdle()
 	}
-	i.options.Logger.Info("instance: Stopped.", zap.Int64("requests", i.active.Load()), zap.Duration("took", time.Since(begin)), zap.Error(err))
+	i.closed.Store(true)
+	err := s.Close()
+	i.options.Logger.Info("instance: Stopped.", zap.Int64("requests", i.active.Load()), zap.Int("connections", left),
+		zap.Duration("took", time.Since(begin)), zap.Error(err))
 }
 
 // count keeps the number of requests under way.
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -61,7 +61,7 @@
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (l hops) MarshalLogArray(e zapcore.ArrayEncoder) error {
 	for _, h := range l {
-		e.AppendString(h.endpoint + " " + h.version + " " + h.model + " expected " + ms(h.expected) + " took " + ms(h.took) + ": " + h.outcome)
+		e.AppendString(h.endpoint + " " + h.service + " " + h.version + " " + h.model + " expected " + ms(h.expected) + " took " + ms(h.took) + ": " + h.outcome)
 	}
 	return nil
 }
@@ -105,6 +105,9 @@
 			f = append(f, zap.NamedError("error", x.failure.err))
 		}
 	}
+	if x.ended != "" {
+		f = append(f, zap.String("no-further-send", x.ended))
+	}
 	if x.cause != nil && (x.failure == nil || !errors.Is(x.failure.err, x.cause)) {
 		f = append(f, zap.NamedError("cause", x.cause))
 	}
@@ -124,6 +127,8 @@
 
 func (x *exchange) outcome() string {
 	switch {
+	case x.gone && x.handler.closed.Load():
+		return outcomeCut // the server's end of the connection looks like the client's
 	case x.gone:
 		return outcomeLeft
 	case x.abort:
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -12,10 +12,12 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/call"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/escalation"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/patience"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 	"github.com/cassiaspoke/cassiaspoke/internal/relay"
 )
 
@@ -68,12 +70,18 @@
 	Feeds      Feeds
 	Placement  placement.Settings
 	Escalation escalation.Settings
+	Patience   patience.Settings
 	Retries    retry.Settings
 	Exposure   float64 // largest share of a roll-out's requests that a bad version may get
 	// ExposureSlack is how many requests of this instance it may get beyond that share.
 	ExposureSlack float64
 	Grace         time.Duration // from a request to stop until the process is killed
 	IdleConns     int           // idle connections kept to one endpoint
+
+	Bodies    *memory.Budget // for all bodies of clients
+	Answers   *memory.Budget // for all answers that are held
+	MaxBody   int64          // bytes of a client's body if the configuration has no limit
+	MaxAnswer int64          // bytes of an answer that is not a stream
 }
 
 // Feeds pace the followers of the store.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -27,11 +27,12 @@
 		x.model, x.allowed = m, true
 		return again, "confidence " + strconv.Itoa(a.answer.Confidence)
 	}
-	e := forward.NewEvents(a.reply.Body)
-	for n := 0; ; n++ {
-		if err := a.reply.Wait(a.gap()); err != nil {
-			return a.interrupted(err)
-		}
+	e := forward.NewEvents(a.reply.Body, x.answers.Grow)
+	next := a.guard()
+	if err := next(time.Now()); err != nil {
+		return a.interrupted(err)
+	}
+	for n, idle := 0, 0; ; {
 		v, err := e.Next()
 		switch {
 		case errors.Is(err, io.EOF):
@@ -40,9 +41,23 @@
 		case err != nil:
 			return a.interrupted(a.reply.Failure("read event", err))
 		}
-		a.last = time.Now()
-		if n == 0 {
-			a.first = a.last
+		if idle += len(v.Bytes); v.Data {
+			n, idle, a.last = n+1, 0, time.Now()
+			if n == 1 {
+				a.first = a.last
+			}
+			if err := next(a.last); err != nil {
+				return a.interrupted(err)
+			}
+		}
+		switch {
+		case x.excess():
+			_, what := a.spoilt(errEndless)
+			return settled, what // what the client has is more than the answer can be
+		case idle > maxIdleBytes:
+			return a.spoilt(errEndless)
+		case !x.follows(v.ID):
+			return a.spoilt(errOrder)
 		}
 		if err := x.write(a, v, e.Buffered()); err != nil {
 			x.note(err)
@@ -53,6 +68,31 @@
 	}
 }
 
+const (
+	maxIdleBytes = 64 << 10 // bytes of comments between two events
+	spareEvents  = 2        // beyond one for each token: the begin and the end of an answer may have events of their own
+)
+
+var (
+	errEndless = errors.New("a stream that does not end")
+	errOrder   = errors.New("an event that the client has already")
+)
+
+// follows reports whether an event comes after the last one delivered; identifiers that are no numbers are not compared.
+func (x *exchange) follows(id string) bool {
+	last, err := strconv.ParseInt(x.request.LastEvent, 10, 64)
+	if err != nil {
+		return true
+	}
+	n, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || n > last
+}
+
+// excess reports whether the answer has more events than the client allows tokens.
+func (x *exchange) excess() bool {
+	return x.request.OutputTokens > 0 && x.events > x.request.OutputTokens+spareEvents
+}
+
 // paced records the mean time between the events of the answer.
 func (a *attempt) paced(events int) {
 	if events > 1 {
@@ -87,15 +127,6 @@
 	return m
 }
 
-// gap is when the wait for the next event ends.
-func (a *attempt) gap() time.Time {
-	x := a.exchange
-	if !x.route.Resumable || !x.more() {
-		return time.Time{}
-	}
-	return time.Now().Add(max(gapFactor*x.route.MaxGap, gapLeast))
-}
-
 // write hands an event to the client.
 func (x *exchange) write(a *attempt, v forward.Event, more bool) error {
 	if !x.delivered {
@@ -104,7 +135,9 @@
 	if _, err := x.w.Write(v.Bytes); err != nil {
 		return err
 	}
-	x.events++
+	if v.Data {
+		x.events++
+	}
 	if v.ID != "" {
 		x.request.LastEvent = v.ID
 	}
--- /dev/null
+++ b/internal/relay/fuzz_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"testing"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
+)
+
+// FuzzMessage guards against messages of another instance that crash this one.
+func FuzzMessage(f *testing.F) {
+	for _, m := range []proto.Message{
+		&relaypb.Batch{Topic: 0, Next: 3, Full: true, Records: []*relaypb.Record{{Key: "k", Value: []byte("v"), Offset: 2}}},
+		&relaypb.Batch{From: 9, Next: 3, AgeMicroseconds: -5},
+		&relaypb.Loads{Endpoints: []uint32{1, 2}, Requests: []uint32{3}, PrefillMilliseconds: []uint32{4, 5}},
+	} {
+		b, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h := NewHub(Options{Logger: zap.NewNop()})
+		h.topics = append(h.topics, newTopic(h.bell))
+		m := &relaypb.Batch{}
+		if proto.Unmarshal(b, m) == nil && int(m.GetTopic()) < len(h.topics) {
+			h.merge(m)
+			for _, r := range h.topics[0].all().Records {
+				if r.Key == "" && len(r.Value) > len(b) {
+					t.Errorf("record %+v", r)
+				}
+			}
+		}
+		l := &relaypb.Loads{}
+		if proto.Unmarshal(b, l) == nil {
+			if n := decodeLoads(l); len(n) > len(l.GetEndpoints()) {
+				t.Errorf("%d loads of %d endpoints", len(n), len(l.GetEndpoints()))
+			}
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,7 +20,8 @@
 )
 
 const (
-	maxMessage  = 64 << 20              // bytes; a configuration with thousands of routes fits
+	maxMessage  = 16 << 20              // bytes; a configuration with thousands of routes fits
+	maxLoads    = 256 << 10             // bytes of what an instance tells of its work; 20 for each endpoint at most
 	bufferBytes = 4 << 10               // of a connection's read and write buffers
 	joinAgain   = 20 * time.Millisecond // the same in the first second, as instances often start together
 	joinPhase   = time.Second
@@ -83,7 +84,7 @@
 // Serve hands records on to other instances until the context ends.
 func (h *Hub) Serve(ctx context.Context, l net.Listener) error {
 	s := grpc.NewServer(
-		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.MaxSendMsgSize(maxMessage),
+		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.MaxSendMsgSize(maxMessage), grpc.MaxRecvMsgSize(maxLoads),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: probeEvery, Timeout: probeWait}),
 	)
 	relaypb.RegisterRelayServer(s, h)
--- a/internal/settings/ingress.go
+++ b/internal/settings/ingress.go
@@ -33,6 +33,8 @@
 // IngressLimits is what the machine gives one process.
 type IngressLimits struct {
 	Memory Size `json:"memory" validate:"min=33554432"` // above it the process is killed
+	Answer Size `json:"answer" validate:"min=65536"`    // of an endpoint's answer that is not a stream; a larger one fails
+	Body   Size `json:"body" validate:"min=65536"`      // of a client's body, if the operators' configuration has no limit
 }
 
 // IngressBounds is what the platform promises or asks for.
@@ -54,7 +56,7 @@
 // DefaultIngress returns the settings that hold where a file says nothing.
 func DefaultIngress() Ingress {
 	return Ingress{
-		Limits: IngressLimits{Memory: 256 * MiB},
+		Limits: IngressLimits{Memory: 256 * MiB, Answer: 4 * MiB, Body: 4 * MiB},
 		Bounds: IngressBounds{
 			Drain: 2 * time.Second, Apply: 2 * time.Second, Stability: 3 * time.Second, Grace: 8 * time.Second,
 			RetryWindow: 10 * time.Second, RetryRatio: 0.2, Exposure: 0.1,
@@ -69,8 +71,13 @@
 	if err != nil {
 		return Ingress{}, err
 	}
+	return ParseIngress(path, b)
+}
+
+// ParseIngress reads settings of an instance on the platform from the content of the file at path.
+func ParseIngress(path string, src []byte) (Ingress, error) {
 	s := DefaultIngress()
-	d := newDecoder(path, b)
+	d := newDecoder(path, src)
 	if d.tree(&s) {
 		d.checkFields(s)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,10 +28,11 @@
 
 var (
 	linkFaults     = []linkFault{delays, silent, silentUp, silentDown, resets, resetsOnce, staysMute}
-	endpointFaults = []standin.Fault{
+	endpointFaults = slices.Concat(standin.Endless, standin.EndlessStreams, []standin.Fault{
 		standin.Shed, standin.Fails, standin.Lost, standin.Mute, standin.Unsealed, standin.Truncated, standin.Garbage, standin.Extra,
 		standin.Halfway, standin.Stalls, standin.DropsIdle, standin.Unframed, standin.Encoded, standin.RefusesBare,
-	}
+		standin.Holds, standin.CutUnframed, standin.BeginsLost, standin.LateCopy, standin.LateChunked,
+	})
 	storeFaults = []standin.StoreFault{
 		{Status: http.StatusServiceUnavailable},
 		{Status: http.StatusTooManyRequests},
