--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -13,13 +13,16 @@
 	"golang.org/x/sys/unix"
 )
 
-// repeated yields the same bytes without end and counts them.
+// repeated yields the same bytes for as long as any bound here should allow, and counts them.
 type repeated struct {
 	text string
 	n    int64
 }
 
 func (r *repeated) Read(b []byte) (int, error) {
+	if r.n > 8*maxEvent {
+		return 0, io.EOF
+	}
 	k := 0
 	for k < len(b) {
 		k += copy(b[k:], r.text)
--- a/internal/ingress/clients_test.go
+++ b/internal/ingress/clients_test.go
@@ -204,3 +204,31 @@
 		})
 	}
 }
+
+// TestReadFindsBytes guards against a request that comes between the end of a wait and the close of its connection.
+func TestReadFindsBytes(t *testing.T) {
+	for name, come := range map[string]bool{"a request has come": true, "nothing has come": false} {
+		t.Run(name, func(t *testing.T) {
+			l, _, a := server(t, echoPath)
+			c, _ := dial(t, a)
+			n, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer n.Close()
+			if come {
+				ask(t, c, "/")
+				time.Sleep(50 * time.Millisecond) // loopback delivers at once
+			}
+			s := n.(*client)
+			s.ending = true
+			if err := s.SetReadDeadline(time.Now().Add(-time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			k, err := s.Read(make([]byte, 100))
+			if come && (k == 0 || err != nil) || !come && err != io.EOF {
+				t.Errorf("%d bytes, %v", k, err)
+			}
+		})
+	}
+}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -35,7 +35,8 @@
 	metrics  *metrics
 	log      *requestLog
 	stopping *atomic.Bool
-	closed   *atomic.Bool // the grace period is over, so connections were closed under requests
+	closed   *atomic.Bool               // the grace period is over, so connections were closed under requests
+	stopEnd  *atomic.Pointer[time.Time] // when that will be, once the balancer has noticed the stop
 	started  time.Time
 	ready    <-chan struct{} // closed when the configuration and the endpoints are known
 }
@@ -106,6 +107,9 @@
 		wait = defaultWait
 	}
 	x.until = x.start.Add(wait)
+	if end := x.handler.stopEnd.Load(); end != nil && x.until.After(*end) {
+		return &failure{status: http.StatusServiceUnavailable, reason: "the instance stops before its answer may end", wait: spreadWait(0)}
+	}
 	return nil
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -31,6 +31,7 @@
 	view      atomic.Pointer[View]
 	stopping  atomic.Bool
 	closed    atomic.Bool
+	stopEnd   atomic.Pointer[time.Time]
 	active    atomic.Int64
 	balancer  *balancer
 	control   *control
@@ -53,7 +54,7 @@
 	i.publisher = newPublisher(o, i.balancer, i.board)
 	i.handler = &handler{
 		options: o, view: &i.view, balancer: i.balancer, pool: i.pool, board: i.board, metrics: newMetrics(o.Scope),
-		log: newRequestLog(o.Logger), stopping: &i.stopping, closed: &i.closed,
+		log: newRequestLog(o.Logger), stopping: &i.stopping, closed: &i.closed, stopEnd: &i.stopEnd,
 		started: time.Now(), ready: i.control.ready,
 	}
 	return i
@@ -134,13 +135,14 @@
 
 // stop serves on until the balancer has noticed. Then it takes no further connections, ends those without a request, as
 // a client that keeps one would go on sending until the process ends, and waits for the requests under way while the
-// grace period lasts. The server's own Shutdown closes idle connections without a look at what has just come on them.
+// grace period lasts. Requests that still come and may outlast it are refused. The server's own Shutdown closes idle connections without a look at what has just come on them.
 func (i *Ingress) stop(s *http.Server, l *clients) {
 	begin := time.Now()
 	i.stopping.Store(true)
 	i.options.Logger.Info("instance: Stopping.", zap.Int64("requests", i.active.Load()), zap.Duration("grace", i.options.Grace))
 	end := begin.Add(max(i.options.Grace-stopReserve, stopReserve))
 	time.Sleep(min(leastStop, i.options.Grace/2))
+	i.stopEnd.Store(&end)
 	if err := l.finish(); err != nil {
 		i.options.Logger.Error("instance: The listener could not be closed.", zap.Error(err))
 	}
