Compare a few endpoints of its own for each request besides those of its shared prompt

Load pattern: one hot prompt, TestHotPrompt; without the further endpoints one of 60 requests waits far beyond three reads.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -19,6 +19,7 @@
 	EjectBase        time.Duration // first time without work after an endpoint could not be reached; it doubles
 	EjectMax         time.Duration
 	Choices          int // endpoints, and as many of the own availability zone, that are compared for a shared prompt
+	Wide             int // further endpoints, others for each request, that are compared for it
 }
 
 // DefaultSettings returns an instance's settings.
@@ -33,6 +34,7 @@
 		EjectBase:        300 * time.Millisecond,
 		EjectMax:         4 * time.Second, // engines restart within seconds
 		Choices:          3,               // one more than two choices, as one may be down
+		Wide:             4,               // so that the least busy of them is hardly ever as busy as the mean
 	}
 }
 
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -158,3 +158,28 @@
 		t.Errorf("after six answers in %v each, the next is expected after %v", real, c.Start)
 	}
 }
+
+// TestHotPrompt guards against requests that wait at the first endpoints of their shared prompt while others are idle: load
+// pattern of one hot prompt whose endpoints are all busy.
+func TestHotPrompt(t *testing.T) {
+	const requests, endpoints = 60, 20
+	table := New(DefaultSettings("a"))
+	table.SetEndpoints(pool(endpoints, "a"))
+	idle, _ := table.Choose(start, ask(1))
+	read := time.Duration(startPerToken * float64(ask(1).Prompt) * float64(time.Millisecond))
+	var worst time.Duration
+	for i := range requests {
+		r := ask(1)
+		r.Prefix[len(r.Prefix)-1].ID = fmt.Sprint("own-", i)
+		c, ok := table.Choose(start, r)
+		if !ok {
+			t.Fatal("no choice")
+		}
+		table.Sent(start, r, c)
+		worst = max(worst, c.Start-idle.Start)
+	}
+	// All requests read in full, evenly spread, would end after three reads.
+	if worst > requests/endpoints*read {
+		t.Errorf("one request expects to wait %v, a full read takes %v", worst, read)
+	}
+}
--- a/internal/core/placement/prompt.go
+++ b/internal/core/placement/prompt.go
@@ -74,15 +74,18 @@
 	}
 	zoneCost := float64(t.zoneCost(r)) / float64(time.Millisecond)
 	far := 2*p.perToken*float64(whole-common) > zoneCost // a read costs the request's time and delays others, as in cost
-	t.rank(now, r, hashes[len(hashes)-1], far, whole, &q)
+	own := xxhash.Sum64String(r.Prefix[len(r.Prefix)-1].ID)
+	t.rank(now, r, hashes[len(hashes)-1], own, far, whole, &q)
 	return q
 }
 
-// rank adds what is expected at the first endpoints by the prompt's hash, and picks the endpoints to compare.
-func (t *Table) rank(now time.Time, r Request, h uint64, far bool, whole int, q *prompt) {
+// rank adds what is expected at the first endpoints by the prompt's hash, and picks the endpoints to compare: those first
+// ones, and a few by the hash of the request's own part. These are taken when the first ones are busy for longer than it
+// takes to read the prompt again, and differ from request to request, so that requests that come together spread.
+func (t *Table) rank(now time.Time, r Request, h, own uint64, far bool, whole int, q *prompt) {
 	l := t.services[r.Service]
 	n := max(2, t.settings.Choices)
-	top, near := newRanking(n), newRanking(n)
+	top, near, wide := newRanking(n), newRanking(n), newRanking(max(0, t.settings.Wide))
 	for k, e := range l {
 		s := t.states[e.ID]
 		if !t.eligible(r, e) || s.ejected(now) {
@@ -90,6 +93,7 @@
 		}
 		v := spread.Mix(h ^ s.hash)
 		top.add(k, v)
+		wide.add(k, spread.Mix(own^s.hash))
 		if e.AvailabilityZone == t.settings.AvailabilityZone {
 			near.add(k, v)
 		}
@@ -106,8 +110,10 @@
 	}
 	if t.settings.Choices > 0 && len(l) > 2*t.settings.Choices {
 		q.consider = make([]bool, len(l))
-		for _, k := range append(top.index, near.index...) {
-			q.consider[k] = true
+		for _, l := range [][]int{top.index, near.index, wide.index} {
+			for _, k := range l {
+				q.consider[k] = true
+			}
 		}
 	}
 }
@@ -131,7 +137,7 @@
 
 func (r *ranking) add(k int, v uint64) {
 	i := len(r.index)
-	if i == r.most && v <= r.values[i-1] {
+	if r.most == 0 || i == r.most && v <= r.values[i-1] {
 		return
 	}
 	r.index, r.values = append(r.index, k), append(r.values, v)
