--- a/internal/core/placement/pace.go
+++ b/internal/core/placement/pace.go
@@ -13,9 +13,9 @@
 const (
 	memory     = 0.99 // what an observation keeps of its weight with each new one
 	leastScale = 30   // milliseconds, below which errors are not weighed by their share of the time
-	clipFactor = 3    // times the estimate, above which a time counts as less: it shows a stuck endpoint
+	clipFactor = 5    // times the estimate, above which a time counts as less: it shows a stuck endpoint
 	clipAfter  = 5    // observations, from which on there is an estimate to compare with
-	startShare = 0.2  // weight of the starting values as observations
+	startShare = 0.05 // weight of the starting values as observations
 )
 
 // pace is how fast the endpoints of a service answer with a model, apart from their own speeds.
@@ -64,9 +64,10 @@
 	return p
 }
 
-// observe adds an observation; errors count by their share of the time, as the times of long prompts vary more.
+// observe adds an observation; errors count by their share of the expected time, as the times of long prompts vary more.
+// The time itself as the scale would favour observations that are too low.
 func (p *pace) observe(tokens, ms, share float64) {
-	scale := max(leastScale, ms)
+	scale := max(leastScale, p.base+p.perToken*tokens)
 	p.sums.add(share/(scale*scale), tokens, ms)
 }
 
