Keep the smaller model's answer when the larger one's is worth less than it takes from others

The thresholds are replaced by worth: the probability that either answer is good and in time, the price of the larger one, and what its work takes from the requests behind it, which grows with the wait for prompts.

--- a/internal/core/escalation/escalation.go
+++ b/internal/core/escalation/escalation.go
@@ -1,21 +1,30 @@
 package escalation
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Settings say how sure a model must be of its answer.
+// Settings say what answers are worth, as a share of what a good answer in time is worth.
 type Settings struct {
-	Confidence int     // below which a larger model is asked while there is room and time
-	Late       int     // the same, if the larger model's answer would be late
-	EaseFrom   float64 // busy share of the larger model's endpoint above which the confidence asked falls
-	EaseTo     float64 // busy share at which it has fallen to Late
-	// WaitFrom is the part of the time until the answer is late that the larger model is expected to take for its first
-	// event, above which the confidence asked falls; at all of it, it has fallen to Late.
-	WaitFrom float64
+	Late       float64 // a good answer that is late
+	Price      float64 // of the larger model's answer
+	Crowd      float64 // what its work takes from others when all engines are fully loaded
+	Middle     float64 // confidence at which an answer is as likely good as not
+	Scale      float64 // points of confidence in which the odds grow by e
+	Spread     float64 // of the logarithm of the actual over the estimated time to the first event
+	QueueShare float64 // of the objective; engines on which prompts wait for so long are fully loaded
+	BusyFrom   float64 // busy share of the slots from which on the engine counts as loaded
+	BusyTo     float64 // and at which others lose BusyCrowd
+	BusyCrowd  float64
 }
 
 // DefaultSettings returns an instance's settings.
 func DefaultSettings() Settings {
-	return Settings{Confidence: 50, Late: 25, EaseFrom: 0.7, EaseTo: 1.3, WaitFrom: 0.4}
+	return Settings{
+		Late: 0.3, Price: 0.13, Crowd: 1, Middle: 35, Scale: 8, Spread: 0.5, QueueShare: 0.5,
+		BusyFrom: 0.7, BusyTo: 1.3, BusyCrowd: 0.6,
+	}
 }
 
 // Case is what is known when the head of an answer is here.
@@ -24,8 +33,10 @@
 	Models     []string      // smallest first
 	Model      string        // that gave the answer
 	Attempts   int           // further sends that the route allows
-	Remaining  time.Duration // until the answer is late
+	Objective  time.Duration // for the first event
+	Remaining  time.Duration // of the objective
 	Start      time.Duration // estimated time to the larger model's first event
+	Queue      time.Duration // of it, the wait for prompts that are read before
 	Busy       float64       // share of the slots taken at the endpoint for the larger model
 }
 
@@ -35,19 +46,34 @@
 		return ""
 	}
 	largest := c.Models[len(c.Models)-1]
-	if c.Model == largest || c.Confidence >= s.threshold(c) {
+	if c.Model == largest || s.larger(c)-s.good(c.Confidence) <= s.Price+s.crowd(c) {
 		return ""
 	}
 	return largest
 }
 
-func (s Settings) threshold(c Case) int {
-	if c.Start > c.Remaining {
+// good is the probability that an answer is good.
+func (s Settings) good(confidence int) float64 {
+	return 1 / (1 + math.Exp((s.Middle-float64(confidence))/s.Scale))
+}
+
+// larger is what the larger model's answer is worth by the time at which it is expected.
+func (s Settings) larger(c Case) float64 {
+	if c.Remaining <= 0 {
 		return s.Late
 	}
-	busy := (c.Busy - s.EaseFrom) / (s.EaseTo - s.EaseFrom)
-	// Long waits for prompts show a load that the share of the slots does not.
-	wait := (float64(c.Start)/float64(max(1, c.Remaining)) - s.WaitFrom) / (1 - s.WaitFrom)
-	x := min(max(busy, wait, 0), 1)
-	return s.Confidence - int(x*float64(s.Confidence-s.Late))
+	x := math.Log(float64(c.Remaining)/float64(max(c.Start, time.Millisecond))) / s.Spread
+	inTime := 0.5 * math.Erfc(-x/math.Sqrt2)
+	return s.Late + (1-s.Late)*inTime
+}
+
+// crowd is what the larger model's work takes from the requests that wait behind it: nothing on idle engines.
+func (s Settings) crowd(c Case) float64 {
+	full := s.QueueShare * float64(c.Objective)
+	queue := 0.0
+	if full > 0 {
+		queue = s.Crowd * min(float64(c.Queue)/full, 1)
+	}
+	busy := s.BusyCrowd * min(max((c.Busy-s.BusyFrom)/(s.BusyTo-s.BusyFrom), 0), 1)
+	return max(queue, busy)
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -54,6 +54,7 @@
 type Choice struct {
 	Endpoint directory.Endpoint
 	Start    time.Duration // estimated time to the first byte of the answer
+	Queue    time.Duration // of it, the wait for prompts that are read before
 	Prefill  int           // prompt tokens that are not expected to be in the endpoint's memory
 	Busy     float64       // share of the endpoint's slots that are taken
 }
@@ -164,13 +165,14 @@
 func (t *Table) estimate(now time.Time, e directory.Endpoint, s *state, p *pace, uncached int) Choice {
 	running := s.running(now, t.settings.ReportFor)
 	slots := float64(max(1, e.Slots))
-	ms := (p.base + p.perToken*float64(uncached)) * s.speed
-	ms += s.queue(now)
+	queue := s.queue(now)
+	ms := (p.base+p.perToken*float64(uncached))*s.speed + queue
 	if over := running + 1 - slots; over > 0 {
 		ms += over / slots * p.whole * s.speed
 	}
 	return Choice{
-		Endpoint: e, Start: time.Duration(ms * float64(time.Millisecond)), Prefill: uncached, Busy: running / slots,
+		Endpoint: e, Start: time.Duration(ms * float64(time.Millisecond)), Queue: time.Duration(queue * float64(time.Millisecond)),
+		Prefill: uncached, Busy: running / slots,
 	}
 }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -111,12 +111,12 @@
 	now := time.Now()
 	c := escalation.Case{
 		Confidence: a.answer.Confidence, Models: x.route.Models, Model: x.model,
-		Attempts: x.route.Attempts - x.sends, Remaining: x.start.Add(x.route.Objective).Sub(now),
+		Attempts: x.route.Attempts - x.sends, Objective: x.route.Objective, Remaining: x.start.Add(x.route.Objective).Sub(now),
 	}
 	q := x.placement()
 	q.Model = x.route.Models[len(x.route.Models)-1]
 	if p, ok := x.handler.balancer.look(now, q); ok {
-		c.Start, c.Busy = p.Start, p.Busy
+		c.Start, c.Queue, c.Busy = p.Start, p.Queue, p.Busy
 	} else {
 		return ""
 	}
--- a/internal/measure/routing_policy.go
+++ b/internal/measure/routing_policy.go
@@ -99,7 +99,8 @@
 	}
 	return escalation.DefaultSettings().Next(escalation.Case{
 		Confidence: confidence, Models: modelNames, Model: j.model, Attempts: maxSends - j.sends,
-		Remaining: j.start + j.kind.objective - r.now, Start: c.Start, Busy: c.Busy,
+		Remaining: j.start + j.kind.objective - r.now, Start: c.Start, Queue: c.Queue, Busy: c.Busy,
+		Objective: j.kind.objective,
 	}) != ""
 }
 
