--- a/internal/core/escalation/escalation.go
+++ b/internal/core/escalation/escalation.go
@@ -67,12 +67,14 @@
 	return s.Late + (1-s.Late)*inTime
 }
 
-// crowd is what the larger model's work takes from the requests that wait behind it: nothing on idle engines.
+// crowd is what the larger model's work takes from the requests that wait behind it: nothing on idle engines, and little
+// while the wait is short, as it takes no one beyond the objective.
 func (s Settings) crowd(c Case) float64 {
 	full := s.QueueShare * float64(c.Objective)
 	queue := 0.0
 	if full > 0 {
-		queue = s.Crowd * min(float64(c.Queue)/full, 1)
+		wait := min(float64(c.Queue)/full, 1)
+		queue = s.Crowd * wait * wait
 	}
 	busy := s.BusyCrowd * min(max((c.Busy-s.BusyFrom)/(s.BusyTo-s.BusyFrom), 0), 1)
 	return max(queue, busy)
