--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -233,7 +233,7 @@
 }
 
 // Outcome records the end of an answer and reports whether the roll-out was stopped by it.
-func (r *Rollout) Outcome(version, route string, failed bool) bool {
+func (r *Rollout) Outcome(now time.Time, version, route string, failed bool) bool {
 	if r.order == nil || r.state != directory.RolloutRunning {
 		return false
 	}
@@ -241,6 +241,7 @@
 		r.fresh.old.add(failed)
 		return false
 	}
+	r.fresh.watch(now, false, failed, route)
 	return r.stop(r.fresh.add(route, failed))
 }
 
@@ -257,11 +258,11 @@
 }
 
 // Streamed records the mean time between the events of a stream that has ended; kind tells which streams are alike.
-func (r *Rollout) Streamed(version, kind string, gap time.Duration) bool {
+func (r *Rollout) Streamed(now time.Time, version, kind string, gap time.Duration) bool {
 	if r.order == nil || r.state != directory.RolloutRunning {
 		return false
 	}
-	return r.stop(r.fresh.gap(kind, version == r.order.Target, float64(gap)/float64(time.Millisecond)))
+	return r.stop(r.fresh.gap(now, kind, version == r.order.Target, float64(gap)/float64(time.Millisecond)))
 }
 
 func (r *Rollout) stop(why string) bool {
--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -46,7 +46,7 @@
 		v := r.Pick(now, g.Float64())
 		if v == "v1" {
 			old++
-			r.Outcome(v, route, g.Float64() < 0.01)
+			r.Outcome(now, v, route, g.Float64() < 0.01)
 			r.Answered(v, route, 1)
 			continue
 		}
@@ -56,7 +56,7 @@
 			failed++
 		}
 		r.Answered(v, route, ratio)
-		r.Outcome(v, route, f)
+		r.Outcome(now, v, route, f)
 	}
 	return old, fresh, failed, end, state
 }
@@ -248,7 +248,7 @@
 					}
 				}
 				r.Answered(v, kind, 0.8)
-				r.Streamed(v, kind, time.Duration(ms*float64(time.Millisecond)))
+				r.Streamed(start, v, kind, time.Duration(ms*float64(time.Millisecond)))
 			}
 			if _, s, why := r.Status(); s != c.want {
 				t.Errorf("%s (%s), want %s", s, why, c.want)
--- a/internal/core/canary/evidence.go
+++ b/internal/core/canary/evidence.go
@@ -1,6 +1,9 @@
 package canary
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // The test compares two hypotheses on the share of failures: that of a good version and that of a bad one. A false
 // stop costs a late roll-out, a missed one exposes callers, so few failures suffice.
@@ -24,6 +27,8 @@
 	all    tally
 	gaps   map[string]*gaps // by kind of stream
 	slower gapTally
+	late   tally // streams of the old version, by whether they were slow
+	views  map[view]*fading
 }
 
 // gaps are the times between events of one kind of stream, on the old version.
@@ -46,7 +51,9 @@
 	slowNumber int
 }
 
-func newEvidence() *evidence { return &evidence{routes: map[string]*tally{}, gaps: map[string]*gaps{}} }
+func newEvidence() *evidence {
+	return &evidence{routes: map[string]*tally{}, gaps: map[string]*gaps{}, views: map[view]*fading{}}
+}
 
 func (t *tally) add(failed bool) {
 	t.n++
@@ -80,7 +87,7 @@
 
 // add records an answer of the new version and returns why it is bad, or "".
 func (e *evidence) add(route string, failed bool) string {
-	good := min(0.6, max(goodShare, (float64(e.old.failed)+0.5)/float64(e.old.n+10)))
+	good := e.good(false)
 	t := e.route(route)
 	t.add(failed)
 	e.all.add(failed)
@@ -94,6 +101,15 @@
 	return ""
 }
 
+// good is the share of failures, or of slow streams, that a good version has.
+func (e *evidence) good(slow bool) float64 {
+	old := e.old
+	if slow {
+		old = e.late
+	}
+	return min(0.6, max(goodShare, (float64(old.failed)+0.5)/float64(old.n+10)))
+}
+
 func (e *evidence) route(name string) *tally {
 	t := e.routes[name]
 	if t == nil {
@@ -121,7 +137,7 @@
 }
 
 // gap records the mean time between the events of a stream and returns why the new version is bad, or "".
-func (e *evidence) gap(kind string, fresh bool, ms float64) string {
+func (e *evidence) gap(now time.Time, kind string, fresh bool, ms float64) string {
 	g := e.gaps[kind]
 	if g == nil {
 		if len(e.gaps) >= maxRoutes {
@@ -131,13 +147,16 @@
 		e.gaps[kind] = g
 	}
 	x := math.Log(max(ms, leastGap))
+	slow := g.n >= slowSamples && x-g.sum/float64(g.n) > math.Log(slowGap)
 	if !fresh {
+		e.late.add(slow)
 		g.n, g.sum = g.n+1, g.sum+x
 		return ""
 	}
 	if g.n < slowSamples {
 		return ""
 	}
+	e.watch(now, true, slow, kind)
 	e.slower.n, e.slower.sum = e.slower.n+1, e.slower.sum+x-g.sum/float64(g.n)
 	if e.slower.n >= slowSamples && e.slower.sum/float64(e.slower.n) > math.Log(gapRatio) {
 		return "slow streams"
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/directory"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/retry"
+	"github.com/cassiaspoke/cassiaspoke/internal/relay"
 )
 
 // balancer shares the load table, the retry budgets and the roll-outs among the traffic goroutines.
@@ -109,18 +110,28 @@
 	return b.table.Choose(now, *r)
 }
 
-// Own returns what this instance has under way at the endpoints.
-func (b *balancer) Own() placement.Loads {
+// Own returns what this instance has under way at the endpoints, and what it has seen of new versions.
+func (b *balancer) Own() relay.News {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.table.Own()
+	n := relay.News{Loads: b.table.Own(), Trials: canary.Trials{}}
+	for s, r := range b.rollouts {
+		n.Trials.Add(r.Seen(time.Now(), s))
+	}
+	return n
 }
 
-// SetOthers takes what the other instances had under way at a time.
-func (b *balancer) SetOthers(at time.Time, l placement.Loads) {
+// SetOthers takes what the other instances had under way and had seen at a time.
+func (b *balancer) SetOthers(at time.Time, n relay.News) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.table.SetOthers(at, l)
+	b.table.SetOthers(at, n.Loads)
+	for s, r := range b.rollouts {
+		if r.Judge(at, s, n.Trials) {
+			v, _, why := r.Status()
+			logRollout(b.options.Logger, s, v, why)
+		}
+	}
 }
 
 // room estimates when a service can take a request that no endpoint takes now.
@@ -183,7 +194,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.rollout(e.Service)
-	if !r.Streamed(e.Version, kind, gap) {
+	if !r.Streamed(time.Now(), e.Version, kind, gap) {
 		return ""
 	}
 	_, _, why := r.Status()
@@ -199,7 +210,7 @@
 		return ""
 	}
 	r := b.rollout(e.Service)
-	if !r.Outcome(e.Version, route, !ok) {
+	if !r.Outcome(now, e.Version, route, !ok) {
 		return ""
 	}
 	_, _, why := r.Status()
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -52,7 +52,11 @@
 
 // rollout logs that a roll-out was stopped here.
 func (l *requestLog) rollout(service, version, why string) {
-	l.logger.Warn("roll-out: Stopped the new version.", zap.String("service", service), zap.String("version", version), zap.String("reason", why))
+	logRollout(l.logger, service, version, why)
+}
+
+func logRollout(l *zap.Logger, service, version, why string) {
+	l.Warn("roll-out: Stopped the new version.", zap.String("service", service), zap.String("version", version), zap.String("reason", why))
 }
 
 // hops writes the sends of a request.
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/canary"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
 )
@@ -22,10 +23,29 @@
 	endpointBytes = 8                      // bytes of an endpoint's entry, about
 )
 
-// Work tells and takes the work under way at the endpoints.
+// News is what instances tell each other of their requests.
+type News struct {
+	Loads  placement.Loads // under way at the endpoints
+	Trials canary.Trials   // what was seen of the new versions of services
+}
+
+func newNews() News { return News{Loads: placement.Loads{}, Trials: canary.Trials{}} }
+
+// equal reports whether there is nothing new; trials fade all the time, so there is while a roll-out runs.
+func (n News) equal(o News) bool {
+	return maps.Equal(n.Loads, o.Loads) && maps.Equal(n.Trials, o.Trials)
+}
+
+// add adds what others told.
+func (n News) add(o News) {
+	addLoads(n.Loads, o.Loads)
+	n.Trials.Add(o.Trials)
+}
+
+// Work tells and takes news.
 type Work interface {
-	Own() placement.Loads
-	SetOthers(at time.Time, l placement.Loads)
+	Own() News
+	SetOthers(at time.Time, n News)
 }
 
 // shares holds what each instance told of its work.
@@ -37,9 +57,9 @@
 }
 
 type told struct {
-	loads placement.Loads
-	at    time.Time
-	seed  bool
+	news News
+	at   time.Time
+	seed bool
 }
 
 func newShares() *shares { return &shares{told: map[string]told{}} }
@@ -66,16 +86,16 @@
 
 // sum adds up what all but one instance told lately, and forgets what was told before; the sums of other seeds only if they are asked for, as each seed
 // hears the others by itself.
-func (s *shares) sum(now time.Time, but string, seeds bool) placement.Loads {
+func (s *shares) sum(now time.Time, but string, seeds bool) News {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := placement.Loads{}
+	out := newNews()
 	for k, t := range s.told {
 		switch {
 		case now.Sub(t.at) >= shareFor:
 			delete(s.told, k)
 		case k != but && (seeds || !t.seed):
-			addLoads(out, t.loads)
+			out.add(t.news)
 		}
 	}
 	return out
@@ -102,9 +122,12 @@
 	s.streams += n
 }
 
-func encodeLoads(l placement.Loads) *relaypb.Loads {
+func encode(n News) *relaypb.Loads {
 	m := &relaypb.Loads{}
-	for e, o := range l {
+	for k, s := range n.Trials {
+		m.Trials = append(m.Trials, &relaypb.Trial{Key: k, Answers: float32(s.Answers), Bad: float32(s.Bad)})
+	}
+	for e, o := range n.Loads {
 		m.Endpoints = append(m.Endpoints, e)
 		m.Requests = append(m.Requests, uint32(max(0, o.Requests)))
 		m.PrefillMilliseconds = append(m.PrefillMilliseconds, uint32(max(0, o.Prefill)))
@@ -112,6 +135,16 @@
 	return m
 }
 
+func decode(m *relaypb.Loads) News {
+	n := News{Loads: decodeLoads(m), Trials: make(canary.Trials, len(m.GetTrials()))}
+	for _, t := range m.GetTrials() {
+		if t.GetBad() >= 0 && t.GetAnswers() >= t.GetBad() { // also drops what is no number
+			n.Trials[t.GetKey()] = canary.Seen{Answers: float64(t.GetAnswers()), Bad: float64(t.GetBad())}
+		}
+	}
+	return n
+}
+
 // decodeLoads drops entries that lack a field.
 func decodeLoads(m *relaypb.Loads) placement.Loads {
 	r, p := m.GetRequests(), m.GetPrefillMilliseconds()
@@ -140,7 +173,7 @@
 	ctx, cancel := context.WithCancel(s.Context())
 	defer cancel()
 	if !seed {
-		h.shares.set(key, told{loads: decodeLoads(m), at: time.Now()})
+		h.shares.set(key, told{news: decode(m), at: time.Now()})
 		defer h.shares.drop(key)
 	}
 	go func() {
@@ -150,16 +183,16 @@
 			if err != nil {
 				return // the stream has ended; the sender below sees that too
 			}
-			h.shares.set(key, told{loads: decodeLoads(m), at: time.Now()})
+			h.shares.set(key, told{news: decode(m), at: time.Now()})
 		}
 	}()
 	for {
 		l := h.shares.sum(time.Now(), key, !seed)
-		addLoads(l, h.work.Own())
-		if err := s.Send(encodeLoads(l)); err != nil {
+		l.add(h.work.Own())
+		if err := s.Send(encode(l)); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
-		if err := pause(ctx, h.shares.pace(len(l)), nil); err != nil {
+		if err := pause(ctx, h.shares.pace(len(l.Loads)+2*len(l.Trials)), nil); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
 	}
@@ -173,10 +206,10 @@
 		return
 	}
 	go func() {
-		sent := placement.Loads{}
+		sent := newNews()
 		for at := (time.Time{}); ; {
-			if l := h.work.Own(); !maps.Equal(l, sent) || time.Since(at) >= shareFor/2 {
-				if err := s.Send(encodeLoads(l)); err != nil {
+			if l := h.work.Own(); !l.equal(sent) || time.Since(at) >= shareFor/2 {
+				if err := s.Send(encode(l)); err != nil {
 					return // the receiver below gets the cause
 				}
 				sent, at = l, time.Now()
@@ -194,7 +227,7 @@
 			}
 			return
 		}
-		h.work.SetOthers(time.Now(), decodeLoads(m))
+		h.work.SetOthers(time.Now(), decode(m))
 	}
 }
 
@@ -207,7 +240,7 @@
 	for err == nil {
 		var m *relaypb.Loads
 		if m, err = s.Recv(); err == nil {
-			h.shares.set(key, told{loads: decodeLoads(m), at: time.Now(), seed: true})
+			h.shares.set(key, told{news: decode(m), at: time.Now(), seed: true})
 		}
 	}
 	return &Error{Op: "gather", Kind: ErrStream, Err: err}
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/canary"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/feed"
 )
@@ -18,25 +19,35 @@
 // worker is an instance's work: one request of its own at an endpoint, and what it heard of the others.
 type worker struct {
 	mu     sync.Mutex
-	others placement.Loads
+	others News
 }
 
-const busy uint32 = 7 // key of the endpoint
+const (
+	busy  uint32 = 7 // key of the endpoint
+	trial uint64 = 9 // and of a new version
+)
 
-func (w *worker) Own() placement.Loads {
-	return placement.Loads{busy: {Requests: 1, Prefill: 20}}
+func (w *worker) Own() News {
+	return News{
+		Loads:  placement.Loads{busy: {Requests: 1, Prefill: 20}},
+		Trials: canary.Trials{trial: {Answers: 3, Bad: 1}},
+	}
 }
 
-func (w *worker) SetOthers(_ time.Time, l placement.Loads) {
+func (w *worker) SetOthers(_ time.Time, n News) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.others = l
+	w.others = n
 }
 
 func (w *worker) heard() placement.Outstanding {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.others[busy]
+	o := w.others.Loads[busy]
+	if s := w.others.Trials[trial]; s.Answers != 3*float64(o.Requests) || s.Bad != float64(o.Requests) {
+		return placement.Outstanding{} // a part of the news is missing
+	}
+	return o
 }
 
 // TestShareLoads guards against load of other instances that is not known, counted twice, or counted after its instance
