Compare the pace of streams from their first events

It is now recorded at the fifth event, and judged with what others have seen at once. TestRollout (slow streams that end after the roll-out) fails without it.

--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -21,6 +21,19 @@
 	budgets  map[string]*retry.Budget
 	rollouts map[string]*canary.Rollout
 	options  Options
+	others   canary.Trials // what other instances have seen of new versions
+	heard    time.Time     // and when
+}
+
+// trialsFor is how long what other instances have seen counts; they tell it several times a second.
+const trialsFor = time.Second
+
+// seen returns what other instances have seen lately.
+func (b *balancer) seen(now time.Time) canary.Trials {
+	if now.Sub(b.heard) >= trialsFor {
+		return nil
+	}
+	return b.others
 }
 
 func newBalancer(o Options) *balancer {
@@ -126,6 +139,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.SetOthers(at, n.Loads)
+	b.others, b.heard = n.Trials, at
 	for s, r := range b.rollouts {
 		if r.Judge(at, s, n.Trials) {
 			v, _, why := r.Status()
@@ -194,7 +208,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.rollout(e.Service)
-	if !r.Streamed(time.Now(), e.Version, kind, gap) {
+	now := time.Now()
+	if !r.Streamed(now, e.Version, kind, gap) && !r.Judge(now, e.Service, b.seen(now)) {
 		return ""
 	}
 	_, _, why := r.Status()
@@ -210,7 +225,7 @@
 		return ""
 	}
 	r := b.rollout(e.Service)
-	if !r.Outcome(now, e.Version, route, !ok) {
+	if !r.Outcome(now, e.Version, route, !ok) && !r.Judge(now, e.Service, b.seen(now)) {
 		return ""
 	}
 	_, _, why := r.Status()
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -36,7 +36,9 @@
 		v, err := e.Next()
 		switch {
 		case errors.Is(err, io.EOF):
-			a.paced(n)
+			if n < paceEvents {
+				a.paced(n)
+			}
 			return a.complete()
 		case err != nil:
 			return a.interrupted(a.reply.Failure("read event", err))
@@ -46,6 +48,9 @@
 			if n == 1 {
 				a.first = a.last
 			}
+			if n == paceEvents {
+				a.paced(n) // a slow stream's end comes too late to tell
+			}
 			if err := next(a.last); err != nil {
 				return a.interrupted(err)
 			}
@@ -69,6 +74,7 @@
 }
 
 const (
+	paceEvents   = 5        // by which the pace of a stream is known
 	maxIdleBytes = 64 << 10 // bytes of comments between two events
 	spareEvents  = 2        // beyond one for each token: the begin and the end of an answer may have events of their own
 )
@@ -93,7 +99,7 @@
 	return x.request.OutputTokens > 0 && x.events > x.request.OutputTokens+spareEvents
 }
 
-// paced records the mean time between the events of the answer.
+// paced records the mean time between the first events of the answer.
 func (a *attempt) paced(events int) {
 	if events > 1 {
 		x := a.exchange
