--- a/internal/ingress/clients_test.go
+++ b/internal/ingress/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -226,7 +227,7 @@
 				t.Fatal(err)
 			}
 			k, err := s.Read(make([]byte, 100))
-			if come && (k == 0 || err != nil) || !come && err != io.EOF {
+			if come && (k == 0 || err != nil) || !come && !errors.Is(err, io.EOF) {
 				t.Errorf("%d bytes, %v", k, err)
 			}
 		})
