--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -132,7 +132,7 @@
 	}
 	if kind == forward.ErrStopped {
 		if !errors.Is(err, errSilent) {
-			return settled, "deadline"
+			return x.settle("deadline"), "deadline"
 		}
 		x.allowed = true
 		a.stopped(x.handler.balancer.answered(a.choice.Endpoint, x.route.Name, a.token.Waited(now)))
@@ -195,7 +195,7 @@
 		return done, "client left"
 	}
 	if forward.KindOf(err) == forward.ErrStopped {
-		return settled, "deadline"
+		return x.settle("deadline"), "deadline"
 	}
 	a.judge(false)
 	x.avoid[a.choice.Endpoint.ID] = true
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -158,7 +158,7 @@
 	x.allowed = false
 	a := &attempt{exchange: x, choice: c, token: k, sent: now}
 	s := a.run()
-	if s == settled {
+	if s == settled && x.ended == "" {
 		x.settle("may have run")
 	}
 	return s, nil
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -58,7 +58,7 @@
 		switch {
 		case x.excess():
 			_, what := a.spoilt(errEndless)
-			return settled, what // what the client has is more than the answer can be
+			return x.settle("endless answer"), what // what the client has is more than the answer can be
 		case idle > maxIdleBytes:
 			return a.spoilt(errEndless)
 		case !x.follows(v.ID):
@@ -186,7 +186,7 @@
 	case x.left():
 		return done, "client left"
 	case forward.KindOf(err) == forward.ErrStopped:
-		return settled, "deadline"
+		return x.settle("deadline"), "deadline"
 	}
 	x.avoid[a.choice.Endpoint.ID] = true
 	x.handler.balancer.outcome(time.Now(), a.choice.Endpoint, x.route.Name, false, false)
