--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -44,7 +44,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	defer a.cancel(nil)
 	h := hop{
-		endpoint: a.choice.Endpoint.ID, service: x.service, model: x.chosen(), version: a.choice.Endpoint.Version, expected: a.choice.Start,
+		endpoint: a.choice.Endpoint.ID, model: x.chosen(), version: a.choice.Endpoint.Version, expected: a.choice.Start,
 	}
 	s, what := a.send() // may pick the model of the next send
 	x.handler.metrics.send(what)
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -74,7 +74,6 @@
 // hop is one send as the log shows it.
 type hop struct {
 	endpoint string
-	service  string
 	model    string
 	version  string
 	outcome  string
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -65,7 +65,7 @@
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (l hops) MarshalLogArray(e zapcore.ArrayEncoder) error {
 	for _, h := range l {
-		e.AppendString(h.endpoint + " " + h.service + " " + h.version + " " + h.model + " expected " + ms(h.expected) + " took " + ms(h.took) + ": " + h.outcome)
+		e.AppendString(h.endpoint + " " + h.version + " " + h.model + " expected " + ms(h.expected) + " took " + ms(h.took) + ": " + h.outcome)
 	}
 	return nil
 }
