--- a/internal/answer/maker_test.go
+++ b/internal/answer/maker_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -144,6 +145,23 @@
 	return e
 }
 
+// awaitRefusal waits until the last endpoint's address refuses connections. An engine may be closed before its server has
+// taken over the listener, which then still accepts connections and resets them.
+func (b *bench) awaitRefusal() {
+	b.t.Helper()
+	a := b.list[len(b.list)-1].Address.String()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		c, err := (&net.Dialer{}).DialContext(b.t.Context(), "tcp", a)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		if err == nil {
+			_ = c.Close()
+		}
+	}
+	b.t.Fatal("the closed engine still accepts connections")
+}
+
 // text is a sink.
 type text struct {
 	strings.Builder
@@ -245,7 +263,10 @@
 		"died":    {func(b *bench) { b.add("e", standin.EngineFaults{DieAfter: 1}, "m@1") }, false},
 		"errors":  {func(b *bench) { b.add("e", standin.EngineFaults{ErrorShare: 1}, "m@1") }, false},
 		"version": {func(b *bench) { b.add("e", standin.EngineFaults{Model: "m@9"}, "m@1") }, false},
-		"refused": {func(b *bench) { b.add("e", standin.EngineFaults{}, "m@1").Close() }, true},
+		"refused": {func(b *bench) {
+			b.add("e", standin.EngineFaults{}, "m@1").Close()
+			b.awaitRefusal()
+		}, true},
 		"withdrawn": {func(b *bench) {
 			b.add("e", standin.EngineFaults{}, "m@1")
 			b.version(record.VersionWithdraw, "m@1")
