--- a/internal/core/escalation/escalation.go
+++ b/internal/core/escalation/escalation.go
@@ -22,8 +22,16 @@
 // DefaultSettings returns an instance's settings.
 func DefaultSettings() Settings {
 	return Settings{
-		Late: 0.3, Price: 0.13, Crowd: 1, Middle: 35, Scale: 8, Spread: 0.5, QueueShare: 0.5,
-		BusyFrom: 0.7, BusyTo: 1.3, BusyCrowd: 0.6,
+		Late:       0.3,  // of its worth that callers give a late answer
+		Price:      0.13, // a larger model's share of the credit that its use takes, decision 0076
+		Crowd:      1,    // on full engines it delays another request as large as itself
+		Middle:     35,   // decision 0076 weighs it against 40
+		Scale:      8,    // from nearly always to hardly ever within 25 points on either side
+		Spread:     0.5,  // nine of ten times are below twice the estimate, as measured
+		QueueShare: 0.5,  // decision 0076 weighs it against 0.35
+		BusyFrom:   0.7,
+		BusyTo:     1.3, // some requests wait for a slot
+		BusyCrowd:  0.6, // the slots tell less of a load than the waiting prompts do
 	}
 }
 
