Log the parts of a prompt and the events of each send

The lines of failed requests named neither the parts of the prompt nor how far an answer had got, so the hypotheses on the crashing engines could not be told apart.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -33,6 +33,7 @@
 	sentAt       time.Time
 	firstEventAt time.Time // when the first event with data arrived
 	lastEventAt  time.Time // when the latest event with data arrived
+	dataEvents   int       // events with data that arrived
 	response     *forward.Response
 	attributes   attributes.Response
 	ctx          context.Context
@@ -49,7 +50,7 @@
 	}
 	next, outcome := a.sendRequest() // may change the model for the next attempt
 	x.handler.metrics.countAttempt(outcome)
-	record.outcome, record.took = outcome, time.Since(a.sentAt)
+	record.outcome, record.events, record.took = outcome, a.dataEvents, time.Since(a.sentAt)
 	x.history = append(x.history, record)
 	return next
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -77,6 +77,7 @@
 	model    string
 	version  string
 	outcome  string
+	events   int // events with data that the endpoint sent
 	expected time.Duration
 	took     time.Duration
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 )
 
 // Limits on the rate of log lines of one instance. Failed requests have a limit of their own, so that a flood of served
@@ -71,7 +73,22 @@
 // MarshalLogArray implements zapcore.ArrayMarshaler.
 func (l attemptRecords) MarshalLogArray(e zapcore.ArrayEncoder) error {
 	for _, r := range l {
-		e.AppendString(r.endpoint + " " + r.version + " " + r.model + " expected " + formatMillis(r.expected) + " took " + formatMillis(r.took) + ": " + r.outcome)
+		line := r.endpoint + " " + r.version + " " + r.model + " expected " + formatMillis(r.expected) + " took " + formatMillis(r.took) + ": " + r.outcome
+		if r.events > 0 {
+			line += " after " + strconv.Itoa(r.events) + " events"
+		}
+		e.AppendString(line)
+	}
+	return nil
+}
+
+// promptParts encodes the parts of a prompt for the log.
+type promptParts []attributes.PromptPart
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (l promptParts) MarshalLogArray(e zapcore.ArrayEncoder) error {
+	for _, p := range l {
+		e.AppendString(p.ID)
 	}
 	return nil
 }
@@ -106,6 +123,9 @@
 	if x.request.Session != "" {
 		fields = append(fields, zap.String("session", x.request.Session))
 	}
+	if outcome != outcomeServed && len(x.request.PromptParts) > 0 {
+		fields = append(fields, zap.Array("prompt-parts", promptParts(x.request.PromptParts)))
+	}
 	if config := x.snapshot.configuration; config != nil {
 		fields = append(fields, zap.Int64("configuration", config.Version), zap.Duration("configuration-age", now.Sub(x.snapshot.configurationAt)),
 			zap.Duration("registry-age", now.Sub(x.snapshot.registryAt)))
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -34,24 +34,24 @@
 	if err := extendWait(time.Now()); err != nil {
 		return a.handleBrokenStream(err)
 	}
-	for dataEvents, idleBytes := 0, 0; ; {
+	for idleBytes := 0; ; {
 		event, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF):
-			if dataEvents < gapSampleEvents {
-				a.recordMeanGap(dataEvents)
+			if a.dataEvents < gapSampleEvents {
+				a.recordMeanGap(a.dataEvents)
 			}
 			return a.finishStream()
 		case err != nil:
 			return a.handleBrokenStream(a.response.WrapReadError("read event", err))
 		}
 		if idleBytes += len(event.Bytes); event.HasData {
-			dataEvents, idleBytes, a.lastEventAt = dataEvents+1, 0, time.Now()
-			if dataEvents == 1 {
+			a.dataEvents, idleBytes, a.lastEventAt = a.dataEvents+1, 0, time.Now()
+			if a.dataEvents == 1 {
 				a.firstEventAt = a.lastEventAt
 			}
-			if dataEvents == gapSampleEvents {
-				a.recordMeanGap(dataEvents) // the end of a slow stream would come too late
+			if a.dataEvents == gapSampleEvents {
+				a.recordMeanGap(a.dataEvents) // the end of a slow stream would come too late
 			}
 			if err := extendWait(a.lastEventAt); err != nil {
 				return a.handleBrokenStream(err)
