Refuse prompt parts that crash engines

Callers saw streams cut and 502 on all routes of a service, because requests of one kind ended its engines one after the other.

Cause: only whole requests were suspected (hash of organisation, path and body), and no two of these requests are alike; and an engine that ended after the head of a stream was not probed, so more than half of the deaths were not counted. Class: the identity that is blamed is narrower than the fault.

Change: each instance records the parts of requests that had not begun when their engine ended, and of those that had. Marks of parts are merged through the instances' topic. A part is refused if engines ended three times or more (more when many requests meet deaths) under requests of at least two clients, none has begun a response since, and other prompts are served. Deaths are explained by the part with most evidence, the most specific one first, and only in the company in which it was seen. Requests wait up to 0.7 s while that is being decided. After a minute, doubled each time, one request of all instances tries whether the part is harmless now.

Why it works: what a request holds besides the part varies, so the part is alone in explaining all deaths; a harmless part has responses. Virtual instances (TestDeadlyPartInFleet): 6, 64 and 195 instances, shares of 0.002 to 0.1, two parts, other crashes, restarts, store down, slow records: at most three requests later than 3 s after the fifth crash, no sound request refused.

--- /dev/null
+++ b/internal/core/suspect/part_simulation_test.go
@@ -0,0 +1,389 @@
+package suspect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Bounds of the users' platform for requests with a part that crashes endpoints.
+const (
+	partStabilityWindow = 3 * time.Second // after the fifth crash, in which such requests may still reach endpoints
+	maxReachingLater    = 3               // such requests that may reach endpoints later than that
+)
+
+// partScenario is a load on virtual instances and engines.
+type partScenario struct {
+	instances, engines int
+	rate               float64 // requests per second
+	deadly             []deadlyPart
+	crashEvery         time.Duration // time between other crashes; 0 for none
+	zoneLossAt         time.Duration // when a third of the engines ends at once; 0 for never
+	restartEvery       time.Duration // time between restarts of instances, which forget everything; 0 for none
+	storeDown          [2]time.Duration
+	recordDelay        time.Duration // of records on their way to the other instances
+	clockError         time.Duration // largest difference between an instance's clock and true time
+	duration           time.Duration
+}
+
+// deadlyPart is a part that crashes engines within a period.
+type deadlyPart struct {
+	id          string
+	share       float64 // of the requests of the first kind
+	from, until time.Duration
+	subjects    int // how many subjects its requests have; 0 for any
+}
+
+// simRequest is a request on its way.
+type simRequest struct {
+	instance int
+	ids      []string
+	deadly   int // index of its deadly part, or -1
+	attempts int
+	id       string
+	heldFrom time.Duration // since when it waits for a decision; zero if it does not
+}
+
+// simRun is a request at an engine.
+type simRun struct {
+	request *simRequest
+	begins  time.Duration // when the engine begins the response
+	ends    time.Duration
+}
+
+// simEngine is a virtual engine.
+type simEngine struct {
+	process uint64
+	runs    []simRun
+	downTo  time.Duration
+}
+
+// simInstance is a virtual instance.
+type simInstance struct {
+	registry *PartRegistry
+	writeAt  time.Duration
+	offset   time.Duration // of its clock
+	read     int           // records of the topic that it has merged
+}
+
+// simRecord is a record in the topic that the instances share.
+type simRecord struct {
+	writtenAt time.Duration
+	written   time.Time // by the writer's clock
+	mark      PartMark
+}
+
+// partSimulation runs a scenario in steps of simStep.
+type partSimulation struct {
+	partScenario
+	rand         *rand.Rand
+	now          time.Duration
+	instances    []*simInstance
+	engines      []*simEngine
+	topic        []simRecord
+	snapshot     map[PartHash]simRecord
+	processes    uint64
+	crashes      [][]time.Duration // by deadly part
+	reaching     [][]time.Duration // times at which requests with a deadly part were sent to engines
+	soundRefused int
+	sound        int
+	requests     int
+	held         []*simRequest
+	records      int
+	refusedAt    map[string]time.Duration
+}
+
+const (
+	simStep       = 10 * time.Millisecond
+	simDowntime   = 3 * time.Second
+	simWritePause = 300 * time.Millisecond
+)
+
+func newPartSimulation(c partScenario, seed uint64) *partSimulation {
+	s := &partSimulation{
+		partScenario: c, rand: rand.New(rand.NewPCG(seed, 24)), snapshot: map[PartHash]simRecord{}, refusedAt: map[string]time.Duration{},
+		crashes: make([][]time.Duration, len(c.deadly)), reaching: make([][]time.Duration, len(c.deadly)),
+	}
+	for i := range c.instances {
+		s.instances = append(s.instances, s.newInstance(i))
+	}
+	for range c.engines {
+		s.engines = append(s.engines, s.newEngine())
+	}
+	return s
+}
+
+func (s *partSimulation) newInstance(i int) *simInstance {
+	n := &simInstance{registry: NewPartRegistry(DefaultPartSettings(fmt.Sprint("instance-", i)))}
+	if s.clockError > 0 {
+		n.offset = time.Duration(s.rand.Int64N(int64(2*s.clockError))) - s.clockError
+	}
+	n.read = len(s.topic)
+	for _, r := range s.snapshot {
+		n.registry.Merge(s.time(n), r.mark.Rebase(s.time(n), r.written, min(30*time.Second, s.now-r.writtenAt)))
+	}
+	return n
+}
+
+func (s *partSimulation) newEngine() *simEngine {
+	s.processes++
+	return &simEngine{process: s.processes}
+}
+
+// time returns the time by an instance's clock.
+func (s *partSimulation) time(n *simInstance) time.Time { return epoch.Add(s.now + n.offset) }
+
+// run runs the scenario.
+func (s *partSimulation) run() {
+	lastCrash, lastRestart := time.Duration(0), time.Duration(0)
+	for ; s.now < s.duration; s.now += simStep {
+		for n := s.rate * simStep.Seconds(); n > 0; n-- {
+			if s.rand.Float64() < n {
+				s.send(s.newRequest())
+			}
+		}
+		if s.crashEvery > 0 && s.now-lastCrash >= s.crashEvery {
+			lastCrash = s.now
+			s.crash(s.rand.IntN(len(s.engines)))
+		}
+		if s.zoneLossAt > 0 && s.now == s.zoneLossAt {
+			for e := 0; e < len(s.engines); e += 3 {
+				s.crash(e)
+			}
+		}
+		if s.restartEvery > 0 && s.now-lastRestart >= s.restartEvery {
+			lastRestart = s.now
+			i := s.rand.IntN(len(s.instances))
+			s.instances[i] = s.newInstance(i)
+		}
+		held := s.held
+		s.held = nil
+		for _, q := range held {
+			s.send(q)
+		}
+		s.runEngines()
+		s.exchange()
+	}
+}
+
+// newRequest returns a request of one of two kinds. The first kind has few first parts and many subjects.
+func (s *partSimulation) newRequest() *simRequest {
+	s.requests++
+	q := &simRequest{instance: s.rand.IntN(len(s.instances)), deadly: -1, id: fmt.Sprint(s.requests)}
+	if s.rand.IntN(2) == 0 {
+		q.ids = []string{fmt.Sprint("other-", s.rand.IntN(8)), fmt.Sprint("thing-", s.rand.IntN(200))}
+		s.sound++
+		return q
+	}
+	first, subject := s.rand.IntN(4), s.rand.IntN(160)
+	q.ids = []string{fmt.Sprint("first-", first), fmt.Sprint("subject-", subject)}
+	for i, d := range s.deadly {
+		if s.now >= d.from && s.now < d.until && s.rand.Float64() < d.share {
+			q.deadly = i
+			if d.subjects > 0 {
+				q.ids = []string{"first-0", fmt.Sprint("subject-", s.rand.IntN(d.subjects))}
+			}
+			q.ids = append(q.ids, d.id)
+			return q
+		}
+	}
+	s.sound++
+	return q
+}
+
+// send sends a request to an engine, unless it is refused.
+func (s *partSimulation) send(q *simRequest) {
+	if q.attempts >= 3 {
+		return
+	}
+	n := s.instances[q.instance]
+	switch v, _ := n.registry.Verdict(s.time(n), q.ids); {
+	case v == PartsPending && (q.heldFrom == 0 || s.now-q.heldFrom < DefaultPartSettings("").SettleTime):
+		if q.heldFrom == 0 {
+			q.heldFrom = s.now
+		}
+		s.held = append(s.held, q)
+		return
+	case v == PartsRefused || v == PartsOnTrial:
+		if q.deadly < 0 {
+			s.soundRefused++
+		}
+		return
+	}
+	for range 4 {
+		e := s.engines[s.rand.IntN(len(s.engines))]
+		if e.downTo > s.now {
+			continue
+		}
+		q.attempts++
+		begins := s.now + time.Duration(50+s.rand.IntN(500))*time.Millisecond
+		e.runs = append(e.runs, simRun{q, begins, begins + time.Duration(s.rand.IntN(1500))*time.Millisecond})
+		if q.deadly >= 0 {
+			s.reaching[q.deadly] = append(s.reaching[q.deadly], s.now)
+		}
+		return
+	}
+}
+
+// crash ends an engine. Requests that it had not begun count as candidates, and all are sent again.
+func (s *partSimulation) crash(i int) {
+	e := s.engines[i]
+	if e.downTo > s.now {
+		return
+	}
+	s.engines[i] = s.newEngine()
+	s.engines[i].downTo = s.now + simDowntime
+	for _, r := range e.runs {
+		n := s.instances[r.request.instance]
+		if s.now-r.begins < 250*time.Millisecond {
+			n.registry.RecordDeath(s.time(n), e.process, r.request.id, r.request.ids)
+		}
+	}
+	for _, r := range e.runs {
+		s.send(r.request)
+	}
+}
+
+// runEngines lets engines begin and end responses.
+func (s *partSimulation) runEngines() {
+	for i, e := range s.engines {
+		var left []simRun
+		for _, r := range e.runs {
+			n := s.instances[r.request.instance]
+			switch {
+			case r.request.deadly >= 0 && s.now >= r.begins:
+				s.crashes[r.request.deadly] = append(s.crashes[r.request.deadly], s.now)
+				s.crash(i)
+			case s.now >= r.ends:
+				n.registry.RecordResponse(s.time(n), r.request.ids)
+			default:
+				left = append(left, r)
+			}
+			if s.engines[i] != e {
+				break
+			}
+		}
+		if s.engines[i] == e {
+			e.runs = left
+		}
+	}
+}
+
+// exchange lets each instance merge records, decide, and write what the others lack.
+func (s *partSimulation) exchange() {
+	down := s.now >= s.storeDown[0] && s.now < s.storeDown[1]
+	for i, n := range s.instances {
+		for !down && n.read < len(s.topic) && s.topic[n.read].writtenAt+s.recordDelay <= s.now {
+			r := s.topic[n.read]
+			n.read++
+			n.registry.Merge(s.time(n), r.mark.Rebase(s.time(n), r.written, s.recordDelay))
+		}
+		if (s.now/simStep)%5 != time.Duration(i%5) {
+			continue
+		}
+		for _, m := range n.registry.Evaluate(s.time(n)) {
+			if _, ok := s.refusedAt[m.ID]; !ok {
+				s.refusedAt[m.ID] = s.now
+			}
+		}
+		if down || !n.registry.HasChanged(s.time(n)) {
+			continue
+		}
+		if n.writeAt < s.now-simWritePause {
+			n.writeAt = s.now + 40*time.Millisecond + time.Duration(s.rand.IntN(120))*time.Millisecond
+		}
+		if s.now < n.writeAt {
+			continue
+		}
+		n.writeAt = s.now + simWritePause
+		for _, m := range n.registry.TakeChanged(s.time(n), 500) {
+			r := simRecord{s.now, s.time(n).Round(0), m}
+			s.topic = append(s.topic, r)
+			s.snapshot[m.Part] = r
+			s.records++
+		}
+	}
+}
+
+// reachingLater returns how many requests with a deadly part reached engines later than the window after its fifth crash,
+// outside the time in which the store is down and the window after it.
+func (s *partSimulation) reachingLater(i int) int {
+	if len(s.crashes[i]) < 5 {
+		return 0
+	}
+	n, from := 0, s.crashes[i][4]+partStabilityWindow
+	for _, t := range s.reaching[i] {
+		if t > from && (t < s.storeDown[0] || t > s.storeDown[1]+partStabilityWindow) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDeadlyPartInFleet guards against a part of prompts that crashes one engine after the other because no instance sees
+// enough of it, and against the refusal of sound parts that met other deaths or shared a prompt with it.
+func TestDeadlyPartInFleet(t *testing.T) {
+	day := func(id string, share float64) deadlyPart {
+		return deadlyPart{id: id, share: share, from: 4 * time.Second, until: 40 * time.Second}
+	}
+	small := partScenario{instances: 6, engines: 9, rate: 100, recordDelay: 40 * time.Millisecond, clockError: time.Hour, duration: 45 * time.Second}
+	middle, large := small, small
+	middle.instances, middle.engines, middle.rate, middle.duration = 64, 90, 550, 20*time.Second
+	large.instances, large.engines, large.rate, large.duration = 195, 62, 714, 15*time.Second
+	with := func(c partScenario, change func(*partScenario)) partScenario {
+		change(&c)
+		return c
+	}
+	for name, c := range map[string]partScenario{
+		"6 instances":               with(small, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.05)} }),
+		"6 instances, rare":         with(small, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.01)} }),
+		"6 instances, frequent":     with(small, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.1)} }),
+		"64 instances":              with(middle, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.05)} }),
+		"195 instances":             with(large, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.05)} }),
+		"195 instances, rare":       with(large, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.002)} }),
+		"195 instances, frequent":   with(large, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.1)} }),
+		"always with one subject":   with(small, func(c *partScenario) { c.deadly = []deadlyPart{{"dd", 0.05, 4 * time.Second, 40 * time.Second, 1}} }),
+		"two parts":                 with(small, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.05), day("de", 0.05)} }),
+		"a rare and a frequent one": with(small, func(c *partScenario) { c.deadly = []deadlyPart{day("dd", 0.01), day("de", 0.1)} }),
+		"one after the other": with(small, func(c *partScenario) {
+			c.deadly = []deadlyPart{{"dd", 0.05, 4 * time.Second, 20 * time.Second, 0}, {"de", 0.05, 20 * time.Second, 40 * time.Second, 1}}
+		}),
+		"among other crashes": with(small, func(c *partScenario) {
+			c.deadly, c.crashEvery = []deadlyPart{day("dd", 0.05)}, 1500*time.Millisecond
+		}),
+		"195 instances, among other crashes": with(large, func(c *partScenario) {
+			c.deadly, c.crashEvery = []deadlyPart{day("dd", 0.02)}, 400*time.Millisecond
+		}),
+		"instances restart": with(small, func(c *partScenario) { c.deadly, c.restartEvery = []deadlyPart{day("dd", 0.05)}, 500*time.Millisecond }),
+		"store down from the start": with(small, func(c *partScenario) {
+			c.deadly, c.storeDown = []deadlyPart{day("dd", 0.02)}, [2]time.Duration{3 * time.Second, 9 * time.Second}
+		}),
+		"slow records": with(small, func(c *partScenario) { c.deadly, c.recordDelay = []deadlyPart{day("dd", 0.05)}, 400*time.Millisecond }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			seeds := uint64(4)
+			if c.instances > 50 {
+				seeds = 1
+			}
+			for seed := range seeds {
+				s := newPartSimulation(c, seed)
+				s.run()
+				for i, d := range c.deadly {
+					if n := s.reachingLater(i); n > maxReachingLater {
+						t.Errorf("seed %d: %d requests with %s reached engines later than %v after the fifth crash", seed, n, d.id, partStabilityWindow)
+					}
+					if len(s.crashes[i]) >= 5 && s.refusedAt[d.id] == 0 {
+						t.Errorf("seed %d: %s is not refused after %d crashes", seed, d.id, len(s.crashes[i]))
+					}
+				}
+				if s.soundRefused > 0 {
+					t.Errorf("seed %d: %d of %d sound requests were refused; refused parts %v", seed, s.soundRefused, s.sound, s.refusedAt)
+				}
+				for i, d := range c.deadly {
+					t.Logf("seed %d: %s crashed engines %d times and is refused from %v on; %d records", seed, d.id, len(s.crashes[i]), s.refusedAt[d.id], s.records)
+				}
+			}
+		})
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -34,6 +34,7 @@
 	firstEventAt time.Time // when the first event with data arrived
 	lastEventAt  time.Time // when the latest event with data arrived
 	dataEvents   int       // events with data that arrived
+	harmless     bool      // the endpoint lived on after it began the response
 	response     *forward.Response
 	attributes   attributes.Response
 	ctx          context.Context
@@ -152,8 +153,8 @@
 	return stepRetry, string(kind)
 }
 
-// probeEndpoint checks whether the endpoint's process has ended. Only then is the request's content suspected of having
-// crashed it.
+// probeEndpoint checks whether the endpoint's process has ended. Only then is the request suspected of having crashed it,
+// unless the endpoint had lived on after it began the response.
 func (a *attempt) probeEndpoint(cause error) {
 	x, id := a.exchange, a.choice.Endpoint.ID
 	result := x.handler.pool.Probe(x.ctx, a.choice.Endpoint.Address)
@@ -163,12 +164,32 @@
 	now, state := time.Now(), "unreachable"
 	if result == forward.NotListening {
 		state = "dead"
-		x.handler.coordinator.recordDeath(now, id, x.contentHash)
+		a.recordDeath(now)
 	}
 	x.handler.log.logEndpointState(id, state, x.handler.balancer.markUnreachable(now, id), cause)
 	x.excludedEndpoints[id] = true
 }
 
+// recordDeath records that the endpoint's process has ended.
+func (a *attempt) recordDeath(now time.Time) {
+	x := a.exchange
+	if a.response == nil {
+		x.handler.coordinator.recordDeath(now, a.choice.Endpoint.ID, x.contentHash)
+	}
+	if !a.harmless && (a.dataEvents == 0 || now.Sub(a.firstEventAt) < harmlessDelay) {
+		x.handler.coordinator.prompts.recordDeath(now, a.choice.Endpoint, x.request.ID, x.partIDs)
+	}
+}
+
+// recordHarmless records that the endpoint lived on after it began the response.
+func (a *attempt) recordHarmless(now time.Time) {
+	if a.harmless {
+		return
+	}
+	a.harmless = true
+	a.exchange.handler.coordinator.prompts.recordResponse(now, a.exchange.partIDs)
+}
+
 // handleServerError handles a 5xx response of the endpoint.
 func (a *attempt) handleServerError() (nextStep, string) {
 	x := a.exchange
@@ -189,6 +210,11 @@
 	return stepRetry, outcome
 }
 
+// brokeOff reports whether the connection ended before the response did, rather than that it fell silent.
+func brokeOff(err error) bool {
+	return forward.KindOf(err) == forward.ErrTruncated && !forward.IsTimeout(err)
+}
+
 // rejectResponse handles a response that can't be used.
 func (a *attempt) rejectResponse(err error) (nextStep, string) {
 	x := a.exchange
@@ -201,6 +227,9 @@
 		return x.giveUp("deadline"), "deadline"
 	}
 	a.recordResult(false)
+	if brokeOff(err) {
+		a.probeEndpoint(err)
+	}
 	x.excludedEndpoints[a.choice.Endpoint.ID] = true
 	if !x.route.Repeatable() {
 		return stepGiveUp, "spoilt"
@@ -217,6 +246,7 @@
 	}
 	a.finishResponse(true, true)
 	a.recordResult(true)
+	a.recordHarmless(time.Now())
 	x.writeResponse(&bufferedResponse{status: a.response.Status, header: x.handler.options.Protocol.ClientResponseHeader(a.response.Header), body: body})
 	return stepDone, strconv.Itoa(a.response.Status)
 }
--- a/internal/ingress/coordinator.go
+++ b/internal/ingress/coordinator.go
@@ -21,6 +21,7 @@
 const (
 	keyRolloutStart = "schedule/" // followed by the service
 	keySuspect      = "suspect/"  // followed by the content hash
+	keyPart         = "part/"     // followed by the hash of a prompt's part
 )
 
 // rolloutStart is the start of a roll-out as instances share it. Clocks of instances may differ by seconds; the phases
@@ -35,6 +36,7 @@
 type coordinator struct {
 	options  Options
 	balancer *balancer
+	prompts  *promptGuard
 
 	mu           sync.Mutex
 	loaded       bool // the topic has been read
@@ -51,7 +53,7 @@
 	s := suspect.DefaultSettings(o.Instance)
 	s.SuspectDuration, s.RefuseDuration, s.MassDeathThreshold = suspectPeriod, refusePeriod, massDeathCount
 	return &coordinator{
-		options: o, balancer: b, starts: map[string]rolloutStart{}, suspects: suspect.New(s),
+		options: o, balancer: b, prompts: newPromptGuard(o), starts: map[string]rolloutStart{}, suspects: suspect.New(s),
 		pendingMarks: map[suspect.ContentHash]suspect.Mark{}, startWriteAt: map[string]time.Time{},
 	}
 }
@@ -74,14 +76,17 @@
 	defer c.mu.Unlock()
 	c.loaded, c.nextOffset = true, u.NextOffset
 	for _, r := range u.Records {
-		if err := c.applyRecord(r); err != nil {
+		if err := c.applyRecord(r, u.IsSnapshot); err != nil {
 			c.options.Logger.Warn("board: Failed to decode a record.", zap.String("key", r.Key), zap.Error(err))
 		}
 	}
 }
 
 // applyRecord decodes a record and applies it.
-func (c *coordinator) applyRecord(r changefeed.Record) error {
+func (c *coordinator) applyRecord(r changefeed.Record, isSnapshot bool) error {
+	if key, ok := strings.CutPrefix(r.Key, keyPart); ok {
+		return c.prompts.apply(time.Now(), key, r.Value, isSnapshot)
+	}
 	if len(r.Value) == 0 {
 		return nil
 	}
@@ -127,6 +132,7 @@
 			c.appendRecords(ctx, next, pendingRecord{keyRolloutStart + service, own})
 		}
 	}
+	c.writeParts(ctx, now)
 	marks := c.takeDueMarks(now)
 	if len(marks) == 0 {
 		return
@@ -141,6 +147,33 @@
 	}
 }
 
+// writeParts decides on prompt parts and writes what the other instances lack. Marks commute, so they may be appended at any
+// offset.
+func (c *coordinator) writeParts(ctx context.Context, now time.Time) {
+	c.prompts.evaluate(now)
+	marks, expired := c.prompts.takeDue(now)
+	records := make([]pendingRecord, 0, len(marks)+len(expired))
+	for _, m := range marks {
+		records = append(records, newPartRecord(now, m))
+	}
+	for _, k := range expired {
+		records = append(records, pendingRecord{key: k})
+	}
+	if len(records) > 0 && !c.appendRecords(ctx, changefeed.AnyOffset, records...) {
+		c.prompts.requeue(now, marks)
+	}
+}
+
+// claimTrial announces the trial of a refused part to the other instances and reports whether this instance may make it.
+// The condition on the topic's end lets only one instance win.
+func (c *coordinator) claimTrial(ctx context.Context, now time.Time, part suspect.PartHash) bool {
+	c.mu.Lock()
+	loaded, next := c.loaded, c.nextOffset
+	c.mu.Unlock()
+	record, ok := c.prompts.startTrial(now, part)
+	return ok && loaded && c.appendRecords(ctx, next, record)
+}
+
 // delayElapsed reports whether the random delay of a key has elapsed, and removes it if so. The first call for a key draws
 // the delay, up to spread.
 func delayElapsed(now time.Time, writeAt map[string]time.Time, key string, spread time.Duration) bool {
@@ -218,7 +251,7 @@
 // pendingRecord is a record that is not encoded yet.
 type pendingRecord struct {
 	key   string
-	value any
+	value any // nil removes the key
 }
 
 // appendRecords appends records to the topic if it ends at the given offset, and reports whether that succeeded.
@@ -228,8 +261,11 @@
 	out := make([]changefeed.Record, 0, len(records))
 	var err error
 	for _, r := range records {
-		raw, e := json.Marshal(r.value)
-		err = errors.Join(err, e)
+		var raw []byte
+		if r.value != nil {
+			b, e := json.Marshal(r.value)
+			raw, err = b, errors.Join(err, e)
+		}
 		out = append(out, changefeed.Record{Key: r.key, Value: raw})
 	}
 	if err == nil {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -25,6 +25,7 @@
 var (
 	errStalled        = errors.New("no byte received within the expected time")
 	errSuspectContent = errors.New("the content of the request has crashed endpoints")
+	errRefusedPart    = errors.New("a part of the prompt crashes endpoints")
 	errDeadlinePassed = errors.New("the deadline has passed")
 )
 
@@ -46,6 +47,8 @@
 	body         []byte
 	hasBody      bool
 	contentHash  suspect.ContentHash
+	partIDs      []string // identifiers of the prompt's parts that other requests may share
+	trial        bool     // the request may be sent in spite of a refused part, until an endpoint may have run it
 
 	service           string
 	version           string
@@ -65,10 +68,11 @@
 	firstByte     time.Duration
 	history       []attemptRecord
 	localError    *localError
-	abortConn     bool   // the response is truncated, so the connection is to be closed
-	clientLeft    bool   // the client closed its connection
-	noRetryReason string // why no further attempt was made
-	firstErr      error  // the first error of an attempt, for the log
+	abortConn     bool              // the response is truncated, so the connection is to be closed
+	clientLeft    bool              // the client closed its connection
+	noRetryReason string            // why no further attempt was made
+	refusedPart   *suspect.PartMark // the part of the prompt for which the request was not sent
+	firstErr      error             // the first error of an attempt, for the log
 }
 
 // attemptRecord describes one attempt for the log.
@@ -141,6 +145,9 @@
 		x.recordError(errSuspectContent)
 		return x.giveUp("content"), nil
 	}
+	if localErr := x.checkPromptParts(now); localErr != nil {
+		return x.giveUp("prompt part"), localErr
+	}
 	if !x.attemptsLeft() {
 		return x.giveUp("attempts"), nil
 	}
@@ -164,6 +171,31 @@
 	return next, nil
 }
 
+// checkPromptParts returns an error if a part of the prompt crashes endpoints. It waits if that is about to be decided. A
+// refusal that has lasted long enough is tried with a single request of all instances.
+func (x *exchange) checkPromptParts(now time.Time) *localError {
+	c := x.handler.coordinator
+	verdict, mark := c.prompts.verdict(now, x.partIDs)
+	if verdict == suspect.PartsPending {
+		verdict, mark = c.prompts.awaitDecision(x.ctx, x.partIDs)
+	}
+	if verdict == suspect.PartsAllowed || verdict == suspect.PartsPending || x.trial && !x.mayHaveRun {
+		return nil
+	}
+	if verdict == suspect.PartsOnTrial && !x.mayHaveRun {
+		if x.trial = c.claimTrial(x.ctx, now, mark.Part); x.trial {
+			x.handler.log.logTrial(x.request.ID, now, mark)
+			return nil
+		}
+	}
+	x.refusedPart = &mark
+	x.recordError(errRefusedPart)
+	return &localError{
+		status: http.StatusServiceUnavailable, reason: "a part of its prompt crashes endpoints",
+		retryAfter: jitterRetryAfter(c.prompts.remainingRefusal(now, mark)),
+	}
+}
+
 // giveUp records why no further attempt is made.
 func (x *exchange) giveUp(reason string) nextStep {
 	x.noRetryReason = reason
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -98,6 +98,7 @@
 	if localErr := x.readBody(); localErr != nil {
 		return localErr
 	}
+	x.partIDs = sharedPartIDs(&x.request)
 	x.contentHash = suspect.HashContent(x.organisation, []byte(requestTarget(x.r)), x.body)
 	if x.handler.coordinator.isRefused(x.start, x.contentHash) {
 		return &localError{status: http.StatusServiceUnavailable, reason: "its content has crashed endpoints"}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -191,7 +191,7 @@
 			return
 		case now := <-t.C:
 			i.pool.CloseExpired(now)
-			i.handler.metrics.updateGauges(i.snapshot.Load(), i.activeRequests.Load(), i.balancer.endpointCounts(), i.handler.log, i.options.DroppedLogLines())
+			i.handler.metrics.updateGauges(i.snapshot.Load(), i.activeRequests.Load(), i.balancer.endpointCounts(), i.coordinator.prompts.refusedCount(), i.handler.log, i.options.DroppedLogLines())
 		}
 	}
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 )
 
 // Limits on the rate of log lines of one instance. Failed requests have a limit of their own, so that a flood of served
@@ -67,6 +68,11 @@
 	l.Warn("roll-out: Stopped the new version.", zap.String("service", service), zap.String("version", version), zap.String("reason", reason))
 }
 
+// logTrial logs that a request is sent although a part of its prompt is refused.
+func (l *requestLog) logTrial(id string, now time.Time, m suspect.PartMark) {
+	l.logger.Info("prompt: Trying a refused part.", append(evidenceFields(now, m), zap.String("request", id))...)
+}
+
 // attemptRecords encodes the attempts of a request for the log.
 type attemptRecords []attemptRecord
 
@@ -136,6 +142,9 @@
 			fields = append(fields, zap.NamedError("error", x.localError.err))
 		}
 	}
+	if x.refusedPart != nil {
+		fields = append(fields, evidenceFields(now, *x.refusedPart)...)
+	}
 	if x.noRetryReason != "" {
 		fields = append(fields, zap.String("no-further-send", x.noRetryReason))
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -45,7 +45,7 @@
 }
 
 // updateGauges sets the gauges of this instance's current state.
-func (m *metrics) updateGauges(v *snapshot, active int64, endpoints map[string]int, l *requestLog, dropped int64) {
+func (m *metrics) updateGauges(v *snapshot, active int64, endpoints map[string]int, refusedParts int, l *requestLog, dropped int64) {
 	m.scope.Gauge("active_requests").Update(float64(active))
 	for s, n := range endpoints {
 		m.scope.Tagged(map[string]string{"service": s}).Gauge("endpoints").Update(float64(n))
@@ -57,6 +57,7 @@
 	if !v.registryAt.IsZero() {
 		m.scope.Gauge("registry_age_seconds").Update(time.Since(v.registryAt).Seconds())
 	}
+	m.scope.Gauge("refused_prompt_parts").Update(float64(refusedParts))
 	m.scope.Gauge("log_omitted").Update(float64(l.omitted.Load()))
 	m.scope.Gauge("log_dropped").Update(float64(dropped))
 }
--- /dev/null
+++ b/internal/ingress/prompt_parts.go
@@ -0,0 +1,255 @@
+package ingress
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
+)
+
+const (
+	partWriteDelay    = 40 * time.Millisecond  // all connections to a dead endpoint break within this time
+	partWriteSpread   = 120 * time.Millisecond // one instance's record often holds what the others would write
+	partWriteInterval = 300 * time.Millisecond // between two writes of one instance
+	partRetryInterval = time.Second            // after a failed write
+	maxLiveDelay      = time.Second            // of a record on its way to an instance that follows the topic
+	maxSnapshotAge    = 30 * time.Second       // assumed at most for a record that was written before this instance started
+	decisionInterval  = 25 * time.Millisecond  // between checks of a request that waits for a decision
+	partSweepInterval = 30 * time.Second       // between removals of expired marks
+	// harmlessDelay is how long an endpoint has to live on after it began a response, to show that the prompt is harmless.
+	harmlessDelay = 250 * time.Millisecond
+)
+
+// partRecord is a mark as instances share it. Their clocks differ, so its times count relative to WrittenAt.
+type partRecord struct {
+	WrittenAt time.Time        `json:"written"`
+	Mark      suspect.PartMark `json:"mark"`
+}
+
+// promptGuard keeps parts of prompts that crash endpoints away from them. It shares the evidence with the other instances.
+type promptGuard struct {
+	logger   *zap.Logger
+	settings suspect.PartSettings
+
+	mu       sync.Mutex
+	registry *suspect.PartRegistry
+	writeAt  time.Time                      // when changed marks are to be written; zero if there are none
+	earliest time.Time                      // when the next write is allowed
+	stored   map[suspect.PartHash]time.Time // parts with a record in the topic, with the time at which an expired one is to be removed
+	sweepAt  time.Time
+}
+
+func newPromptGuard(o Options) *promptGuard {
+	s := suspect.DefaultPartSettings(o.Instance)
+	return &promptGuard{
+		logger: o.Logger, settings: s, registry: suspect.NewPartRegistry(s),
+		stored: map[suspect.PartHash]time.Time{},
+	}
+}
+
+// sharedPartIDs returns the identifiers of the parts of a prompt that other requests may share.
+func sharedPartIDs(r *attributes.ClientRequest) []string {
+	shared := r.SharedPrefix()
+	out := make([]string, len(shared))
+	for i, p := range shared {
+		out[i] = p.ID
+	}
+	return out
+}
+
+// recordDeath records that an endpoint's process ended before it had begun a response to a prompt.
+func (g *promptGuard) recordDeath(now time.Time, e routing.Endpoint, request string, ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RecordDeath(now, suspect.ProcessHash(e.ID, e.StartedAtMS), request, ids)
+}
+
+// recordResponse records that an endpoint began a response to a prompt and lives on.
+func (g *promptGuard) recordResponse(now time.Time, ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RecordResponse(now, ids)
+}
+
+// verdict returns whether a request may be sent, and the mark that decided it.
+func (g *promptGuard) verdict(now time.Time, ids []string) (suspect.PartVerdict, suspect.PartMark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.Verdict(now, ids)
+}
+
+// awaitDecision waits until it is decided whether a part of a prompt is refused, or for the time that this takes at most.
+func (g *promptGuard) awaitDecision(ctx context.Context, ids []string) (suspect.PartVerdict, suspect.PartMark) {
+	limit := time.NewTimer(g.settings.SettleTime)
+	defer limit.Stop()
+	t := time.NewTicker(decisionInterval)
+	defer t.Stop()
+	for {
+		verdict, mark := g.verdict(time.Now(), ids)
+		if verdict != suspect.PartsPending {
+			return verdict, mark
+		}
+		select {
+		case <-ctx.Done():
+			return verdict, mark
+		case <-limit.C:
+			return verdict, mark
+		case <-t.C:
+		}
+	}
+}
+
+// startTrial extends the refusal of a part and returns the record that announces the trial.
+func (g *promptGuard) startTrial(now time.Time, part suspect.PartHash) (pendingRecord, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.registry.StartTrial(now, part)
+	return newPartRecord(now, m), ok
+}
+
+// remainingRefusal returns how long a part is still refused.
+func (g *promptGuard) remainingRefusal(now time.Time, m suspect.PartMark) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.RemainingRefusal(now, m)
+}
+
+// newPartRecord returns the record of a mark.
+func newPartRecord(now time.Time, m suspect.PartMark) pendingRecord {
+	return pendingRecord{partKey(m.Part), partRecord{WrittenAt: now, Mark: m}}
+}
+
+func partKey(h suspect.PartHash) string { return keyPart + strconv.FormatUint(uint64(h), 16) }
+
+// apply applies a record of another instance. IsSnapshot states that it was written before this instance started.
+func (g *promptGuard) apply(now time.Time, key string, value []byte, isSnapshot bool) error {
+	h, err := strconv.ParseUint(key, 16, 64)
+	if err != nil {
+		return fmt.Errorf("decode the key of a prompt part: %w", err)
+	}
+	part := suspect.PartHash(h)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(value) == 0 {
+		delete(g.stored, part)
+		return nil
+	}
+	var r partRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("decode the mark of a prompt part: %w", err)
+	}
+	r.Mark.Part = part
+	g.stored[part] = time.Time{}
+	limit := maxLiveDelay
+	if isSnapshot {
+		limit = maxSnapshotAge
+	}
+	elapsed := min(max(0, now.Round(0).Sub(r.WrittenAt)), limit)
+	wasRefused := g.registry.IsRefused(part)
+	g.registry.Merge(now, r.Mark.Rebase(now, r.WrittenAt, elapsed))
+	if refused := g.registry.IsRefused(part); refused != wasRefused {
+		g.logChange(now, r.Mark, refused, "another instance")
+	}
+	return nil
+}
+
+// evaluate decides on new refusals.
+func (g *promptGuard) evaluate(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.registry.Evaluate(now) {
+		g.logChange(now, m, true, "this instance")
+	}
+	if now.Before(g.sweepAt) {
+		return
+	}
+	g.sweepAt = now.Add(partSweepInterval)
+	g.registry.DropExpired(now)
+}
+
+// refusedCount returns the number of parts that are refused.
+func (g *promptGuard) refusedCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.RefusedCount()
+}
+
+// logChange logs that the refusal of a part began or ended.
+func (g *promptGuard) logChange(now time.Time, m suspect.PartMark, refused bool, decidedBy string) {
+	msg := "prompt: A part is no longer refused."
+	if refused {
+		msg = "prompt: Refusing requests with a part that crashes endpoints."
+	}
+	g.logger.Warn(msg, append(evidenceFields(now, m), zap.String("decided-by", decidedBy))...)
+}
+
+// evidenceFields returns what is known of a part, for logs.
+func evidenceFields(now time.Time, m suspect.PartMark) []zap.Field {
+	reporters := map[string]int{}
+	for _, d := range m.Deaths {
+		reporters[d.Reporter]++
+	}
+	f := []zap.Field{
+		zap.String("part", m.ID), zap.Int("deaths", len(m.Deaths)), zap.Any("reporters", reporters), zap.Int("companions", len(m.Companions)),
+		zap.Int("cleared", m.Generation), zap.Int("trials", m.Trials),
+	}
+	if n := len(m.Deaths); n > 0 {
+		f = append(f, zap.Duration("first-death-age", now.Sub(m.Deaths[0].At)), zap.Duration("last-death-age", now.Sub(m.Deaths[n-1].At)))
+	}
+	return f
+}
+
+// takeDue returns the marks to write now, and the keys of expired records to remove.
+func (g *promptGuard) takeDue(now time.Time) (marks []suspect.PartMark, expired []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.registry.HasChanged(now) {
+		g.writeAt = time.Time{}
+		return nil, g.expiredKeys(now)
+	}
+	if g.writeAt.IsZero() {
+		g.writeAt = now.Add(partWriteDelay + time.Duration(rand.Int64N(int64(partWriteSpread))))
+		if g.writeAt.Before(g.earliest) {
+			g.writeAt = g.earliest
+		}
+	}
+	if now.Before(g.writeAt) {
+		return nil, nil
+	}
+	g.writeAt, g.earliest = time.Time{}, now.Add(partWriteInterval)
+	return g.registry.TakeChanged(now, maxMarksPerWrite), nil
+}
+
+// expiredKeys returns the keys of records without a mark. All instances drop a mark at about the same time, so each waits for
+// a random time, in which another one may remove the record.
+func (g *promptGuard) expiredKeys(now time.Time) []string {
+	var out []string
+	for h, removeAt := range g.stored {
+		switch {
+		case g.registry.Has(h):
+		case removeAt.IsZero():
+			g.stored[h] = now.Add(time.Duration(rand.Int64N(int64(partSweepInterval))))
+		case now.After(removeAt) && len(out) < maxMarksPerWrite:
+			out = append(out, partKey(h))
+			g.stored[h] = time.Time{}
+		}
+	}
+	return out
+}
+
+// requeue notes that marks could not be written.
+func (g *promptGuard) requeue(now time.Time, marks []suspect.PartMark) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.RequeueChanged(marks)
+	g.earliest = now.Add(partRetryInterval)
+}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -53,6 +53,9 @@
 			if a.dataEvents == gapSampleEvents {
 				a.recordMeanGap(a.dataEvents) // the end of a slow stream would come too late
 			}
+			if a.lastEventAt.Sub(a.firstEventAt) >= harmlessDelay {
+				a.recordHarmless(a.lastEventAt)
+			}
 			if err := extendWait(a.lastEventAt); err != nil {
 				return a.handleBrokenStream(err)
 			}
@@ -179,6 +182,7 @@
 	}
 	a.finishResponse(true, true)
 	a.recordResult(true)
+	a.recordHarmless(time.Now())
 	return stepDone, "complete"
 }
 
@@ -193,6 +197,9 @@
 	case forward.KindOf(err) == forward.ErrCancelled:
 		return x.giveUp("deadline"), "deadline"
 	}
+	if brokeOff(err) {
+		a.probeEndpoint(err)
+	}
 	x.excludedEndpoints[a.choice.Endpoint.ID] = true
 	x.handler.balancer.recordResult(time.Now(), a.choice.Endpoint, x.route.Name, false, false)
 	if !x.route.Resumable {
