Roll back versions that never reach the pace of an idle endpoint

Cause: a new version was compared with the mean of the old one, whose endpoints are busy, while its own endpoints were idle. Each instance also needed six streams of its own of each kind, and only failures and very slow streams were summed over the instances. Class: a comparison of unlike loads, on evidence split over instances.

With the logs of good and slow versions: on idle endpoints the gaps of a good version are 18 to 25 ms, those at x = 2, 3 and 8 are 27 to 36, 37 to 48 and 82 to 111 ms; the fastest tenth of the old version's are 22 to 23 ms.

Change: instances sum the paces of both versions, by kind and as a histogram, with the loads that they exchange. A version of which (nearly) no answer is as fast as the fastest tenth of the old version's is rolled back, after 11 answers at all instances together, as long as its endpoints are idle. Endpoints that still warm up don't count. The log says the sums every two seconds.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -68,6 +68,8 @@
 	canaryShare    float64      // share of requests for the new version until all shift; 0 before CanaryStart
 	shifted        bool         // all requests go to the new version
 	shiftedAt      float64      // progress at which all requests shifted
+	peerPaces      PacesByKey   // sums of all other instances
+	peerPacesAt    time.Time    // when these were collected
 }
 
 // New returns the roll-out state of a service that has no order yet.
--- a/internal/core/canary/evidence.go
+++ b/internal/core/canary/evidence.go
@@ -37,6 +37,7 @@
 	gapRatios    gapRatioStats
 	slowBaseline tally                          // streams of the old version; a slow one counts as failed
 	recent       map[failureMode]*decayingCount // decaying counts of the new version's answers, for EvaluatePooled
+	paces        *paceEvidence
 }
 
 // gapStats sums the logarithms of the gaps of one kind of stream on the old version. The gap of a stream is the mean time
@@ -62,7 +63,7 @@
 }
 
 func newEvidence() *evidence {
-	return &evidence{byRoute: map[string]*tally{}, baselineGaps: map[string]*gapStats{}, recent: map[failureMode]*decayingCount{}}
+	return &evidence{byRoute: map[string]*tally{}, baselineGaps: map[string]*gapStats{}, recent: map[failureMode]*decayingCount{}, paces: newPaceEvidence()}
 }
 
 // addOutcome counts an answer.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -247,6 +247,7 @@
 	a.finishResponse(true, true)
 	a.recordResult(true)
 	a.recordHarmless(time.Now())
+	a.logRolloutStop(x.handler.balancer.recordPace(a.choice.Endpoint, x.route.Name, time.Since(a.sentAt)))
 	x.writeResponse(&bufferedResponse{status: a.response.Status, header: x.handler.options.Protocol.ClientResponseHeader(a.response.Header), body: body})
 	return stepDone, strconv.Itoa(a.response.Status)
 }
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/canary"
@@ -21,8 +22,10 @@
 	budgets      map[string]*retry.Budget
 	rollouts     map[string]*canary.Rollout
 	options      Options
-	peerCounts   canary.CountsByKey // results of new versions at other instances
-	peerCountsAt time.Time          // when peerCounts were collected
+	peerCounts   canary.CountsByKey   // results of new versions at other instances
+	peerCountsAt time.Time            // when peerCounts were collected
+	logPacesAt   time.Time            // when the paces of roll-outs may be logged again
+	warmAt       map[string]time.Time // when an endpoint that is slow after its start has warmed up
 }
 
 // peerCountsMaxAge is how long results of other instances are used; they are sent several times a second.
@@ -49,13 +52,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.SetEndpoints(services)
+	warmAt, now := map[string]time.Time{}, time.Now()
 	for s, l := range services {
 		n := map[string]int{}
 		for _, e := range l {
 			n[e.Version]++
+			if t, ok := b.warmAt[e.ID]; ok {
+				warmAt[e.ID] = t
+			} else if e.WarmUpRemaining > 0 {
+				warmAt[e.ID] = now.Add(e.WarmUpRemaining)
+			}
 		}
 		b.rolloutOf(s).UpdateVersions(n)
 	}
+	b.warmAt = warmAt
 }
 
 // endpointCounts returns the number of endpoints of each service that accept work.
@@ -133,9 +143,11 @@
 func (b *balancer) LocalReport() relay.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	report := relay.Report{Loads: b.table.LocalLoads(), Trials: canary.CountsByKey{}}
+	report := relay.Report{Loads: b.table.LocalLoads(), Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}}
+	now := time.Now()
 	for s, r := range b.rollouts {
-		report.Trials.Merge(r.LocalCounts(time.Now(), s))
+		report.Trials.Merge(r.LocalCounts(now, s))
+		report.Paces.Merge(r.LocalPaces(now, s))
 	}
 	return report
 }
@@ -147,10 +159,27 @@
 	b.table.SetRemoteLoads(at, report.Loads)
 	b.peerCounts, b.peerCountsAt = report.Trials, at
 	for s, r := range b.rollouts {
-		if r.EvaluatePooled(at, s, report.Trials) {
+		r.SetPeerPaces(at, report.Paces)
+		if r.EvaluatePooled(at, s, report.Trials) || r.EvaluatePace(at, s) {
 			v, _, reason := r.Status()
 			logRolloutStop(b.options.Logger, s, v, reason)
 		}
+		b.logPaces(at, s, r)
+	}
+}
+
+// paceLogInterval is the time between log lines on the paces of a roll-out. The caller of logPaces holds the mutex.
+const paceLogInterval = 2 * time.Second
+
+// logPaces logs what all instances know of the paces of both versions while the new one gets requests.
+func (b *balancer) logPaces(now time.Time, service string, r *canary.Rollout) {
+	if now.Before(b.logPacesAt) {
+		return
+	}
+	if p := r.PaceSummary(now, service); p.Answers > 0 {
+		b.logPacesAt = now.Add(paceLogInterval)
+		target, _, _ := r.Status()
+		b.options.Logger.Info("roll-out: Paces.", zap.String("service", service), zap.String("version", target), zap.Stringer("paces", p))
 	}
 }
 
@@ -216,6 +245,24 @@
 	return reason
 }
 
+// recordPace records the time of a plain answer or the mean time between the events of a stream. It returns the reason if
+// that stopped a roll-out.
+func (b *balancer) recordPace(e routing.Endpoint, kind string, d time.Duration) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if now.Before(b.warmAt[e.ID]) {
+		return ""
+	}
+	r := b.rolloutOf(e.Service)
+	r.RecordPace(now, e.Service, e.Version, kind, d)
+	if !r.EvaluatePace(now, e.Service) {
+		return ""
+	}
+	_, _, reason := r.Status()
+	return reason
+}
+
 // recordEventGap records the mean time between the events of a stream; only streams of the same kind are compared. It
 // returns the reason if that stopped a roll-out.
 func (b *balancer) recordEventGap(e routing.Endpoint, streamKind string, gap time.Duration) string {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -110,7 +110,9 @@
 	if events > 1 {
 		x := a.exchange
 		gap := a.lastEventAt.Sub(a.firstEventAt) / time.Duration(events-1)
-		a.logRolloutStop(x.handler.balancer.recordEventGap(a.choice.Endpoint, x.route.Name+" "+x.effectiveModel(), gap))
+		kind := x.route.Name + " " + x.effectiveModel()
+		a.logRolloutStop(x.handler.balancer.recordEventGap(a.choice.Endpoint, kind, gap))
+		a.logRolloutStop(x.handler.balancer.recordPace(a.choice.Endpoint, kind, gap))
 	}
 }
 
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -28,20 +29,24 @@
 type Report struct {
 	Loads  placement.Loads    // active requests at each endpoint
 	Trials canary.CountsByKey // results of new versions of services
+	Paces  canary.PacesByKey  // times of answers during roll-outs
 }
 
-func newReport() Report { return Report{Loads: placement.Loads{}, Trials: canary.CountsByKey{}} }
+func newReport() Report {
+	return Report{Loads: placement.Loads{}, Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}}
+}
 
 // equal reports whether two reports are the same. During a roll-out they differ each time, as the answer counts
 // decay continuously.
 func (r Report) equal(o Report) bool {
-	return maps.Equal(r.Loads, o.Loads) && maps.Equal(r.Trials, o.Trials)
+	return maps.Equal(r.Loads, o.Loads) && maps.Equal(r.Trials, o.Trials) && maps.Equal(r.Paces, o.Paces)
 }
 
 // add adds another report to this one.
 func (r Report) add(o Report) {
 	addLoads(r.Loads, o.Loads)
 	r.Trials.Merge(o.Trials)
+	r.Paces.Merge(o.Paces)
 }
 
 // Reporter provides the report of this instance and receives the sum of the reports of the others.
@@ -135,6 +140,9 @@
 	for k, s := range r.Trials {
 		m.Trials = append(m.Trials, &relaypb.Trial{Key: k, Answers: float32(s.Answers), Bad: float32(s.Bad)})
 	}
+	for k, s := range r.Paces {
+		m.Paces = append(m.Paces, &relaypb.Pace{Key: k, Answers: float32(s.Answers), LogSum: float32(s.LogSum)})
+	}
 	for e, o := range r.Loads {
 		m.Endpoints = append(m.Endpoints, e)
 		m.Requests = append(m.Requests, uint32(max(0, o.Requests)))
@@ -143,9 +151,14 @@
 	return m
 }
 
-// decodeReport returns the report in a message, without invalid answer counts.
+// decodeReport returns the report in a message, without invalid counts and sums.
 func decodeReport(m *relaypb.Loads) Report {
-	r := Report{Loads: decodeLoads(m), Trials: make(canary.CountsByKey, len(m.GetTrials()))}
+	r := Report{Loads: decodeLoads(m), Trials: make(canary.CountsByKey, len(m.GetTrials())), Paces: make(canary.PacesByKey, len(m.GetPaces()))}
+	for _, p := range m.GetPaces() {
+		if p.GetAnswers() >= 0 && !math.IsNaN(float64(p.GetLogSum())) && !math.IsInf(float64(p.GetLogSum()), 0) {
+			r.Paces[p.GetKey()] = canary.PaceSum{Answers: float64(p.GetAnswers()), LogSum: float64(p.GetLogSum())}
+		}
+	}
 	for _, t := range m.GetTrials() {
 		if t.GetBad() >= 0 && t.GetAnswers() >= t.GetBad() { // also false for NaN
 			r.Trials[t.GetKey()] = canary.AnswerCounts{Answers: float64(t.GetAnswers()), Bad: float64(t.GetBad())}
@@ -201,7 +214,7 @@
 		if err := s.Send(encodeReport(sum)); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
-		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+2*len(sum.Trials)), nil); err != nil {
+		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+2*(len(sum.Trials)+len(sum.Paces))), nil); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
 	}
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -25,12 +25,14 @@
 const (
 	endpointKey uint32 = 7
 	trialKey    uint64 = 9 // of a new version
+	paceKey     uint64 = 11
 )
 
 func (r *fakeReporter) LocalReport() Report {
 	return Report{
 		Loads:  placement.Loads{endpointKey: {Requests: 1, PrefillMS: 20}},
 		Trials: canary.CountsByKey{trialKey: {Answers: 3, Bad: 1}},
+		Paces:  canary.PacesByKey{paceKey: {Answers: 2, LogSum: 5}},
 	}
 }
 
@@ -47,6 +49,9 @@
 	if s := r.others.Trials[trialKey]; s.Answers != 3*float64(o.Requests) || s.Bad != float64(o.Requests) {
 		return placement.EndpointLoad{} // a part of the report is missing
 	}
+	if p := r.others.Paces[paceKey]; p.Answers != 2*float64(o.Requests) || p.LogSum != 5*float64(o.Requests) {
+		return placement.EndpointLoad{}
+	}
 	return o
 }
 
