Treat an answer that ends before its first byte as broken off

A caller got an empty 200 when an endpoint ended after the head of an answer without length and chunks: only the end of the connection marks the end of such a body, so an endpoint that ended looked like one that had sent everything.

Cause: the end of the connection before the first event or byte counted as a complete body. Class: an end that nothing confirms.

Change: without framing, a stream needs an event and a plain answer a byte; otherwise the answer has broken off: it goes on elsewhere where the route allows, else 502. An end right after a whole event of an unframed stream can't be told from its proper end.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -38,7 +38,10 @@
 	Status int
 	Header http.Header
 	Length int64 // of the body, -1 if the response does not state it
-	Body   io.Reader
+	// Unframed states that only the end of the connection marks the end of the body, so that an endpoint that ends looks
+	// like one that has sent everything.
+	Unframed bool
+	Body     io.Reader
 
 	pool        *Pool
 	conn        *conn
@@ -82,7 +85,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: r.Body,
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: r.Body, Unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
 		pool: p, conn: c, http: r, writeState: w, stopCancel: stopCancel, endRequest: endRequest, ctx: ctx, reusable: !r.Close,
 	}, nil
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -241,6 +241,9 @@
 func (a *attempt) forwardBuffered() (nextStep, string) {
 	x := a.exchange
 	body, err := a.readResponseBody()
+	if err == nil && a.response.Unframed && len(body) == 0 {
+		err = a.response.WrapReadError("read body", errEndedEarly)
+	}
 	if err != nil {
 		return a.rejectResponse(err)
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -37,6 +37,8 @@
 	for idleBytes := 0; ; {
 		event, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && a.response.Unframed && a.dataEvents == 0:
+			return a.handleBrokenStream(a.response.WrapReadError("read event", errEndedEarly))
 		case errors.Is(err, io.EOF):
 			if a.dataEvents < gapSampleEvents {
 				a.recordMeanGap(a.dataEvents)
@@ -86,6 +88,7 @@
 
 var (
 	errEndlessStream = errors.New("stream does not end")
+	errEndedEarly    = errors.New("connection closed before the first byte of the body")
 	errRepeatedEvent = errors.New("event was already delivered to the client")
 )
 
