Refuse chats with a message that crashes engines

The same cause on the product's own interface: suspicion was bound to the whole chat, so unlike chats with one message that crashes engines would each have crashed one.

Change: the messages of a chat but the last one are its parts, and suspect.PartRegistry decides on them as for the ingress. Evidence goes to peers in a digest of its own, with ages instead of times. TestPartTrialByOneInstance: of 20 instances one gets the trial of a refused part.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -69,15 +69,16 @@
 	return nil
 }
 
-func (f *fixture) AcceptsVersion(string) bool         { return true }
-func (f *fixture) RaterAvailable() bool               { return false }
-func (f *fixture) Observe(cascade.Outcome)            {}
-func (f *fixture) Policy(uint64) answer.SuspectPolicy { return answer.RunAnywhere }
-func (f *fixture) RunsSuspect(string) bool            { return false }
-func (f *fixture) StartRequest(uint64, string) bool   { return true }
-func (f *fixture) EndRequest(uint64, string, bool)    {}
-func (f *fixture) EndpointCrashed(string)             {}
-func (f *fixture) Write(timeline.Event)               {}
+func (f *fixture) AcceptsVersion(string) bool                 { return true }
+func (f *fixture) RaterAvailable() bool                       { return false }
+func (f *fixture) Observe(cascade.Outcome)                    {}
+func (f *fixture) Policy(answer.Content) answer.SuspectPolicy { return answer.RunAnywhere }
+func (f *fixture) RunsSuspect(string) bool                    { return false }
+func (f *fixture) StartRequest(answer.Content, string) bool   { return true }
+func (f *fixture) EndRequest(answer.Content, string, bool)    {}
+func (f *fixture) RecordFirstToken(answer.Content, string)    {}
+func (f *fixture) EndpointCrashed(string)                     {}
+func (f *fixture) Write(timeline.Event)                       {}
 
 func (f *fixture) Rate(context.Context, answer.RatedAnswer) (float64, error) {
 	return 0, errors.New("no rating service")
@@ -190,7 +191,7 @@
 		ID: "r", Organisation: c.Organisations["o"], Profile: c.Profiles["p"], Deadline: time.Now().Add(30 * time.Second),
 		Chat: engine.ChatRequest{Messages: []engine.Message{{Role: "user", Content: prompt}}},
 	}
-	p, err := f.executor.Plan(q, 1, "class")
+	p, err := f.executor.Plan(q, answer.Content{Digest: 1}, "class")
 	if err != nil {
 		return nil, answer.Result{}, err
 	}
--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -70,7 +70,7 @@
 	}
 	defer c.EndRequest()
 	complete := false
-	defer func() { a.executor.deps.Suspects.EndRequest(a.r.digest, c.ID, complete) }()
+	defer func() { a.executor.deps.Suspects.EndRequest(a.r.content, c.ID, complete) }()
 	// Checked immediately before sending, because the version may have been withdrawn or the process paused since the choice.
 	if err := a.executor.deps.CheckServing(); err != nil {
 		return &Error{Op: "send", Kind: ErrStale, Err: err}
@@ -86,6 +86,7 @@
 	res, err := a.executor.deps.Engines.Stream(ctx, c.Address, a.r.ID, a.engineRequest(), func(s string) error {
 		if firstToken {
 			firstToken = false
+			a.executor.deps.Suspects.RecordFirstToken(a.r.content, c.ID)
 			a.executor.recordEvent("first-token", a.r, a.step.Version, c.ID, nil)
 		}
 		if a.step.RateBeforeDelivery {
@@ -142,22 +143,26 @@
 func (a *attempt) waitForEndpoint(ctx context.Context) (endpoint.Choice, error) {
 	deadline := time.Now().Add(a.executor.s.QueueTimeout)
 	for {
-		policy := a.executor.deps.Suspects.Policy(a.r.digest)
+		policy := a.executor.deps.Suspects.Policy(a.r.content)
 		if policy == RefuseRequest {
-			return endpoint.Choice{}, &Error{Op: "choose", Kind: ErrSuspect, Err: errors.New("endpoints died twice while they ran this request")}
+			return endpoint.Choice{}, &Error{Op: "choose", Kind: ErrSuspect, Err: errors.New("endpoints died while they ran this request or others with a part of its prompt")}
 		}
 		now := time.Now()
 		q := endpoint.Query{
 			Version: a.step.Version, Zone: a.executor.s.AvailabilityZone, Prefix: a.r.prefixHash,
 			Excluded: a.exclude, RandomDraws: randomDraws(), Now: now,
 		}
-		c, ok := a.chooseEndpoint(q, policy)
-		if ok && a.executor.deps.Suspects.StartRequest(a.r.digest, c.ID) {
+		var c endpoint.Choice
+		ok := false
+		if policy != AwaitDecision {
+			c, ok = a.chooseEndpoint(q, policy)
+		}
+		if ok && a.executor.deps.Suspects.StartRequest(a.r.content, c.ID) {
 			c.BeginRequest(now)
 			if !c.EndpointBlocked() {
 				return c, nil
 			}
-			a.executor.deps.Suspects.EndRequest(a.r.digest, c.ID, false)
+			a.executor.deps.Suspects.EndRequest(a.r.content, c.ID, false)
 			c.EndRequest()
 		}
 		if now.After(deadline) {
@@ -166,7 +171,7 @@
 		if !a.versionAvailable() {
 			return endpoint.Choice{}, errReplan
 		}
-		if !ok && a.failures > 0 {
+		if !ok && policy != AwaitDecision && a.failures > 0 {
 			a.exclude = [6]endpoint.Handle{} // no other endpoint is available, and one that failed may have recovered
 		}
 		select {
--- a/internal/answer/executor.go
+++ b/internal/answer/executor.go
@@ -84,7 +84,7 @@
 	prompt          string
 	prefixHash      uint64
 	class           string // request class of the cascade
-	digest          uint64 // identifies the content for Suspects
+	content         Content
 	inputTokens     int
 	maxOutputTokens int
 	steps           []cascade.Step
@@ -115,9 +115,9 @@
 }
 
 // Plan plans the steps of a request.
-func (x *Executor) Plan(r *Request, digest uint64, class string) (*Plan, error) {
+func (x *Executor) Plan(r *Request, c Content, class string) (*Plan, error) {
 	in, out := x.TokenLimits(r)
-	state := &requestState{Request: r, class: class, digest: digest, inputTokens: in, maxOutputTokens: out, prompt: r.Prompt()}
+	state := &requestState{Request: r, class: class, content: c, inputTokens: in, maxOutputTokens: out, prompt: r.Prompt()}
 	state.prefixHash = hashPrefix(state.prompt)
 	if err := x.planSteps(state); err != nil {
 		return nil, err
--- a/internal/answer/request.go
+++ b/internal/answer/request.go
@@ -53,20 +53,29 @@
 const (
 	RunAnywhere    SuspectPolicy = iota // on any endpoint, because the request is not suspected
 	RunExclusively                      // on an endpoint where no other suspect runs; requests that are not suspected may run there
-	RefuseRequest                       // not at all: two endpoints crashed while they ran the request
+	RefuseRequest                       // not at all: it would crash endpoints
+	AwaitDecision                       // not yet: it is about to be decided whether the request is refused
 )
 
+// Content identifies the content of a request for Suspects.
+type Content struct {
+	Digest uint64   // of the whole content
+	Parts  []string // identifiers of the parts of the prompt that other requests may share, in order
+}
+
 // Suspects tracks all requests in progress by endpoint. Those on an endpoint that crashes are suspected.
 type Suspects interface {
-	// Policy returns the policy for a request by the digest of its content.
-	Policy(digest uint64) SuspectPolicy
+	// Policy returns the policy for a request.
+	Policy(c Content) SuspectPolicy
 	// RunsSuspect reports whether a suspect runs on an endpoint.
 	RunsSuspect(endpoint string) bool
 	// StartRequest records a request on an endpoint. It returns false if the request is a suspect that must use another
 	// endpoint.
-	StartRequest(digest uint64, endpoint string) bool
+	StartRequest(c Content, endpoint string) bool
+	// RecordFirstToken records that the endpoint began the answer.
+	RecordFirstToken(c Content, endpoint string)
 	// EndRequest records that the request ended on the endpoint; finished means that its answer is complete.
-	EndRequest(digest uint64, endpoint string, finished bool)
+	EndRequest(c Content, endpoint string, finished bool)
 	// EndpointCrashed records that an endpoint crashed.
 	EndpointCrashed(endpoint string)
 }
--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -287,6 +287,16 @@
 	return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
 }
 
+// Evidence returns all marks, those that other instances need most first.
+func (r *PartRegistry) Evidence() []PartMark {
+	hashes := slices.SortedFunc(maps.Keys(r.marks), r.compareUrgency)
+	out := make([]PartMark, len(hashes))
+	for i, h := range hashes {
+		out[i] = r.marks[h].clone()
+	}
+	return out
+}
+
 // RequeueChanged notes that marks from TakeChanged were not sent.
 func (r *PartRegistry) RequeueChanged(l []PartMark) {
 	for _, m := range l {
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	inputTokens, _ := g.deps.Executor.TokenLimits(req)
-	plan, err := g.deps.Executor.Plan(req, g.deps.ContentDigest(req), cascade.RequestClass(req.Profile.Name, inputTokens))
+	plan, err := g.deps.Executor.Plan(req, g.deps.Content(req), cascade.RequestClass(req.Profile.Name, inputTokens))
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,21 +90,21 @@
 
 // Dependencies holds the dependencies of a Gateway.
 type Dependencies struct {
-	Catalog       func() *config.Catalog
-	CheckReady    func() error // returns nil while the load balancer may send requests
-	CheckServing  func() error // returns nil while new requests may start
-	Sessions      SessionTokens
-	Executor      *answer.Executor
-	Orders        *servicecall.Dispatcher
-	Entitlements  Entitlements
-	Biller        Biller
-	Admission     Admission
-	ContentDigest func(r *answer.Request) uint64 // identifies the content of a request
-	Events        Recorder
-	Clock         *timeline.Clock // adds its stamps to replies
-	Metrics       http.Handler
-	Scope         tally.Scope
-	Logger        *zap.Logger
+	Catalog      func() *config.Catalog
+	CheckReady   func() error // returns nil while the load balancer may send requests
+	CheckServing func() error // returns nil while new requests may start
+	Sessions     SessionTokens
+	Executor     *answer.Executor
+	Orders       *servicecall.Dispatcher
+	Entitlements Entitlements
+	Biller       Biller
+	Admission    Admission
+	Content      func(r *answer.Request) answer.Content // identifies the content of a request
+	Events       Recorder
+	Clock        *timeline.Clock // adds its stamps to replies
+	Metrics      http.Handler
+	Scope        tally.Scope
+	Logger       *zap.Logger
 }
 
 // Gateway serves the callers' API.
--- a/internal/ingress/coordinator_test.go
+++ b/internal/ingress/coordinator_test.go
@@ -89,3 +89,34 @@
 		})
 	}
 }
+
+// TestPartTrialByOneInstance guards against a series of crashes when the refusal of a prompt part is due for a trial at all
+// instances, and against a trial that the other instances do not learn of because the store refuses the write.
+func TestPartTrialByOneInstance(t *testing.T) {
+	topic := &recordingTopic{keys: map[string]bool{}}
+	now := time.Now()
+	refuse := func(c *coordinator) suspect.PartHash {
+		mark := suspect.PartMark{Part: 7, ID: "deadly", RefusedAt: now.Add(-2 * time.Hour)}
+		c.prompts.registry.Merge(now, mark)
+		return mark.Part
+	}
+	granted := 0
+	for i := range 20 {
+		c := newCoordinator(Options{Instance: fmt.Sprint("instance-", i), InstancesTopic: topic, Logger: zap.NewNop()}, nil)
+		c.options.Feeds.Operators.Timeout = time.Second
+		c.applyUpdate(changefeed.Update{IsSnapshot: true}) // all have read the topic before the first trial
+		if c.claimTrial(t.Context(), now, refuse(c)) {
+			granted++
+		}
+	}
+	if granted != 1 {
+		t.Errorf("%d instances may make the trial", granted)
+	}
+	topic.failuresLeft = 1
+	c := newCoordinator(Options{Instance: "last", InstancesTopic: topic, Logger: zap.NewNop()}, nil)
+	c.options.Feeds.Operators.Timeout = time.Second
+	c.applyUpdate(changefeed.Update{IsSnapshot: true, NextOffset: topic.nextOffset})
+	if c.claimTrial(t.Context(), now, refuse(c)) {
+		t.Error("a trial is granted although the store refused the write")
+	}
+}
--- a/internal/instance/digest.go
+++ b/internal/instance/digest.go
@@ -28,9 +28,10 @@
 // digestExchange exchanges the states of suspects and of roll-out trials with peers.
 type digestExchange struct{ instance *Instance }
 
-// Digests returns the encoded trial reports and suspects of this instance. A digest has at most limit bytes: trial reports
+// Digests returns the encoded trial reports, suspects and prompt parts of this instance. A digest has at most limit bytes: trial reports
 // that exceed it are omitted, and the least important suspects are cut off.
-func (d digestExchange) Digests(limit int) (health, suspects []byte) {
+func (d digestExchange) Digests(limit int) peer.Digests {
+	var health []byte
 	if l := d.instance.control.trialReports(); len(l) > 0 {
 		b, err := json.Marshal(l)
 		if err != nil {
@@ -40,21 +41,25 @@
 			health = b
 		}
 	}
-	return health, encodeSuspects(d.instance.suspects.report(), limit)
+	return peer.Digests{
+		Health: health, Suspects: encodeSuspects(d.instance.suspects.report(), limit),
+		Parts: encodePartMarks(time.Now(), d.instance.suspects.partMarks(), limit),
+	}
 }
 
 // MergeDigests applies the digests of a peer.
-func (d digestExchange) MergeDigests(name string, health, suspects []byte) {
-	if len(health) > 0 {
+func (d digestExchange) MergeDigests(name string, digests peer.Digests) {
+	d.mergeParts(name, digests.Parts)
+	if len(digests.Health) > 0 {
 		var l []rollout.TrialReport
-		if err := json.Unmarshal(health, &l); err == nil {
+		if err := json.Unmarshal(digests.Health, &l); err == nil {
 			d.instance.control.postEvent(rollout.PeerReported{Peer: name, Reports: l})
 		}
 	}
-	if len(suspects) == 0 {
+	if len(digests.Suspects) == 0 {
 		return
 	}
-	r, err := decodeSuspects(suspects)
+	r, err := decodeSuspects(digests.Suspects)
 	if err != nil {
 		d.instance.options.Logger.Warn("instance: The suspects of a peer could not be decoded.", zap.Error(err))
 		return
@@ -65,6 +70,16 @@
 	}
 }
 
+// mergeParts applies a peer's digest of prompt parts.
+func (d digestExchange) mergeParts(name string, digest []byte) {
+	marks, err := decodePartMarks(time.Now(), name, digest)
+	if err != nil {
+		d.instance.options.Logger.Warn("instance: The prompt parts of a peer could not be decoded.", zap.Error(err))
+		return
+	}
+	d.instance.suspects.mergePartMarks(marks)
+}
+
 // broadcastDigests sends the digests to peers immediately, because a caller may repeat a request that crashes endpoints to
 // any instance.
 func (i *Instance) broadcastDigests() {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -92,7 +92,7 @@
 	orders := servicecall.NewDispatcher(o.Order, i.checkFreshness, i.control, i.ledger, retries, i.engines, o.EventWriter)
 	i.gateway = gateway.New(o.Gateway, gateway.Dependencies{
 		Catalog: i.config.Catalog, CheckReady: i.CheckReady, CheckServing: i.checkFreshness, Sessions: signer, Executor: i.answerMaker, Orders: orders,
-		Entitlements: i.ledger, Biller: i.ledger, Admission: i.control, ContentDigest: hashRequest, Events: o.EventWriter, Clock: o.Clock,
+		Entitlements: i.ledger, Biller: i.ledger, Admission: i.control, Content: identifyContent, Events: o.EventWriter, Clock: o.Clock,
 		Metrics: o.MetricsHandler, Scope: o.Scope.SubScope("gateway"), Logger: o.Logger,
 	})
 	operators := operator.New(operator.Dependencies{
@@ -331,14 +331,20 @@
 	return score, nil
 }
 
-// hashRequest returns a hash of the messages of a request. A repeated request has the same hash, whichever caller sends it
-// and under whichever idempotency key.
-func hashRequest(q *answer.Request) uint64 {
-	parts := make([][]byte, 0, 2*len(q.Chat.Messages))
-	for _, m := range q.Chat.Messages {
-		parts = append(parts, []byte(m.Role), []byte(m.Content))
+// identifyContent returns what identifies the content of a request. A repeated request has the same digest, whichever caller
+// sends it and under whichever idempotency key. All messages but the last one may be shared with other requests.
+func identifyContent(q *answer.Request) answer.Content {
+	var c answer.Content
+	all := make([][]byte, 0, 2*len(q.Chat.Messages))
+	for i, m := range q.Chat.Messages {
+		role, text := []byte(m.Role), []byte(m.Content)
+		all = append(all, role, text)
+		if i < len(q.Chat.Messages)-1 {
+			c.Parts = append(c.Parts, strconv.FormatUint(uint64(suspect.HashContent("message", role, text)), 16))
+		}
 	}
-	return uint64(suspect.HashContent("chat", parts...))
+	c.Digest = uint64(suspect.HashContent("chat", all...))
+	return c
 }
 
 // snapshotSource provides the configuration in force to peers.
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -40,15 +40,15 @@
 
 // fixedDigests is a DigestExchange with constant digests; it passes the digests of peers to merged.
 type fixedDigests struct {
-	health, suspects []byte
-	merged           chan [2]string
+	own    Digests
+	merged chan [2]string
 }
 
-func (d *fixedDigests) Digests(int) (health, suspects []byte) { return d.health, d.suspects }
+func (d *fixedDigests) Digests(int) Digests { return d.own }
 
-func (d *fixedDigests) MergeDigests(peer string, health, suspects []byte) {
+func (d *fixedDigests) MergeDigests(peer string, o Digests) {
 	select {
-	case d.merged <- [2]string{peer, string(health) + "/" + string(suspects)}:
+	case d.merged <- [2]string{peer, string(o.Health) + "/" + string(o.Suspects) + "/" + string(o.Parts)}:
 	default:
 	}
 }
@@ -56,14 +56,14 @@
 // Guards against digests that don't reach peers, and against an oversized digest that would enlarge every probe.
 func TestProbesCarryDigests(t *testing.T) {
 	list := standin.NewInstanceList()
-	a := &fixedDigests{health: []byte("h"), suspects: make([]byte, maxDigestBytes+1), merged: make(chan [2]string, 1)}
-	b := &fixedDigests{health: []byte("g"), suspects: []byte("s"), merged: make(chan [2]string, 1)}
+	a := &fixedDigests{own: Digests{Health: []byte("h"), Suspects: make([]byte, maxDigestBytes+1), Parts: []byte("p")}, merged: make(chan [2]string, 1)}
+	b := &fixedDigests{own: Digests{Health: []byte("g"), Suspects: []byte("s"), Parts: []byte("q")}, merged: make(chan [2]string, 1)}
 	startService(t, 1, list, Hooks{Digests: a}, nil)
 	startService(t, 2, list, Hooks{Digests: b}, nil)
-	if got := <-a.merged; got != [2]string{"i2", "g/s"} {
+	if got := <-a.merged; got != [2]string{"i2", "g/s/q"} {
 		t.Errorf("a merged %v", got)
 	}
-	if got := <-b.merged; got != [2]string{"i1", "h/"} {
+	if got := <-b.merged; got != [2]string{"i1", "h//p"} {
 		t.Errorf("b merged %v", got)
 	}
 }
--- a/internal/peer/control.go
+++ b/internal/peer/control.go
@@ -117,9 +117,10 @@
 func (s *Service) encodeOwnState(now time.Time, to string, limit int) *peerpb.State {
 	st := encodeState(s.table.Message(now, to))
 	if s.hooks.Digests != nil {
-		st.Health, st.Suspects = s.hooks.Digests.Digests(limit)
-		st.Health = dropOversized(s.log, st.Health, limit)
-		st.Suspects = dropOversized(s.log, st.Suspects, limit)
+		d := s.hooks.Digests.Digests(limit)
+		st.Health = dropOversized(s.log, d.Health, limit)
+		st.Suspects = dropOversized(s.log, d.Suspects, limit)
+		st.Parts = dropOversized(s.log, d.Parts, limit)
 	}
 	return st
 }
@@ -151,8 +152,9 @@
 
 // mergeDigests passes the digests in a peer's message to the digest source.
 func (s *Service) mergeDigests(st *peerpb.State) {
-	if s.hooks.Digests != nil && (len(st.GetHealth()) > 0 || len(st.GetSuspects()) > 0) {
-		s.hooks.Digests.MergeDigests(st.GetFrom().GetId(), st.GetHealth(), st.GetSuspects())
+	d := Digests{Health: st.GetHealth(), Suspects: st.GetSuspects(), Parts: st.GetParts()}
+	if s.hooks.Digests != nil && len(d.Health)+len(d.Suspects)+len(d.Parts) > 0 {
+		s.hooks.Digests.MergeDigests(st.GetFrom().GetId(), d)
 	}
 }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -58,8 +58,15 @@
 // DigestExchange provides the digests that probes carry to peers, and receives those of peers.
 // The digests are opaque to this package, and each is at most limit bytes long.
 type DigestExchange interface {
-	Digests(limit int) (health, suspects []byte)
-	MergeDigests(peer string, health, suspects []byte)
+	Digests(limit int) Digests
+	MergeDigests(peer string, d Digests)
+}
+
+// Digests holds the digests of one instance.
+type Digests struct {
+	Health   []byte // of versions in a roll-out
+	Suspects []byte // contents that may crash endpoints
+	Parts    []byte // prompt parts that may crash endpoints
 }
 
 // Hooks are the parts of the instance that the service calls; all except List are optional.
