Cancel waiting requests when a part of their prompt is refused

An engine drops a request whose connection closes before it begins the response, so the instances now cancel attempts without an event when a part of their prompt is refused. The caller gets 502, as an engine may have run it.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -49,7 +49,10 @@
 	record := attemptRecord{
 		endpoint: a.choice.Endpoint.ID, model: x.effectiveModel(), version: a.choice.Endpoint.Version, expected: a.choice.TimeToFirstByte,
 	}
+	guard := x.handler.coordinator.prompts
+	guard.watch(a)
 	next, outcome := a.sendRequest() // may change the model for the next attempt
+	guard.unwatch(a)
 	x.handler.metrics.countAttempt(outcome)
 	record.outcome, record.events, record.took = outcome, a.dataEvents, time.Since(a.sentAt)
 	x.history = append(x.history, record)
@@ -135,7 +138,7 @@
 	}
 	if kind == forward.ErrCancelled {
 		if !errors.Is(err, errStalled) {
-			return x.giveUp("deadline"), "deadline"
+			return x.giveUpCancelled(err)
 		}
 		x.retryReserved = true
 		a.logRolloutStop(x.handler.balancer.recordSlowness(a.choice.Endpoint, x.route.Name, a.inFlight.SlownessAt(now)))
@@ -153,6 +156,14 @@
 	return stepRetry, string(kind)
 }
 
+// giveUpCancelled gives up after the request itself was cancelled.
+func (x *exchange) giveUpCancelled(err error) (nextStep, string) {
+	if errors.Is(err, errRefusedPart) {
+		return x.giveUp("prompt part"), "prompt part"
+	}
+	return x.giveUp("deadline"), "deadline"
+}
+
 // probeEndpoint checks whether the endpoint's process has ended. Only then is the request suspected of having crashed it,
 // unless the endpoint had lived on after it began the response.
 func (a *attempt) probeEndpoint(cause error) {
@@ -224,7 +235,7 @@
 		return stepDone, "client left"
 	}
 	if forward.KindOf(err) == forward.ErrCancelled {
-		return x.giveUp("deadline"), "deadline"
+		return x.giveUpCancelled(err)
 	}
 	a.recordResult(false)
 	if brokeOff(err) {
--- a/internal/ingress/prompt_parts.go
+++ b/internal/ingress/prompt_parts.go
@@ -46,13 +46,14 @@
 	earliest time.Time                      // when the next write is allowed
 	stored   map[suspect.PartHash]time.Time // parts with a record in the topic, with the time at which an expired one is to be removed
 	sweepAt  time.Time
+	waiting  map[*attempt]bool // attempts to which no endpoint has begun a response
 }
 
 func newPromptGuard(o Options) *promptGuard {
 	s := suspect.DefaultPartSettings(o.Instance)
 	return &promptGuard{
 		logger: o.Logger, settings: s, registry: suspect.NewPartRegistry(s),
-		stored: map[suspect.PartHash]time.Time{},
+		stored: map[suspect.PartHash]time.Time{}, waiting: map[*attempt]bool{},
 	}
 }
 
@@ -80,6 +81,33 @@
 	g.registry.RecordResponse(now, ids)
 }
 
+// watch cancels an attempt when a part of its prompt is refused, until unwatch is called. An endpoint that has not begun the
+// response drops the request then.
+func (g *promptGuard) watch(a *attempt) {
+	if len(a.exchange.partIDs) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting[a] = true
+}
+
+// unwatch ends the effect of watch.
+func (g *promptGuard) unwatch(a *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiting, a)
+}
+
+// cancelRefused cancels the waiting attempts that would not be sent any more. The caller holds the mutex.
+func (g *promptGuard) cancelRefused(now time.Time) {
+	for a := range g.waiting {
+		if v, _ := g.registry.Verdict(now, a.exchange.partIDs); v == suspect.PartsRefused && !a.exchange.trial {
+			a.cancel(errRefusedPart)
+		}
+	}
+}
+
 // verdict returns whether a request may be sent, and the mark that decided it.
 func (g *promptGuard) verdict(now time.Time, ids []string) (suspect.PartVerdict, suspect.PartMark) {
 	g.mu.Lock()
@@ -158,6 +186,7 @@
 	g.registry.Merge(now, r.Mark.Rebase(now, r.WrittenAt, elapsed))
 	if refused := g.registry.IsRefused(part); refused != wasRefused {
 		g.logChange(now, r.Mark, refused, "another instance")
+		g.cancelRefused(now)
 	}
 	return nil
 }
@@ -166,9 +195,13 @@
 func (g *promptGuard) evaluate(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, m := range g.registry.Evaluate(now) {
+	refused := g.registry.Evaluate(now)
+	for _, m := range refused {
 		g.logChange(now, m, true, "this instance")
 	}
+	if len(refused) > 0 {
+		g.cancelRefused(now)
+	}
 	if now.Before(g.sweepAt) {
 		return
 	}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -51,6 +51,7 @@
 			a.dataEvents, idleBytes, a.lastEventAt = a.dataEvents+1, 0, time.Now()
 			if a.dataEvents == 1 {
 				a.firstEventAt = a.lastEventAt
+				x.handler.coordinator.prompts.unwatch(a)
 			}
 			if a.dataEvents == gapSampleEvents {
 				a.recordMeanGap(a.dataEvents) // the end of a slow stream would come too late
@@ -200,7 +201,7 @@
 	case x.checkClientLeft():
 		return stepDone, "client left"
 	case forward.KindOf(err) == forward.ErrCancelled:
-		return x.giveUp("deadline"), "deadline"
+		return x.giveUpCancelled(err)
 	}
 	if brokeOff(err) {
 		a.probeEndpoint(err)
