Name the right part in the log of a death

A prompt that lists a part twice shifted the identifiers against the hashes, so that a mark bore the name of another part (logs only, read in the code). Removes an accessor that nothing uses.

--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -96,13 +96,11 @@
 	return xxhash.Sum64String(endpoint + "\x00" + strconv.FormatInt(startedAtMS, 10))
 }
 
-// hashParts returns the hashes of the identifiers of a prompt's parts, each once.
+// hashParts returns the hashes of the identifiers of a prompt's parts.
 func (r *PartRegistry) hashParts(ids []string) []PartHash {
 	out := make([]PartHash, 0, len(ids))
 	for _, id := range ids[:min(len(ids), r.settings.MaxPromptParts)] {
-		if h := PartHash(xxhash.Sum64String(id)); !slices.Contains(out, h) {
-			out = append(out, h)
-		}
+		out = append(out, PartHash(xxhash.Sum64String(id)))
 	}
 	return out
 }
@@ -319,17 +317,6 @@
 	return false
 }
 
-// Marks returns the marks of parts of a prompt that have met a death, for logs.
-func (r *PartRegistry) Marks(ids []string) []PartMark {
-	var out []PartMark
-	for _, h := range r.hashParts(ids) {
-		if m := r.marks[h]; m != nil && len(m.Deaths) > 0 {
-			out = append(out, m.clone())
-		}
-	}
-	return out
-}
-
 // DropExpired drops the marks that no longer affect a verdict. It should be called about once a minute.
 func (r *PartRegistry) DropExpired(now time.Time) {
 	for h, m := range r.marks {
