Review: show a resumed stream that ends early and looks complete

Cause: once the head was sent, sendRequest takes each sealed answer below 500 for the rest of the stream.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -51,9 +51,11 @@
 	changes   []time.Time // times of starts and signals, for the rules on being in touch
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+// freeAddress returns a loopback address with a port that is free now. The host differs from run to run, so that other
+// programs don't take the port before the instance does.
 func freeAddress() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	p := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+p/250%250, 1+p%250))
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-cases CASE PROGRAM RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*caseRun) (broken bool, err error){"version": versionCase}
+	cases := map[string]func(*caseRun) (broken bool, err error){"version": versionCase, "resume": resumeCase}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
