Log the version in use of each service

The version in use is now logged when it changes, with the registered endpoints of each version, and with each order that is received.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -332,6 +332,9 @@
 	return r.order.target, r.state, r.reason
 }
 
+// CurrentVersion returns the version in use besides the new one, or "" while no endpoint is known.
+func (r *Rollout) CurrentVersion() string { return r.currentVersion }
+
 // StartTime returns the start time of the roll-out.
 func (r *Rollout) StartTime() time.Time {
 	if r.order == nil {
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -63,11 +63,24 @@
 				warmAt[e.ID] = now.Add(e.WarmUpRemaining)
 			}
 		}
-		b.rolloutOf(s).UpdateVersions(n)
+		b.updateVersions(s, n)
 	}
 	b.warmAt = warmAt
 }
 
+// updateVersions tells the roll-out of a service how many endpoints each version has, and logs a change of the version in
+// use. The caller holds the mutex.
+func (b *balancer) updateVersions(service string, endpoints map[string]int) {
+	r := b.rolloutOf(service)
+	old := r.CurrentVersion()
+	r.UpdateVersions(endpoints)
+	if v := r.CurrentVersion(); v != old {
+		target, state, _ := r.Status()
+		b.options.Logger.Info("roll-out: The version in use changed.", zap.String("service", service), zap.String("from", old), zap.String("to", v),
+			zap.Any("endpoints", endpoints), zap.String("target", target), zap.String("state", string(state)))
+	}
+}
+
 // endpointCounts returns the number of endpoints of each service that accept work.
 func (b *balancer) endpointCounts() map[string]int {
 	b.mu.Lock()
--- a/internal/ingress/controller.go
+++ b/internal/ingress/controller.go
@@ -140,11 +140,13 @@
 // topic, whose exact time is unknown.
 func (c *controller) applyRolloutOrder(now time.Time, o routing.RolloutOrder, offset int64, justGiven bool) {
 	c.balancer.mu.Lock()
-	started := c.balancer.rolloutOf(o.Service).ApplyOrder(now, o, justGiven)
+	r := c.balancer.rolloutOf(o.Service)
+	started := r.ApplyOrder(now, o, justGiven)
+	current := r.CurrentVersion()
 	c.balancer.mu.Unlock()
 	if started {
 		c.options.Logger.Info("roll-out: Received an order.", zap.String("service", o.Service), zap.String("version", o.Target),
-			zap.Duration("within", o.Duration), zap.Int64("offset", offset), zap.Bool("just-given", justGiven))
+			zap.String("in-use", current), zap.Duration("within", o.Duration), zap.Int64("offset", offset), zap.Bool("just-given", justGiven))
 	}
 }
 
