Never take the target of a roll-out for the version in use

Cause: a starting instance reads the operators' topic and the registry by two calls. If the registry comes first, there is no order yet, and the version with most endpoints counts as the one in use, with equal numbers the first by name. ApplyOrder kept that version, and UpdateVersions left it alone while it had endpoints, so both sides of the roll-out were the target.

Evidence: the log of the version in use (commit before) shows "from" "" "to" v10 with {"v10":3,"v9":3} and no target, 3 to 9 ms before the order for v10, in each of three restarted instances.

The version in use is now derived from the order and the endpoints together, each time one of them changes, so the order of the reads does not matter. The same holds where a registry had lost all old endpoints for a moment, and where the next order comes before the state of the last one.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -59,7 +59,8 @@
 // Rollout is the roll-out state of one service. It is not safe for concurrent use.
 type Rollout struct {
 	settings       Settings
-	currentVersion string // version in use before the order; empty until endpoints are known
+	currentVersion string         // version in use before the order; empty until endpoints are known
+	endpoints      map[string]int // registered endpoints of each version
 	order          *activeOrder
 	state          routing.RolloutState
 	reason         string
@@ -92,6 +93,7 @@
 	}
 	r.state, r.reason, r.evidence = routing.RolloutRunning, "ordered", newEvidence()
 	r.traffic, r.canaryShare, r.shifted = trafficStats{since: now}, 0, false
+	r.updateCurrentVersion()
 	return true
 }
 
@@ -129,20 +131,32 @@
 	return true
 }
 
-// UpdateVersions updates the current version from the number of registered endpoints of each version.
+// UpdateVersions sets the number of registered endpoints of each version.
 func (r *Rollout) UpdateVersions(endpoints map[string]int) {
-	if r.order != nil && r.state == routing.RolloutCompleted && endpoints[r.order.target] > 0 {
-		r.currentVersion = r.order.target
+	r.endpoints = endpoints
+	r.updateCurrentVersion()
+}
+
+// updateCurrentVersion derives the version in use from the order and the registered endpoints. These are read from the store
+// separately, so a starting instance may know the endpoints first and count the target of the order as the version in use.
+func (r *Rollout) updateCurrentVersion() {
+	excluded := "" // the target, until it has replaced the version in use
+	if r.order != nil {
+		if r.state != routing.RolloutCompleted {
+			excluded = r.order.target
+		} else if r.endpoints[r.order.target] > 0 {
+			r.currentVersion = r.order.target
+		}
 	}
-	if endpoints[r.currentVersion] > 0 {
+	if r.endpoints[r.currentVersion] > 0 && r.currentVersion != excluded {
 		return
 	}
 	best := ""
-	for v, n := range endpoints {
-		if r.order != nil && v == r.order.target && r.state != routing.RolloutCompleted {
+	for v, n := range r.endpoints {
+		if v == excluded {
 			continue
 		}
-		if best == "" || n > endpoints[best] || n == endpoints[best] && v < best {
+		if best == "" || n > r.endpoints[best] || n == r.endpoints[best] && v < best {
 			best = v
 		}
 	}
--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -261,3 +261,69 @@
 		})
 	}
 }
+
+// TestVersionInUse guards against an instance that takes the target of a roll-out for the version in use because the records
+// of the store reach it in another order than they were written.
+func TestVersionInUse(t *testing.T) {
+	order := routing.RolloutOrder{Service: "s", Target: "v10", Duration: duration}
+	steps := map[string]func(r *Rollout, state routing.RolloutState, endpoints map[string]int){
+		"registry": func(r *Rollout, _ routing.RolloutState, endpoints map[string]int) { r.UpdateVersions(endpoints) },
+		"order":    func(r *Rollout, _ routing.RolloutState, _ map[string]int) { r.ApplyOrder(start, order, false) },
+		"state": func(r *Rollout, state routing.RolloutState, _ map[string]int) {
+			r.ApplyPublished(routing.RolloutStatus{Service: "s", Target: "v10", State: state})
+		},
+	}
+	sequences := [][]string{
+		{"registry", "order", "state"}, {"registry", "state", "order", "state"}, {"order", "registry", "state"},
+		{"order", "state", "registry"}, {"state", "order", "registry", "state"}, {"state", "registry", "order", "state"},
+	}
+	for name, c := range map[string]struct {
+		endpoints map[string]int
+		state     routing.RolloutState
+		want      string
+	}{
+		"running, as many endpoints of each": {map[string]int{"v9": 3, "v10": 3}, routing.RolloutRunning, "v9"},
+		"running, more of the target":        {map[string]int{"v9": 2, "v10": 3}, routing.RolloutRunning, "v9"},
+		"rolled back, more of the target":    {map[string]int{"v9": 2, "v10": 3}, routing.RolloutRolledBack, "v9"},
+		"completed, some old ones are left":  {map[string]int{"v9": 1, "v10": 3}, routing.RolloutCompleted, "v10"},
+		"completed":                          {map[string]int{"v10": 3}, routing.RolloutCompleted, "v10"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, sequence := range sequences {
+				r := New(DefaultSettings(exposure, slack))
+				for _, s := range sequence {
+					steps[s](r, c.state, c.endpoints)
+				}
+				r.SetStateRead()
+				if v := r.PickVersion(start.Add(time.Second), 0); v != c.want {
+					t.Errorf("%v: requests go to %q, want %q", sequence, v, c.want)
+				}
+			}
+		})
+	}
+}
+
+// TestVersionInUseReturns guards against an instance that keeps the target of a roll-out as the version in use after the
+// registry had lost all endpoints of the old version for a moment.
+func TestVersionInUseReturns(t *testing.T) {
+	r := New(DefaultSettings(exposure, slack))
+	r.UpdateVersions(map[string]int{"v2": 3})
+	r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, false)
+	r.SetStateRead()
+	r.UpdateVersions(map[string]int{"v1": 1, "v2": 3})
+	if v := r.PickVersion(start.Add(time.Second), 0); v != "v1" {
+		t.Errorf("requests go to %q, want v1", v)
+	}
+}
+
+// TestVersionInUseAfterNextOrder guards against a roll-out that begins from a version whose endpoints have stopped, because
+// the next order arrives before the state of the one before it.
+func TestVersionInUseAfterNextOrder(t *testing.T) {
+	r := newOrderedRollout()
+	r.UpdateVersions(map[string]int{"v2": 3, "v3": 3}) // the roll-out to v2 was completed
+	r.ApplyOrder(start.Add(duration), routing.RolloutOrder{Service: "s", Target: "v3", Duration: duration}, true)
+	r.SetStateRead()
+	if v := r.PickVersion(start.Add(duration+time.Second), 0); v != "v2" {
+		t.Errorf("requests go to %q, want v2", v)
+	}
+}
