Continue a stream only with the rest of that stream

With a body in the error, its text stood in the middle of the stream.

Cause: once the head had been sent to the client, sendRequest passed each signed response below 500 to forwardStream, whatever its status and content type. The end of an empty 404 then ended the client's stream as complete.

A response continues a stream only if it is an event stream with the status that the client already has. Anything else counts as a failure of that endpoint: the request goes on elsewhere, or the client's connection is cut so that the stream looks broken off. The log of the attempt says "not resumed (404)".

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -101,7 +101,11 @@
 	case response.Status >= http.StatusInternalServerError:
 		x.mayHaveRun = true
 		return a.handleServerError()
-	case x.headSent || a.isStream():
+	case x.headSent && (!a.isStream() || response.Status != x.status):
+		x.mayHaveRun = true
+		next, _ := a.rejectResponse(fmt.Errorf("status %d and content type %q instead of the rest of the stream", response.Status, response.Header.Get("Content-Type")))
+		return next, fmt.Sprintf("not resumed (%d)", response.Status)
+	case a.isStream():
 		x.mayHaveRun = true
 		return a.forwardStream()
 	}
