Treat lines that form no event as a broken stream

Cause: the reader of event streams passed on each block of lines up to an empty one, whatever it held. An endpoint that answers a resumed request with an event stream and then writes its error into it, or writes a second head into a body without chunks, had these bytes forwarded; if its connection then ended, the stream looked complete.

A line of an event has a field name of letters, digits, "-" and "_", or is a comment, and a block without a standard field is no event. The reader now fails there, so the stream counts as broken off: it is resumed at another endpoint or cut. Fields of the engines besides the standard ones still pass.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -10,6 +10,9 @@
 
 const maxEventBytes = 1 << 20
 
+// errNotAnEvent states that a stream holds something else than events, such as the text or the head of an error.
+var errNotAnEvent = errors.New("not an event")
+
 // Event is one server-sent event as received, including the blank line that ends it.
 type Event struct {
 	Bytes   []byte // valid until the next call of Next
@@ -29,10 +32,11 @@
 	return &EventReader{reader: bufio.NewReaderSize(r, readBufferSize), reserve: reserve}
 }
 
-// Next returns the next event, or io.EOF if the stream ends after a complete event.
+// Next returns the next event, or io.EOF if the stream ends after a complete event. It fails at lines that form no event.
 func (e *EventReader) Next() (Event, error) {
 	e.buffer = e.buffer[:0]
 	var out Event
+	standard := false // a line has a field that the format defines
 	for {
 		start := len(e.buffer)
 		if err := e.readLine(); err != nil {
@@ -42,15 +46,43 @@
 			return Event{}, err
 		}
 		l := bytes.TrimRight(e.buffer[start:], "\r\n")
+		if len(l) == 0 {
+			if start > 0 && !standard {
+				return Event{}, errNotAnEvent
+			}
+			out.Bytes = e.buffer
+			return out, nil
+		}
+		name, _, _ := bytes.Cut(l, []byte(":"))
+		if !isFieldName(name) {
+			return Event{}, errNotAnEvent
+		}
+		standard = standard || isStandardField(name)
 		if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
 			out.ID = string(bytes.TrimSpace(v))
 		}
 		out.HasData = out.HasData || out.ID != "" || bytes.HasPrefix(l, []byte("data:"))
-		if len(l) == 0 {
-			out.Bytes = e.buffer
-			return out, nil
+	}
+}
+
+// isFieldName reports whether a name consists of letters, digits, "-" and "_". A comment has an empty name.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if c != '-' && c != '_' && (c < '0' || c > '9') && (c < 'A' || c > 'Z') && (c < 'a' || c > 'z') {
+			return false
 		}
 	}
+	return true
+}
+
+// isStandardField reports whether the format of event streams defines a field or, for an empty name, a comment. An event may
+// have other fields besides.
+func isStandardField(name []byte) bool {
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
 }
 
 // readLine appends a line and its line break to the buffer.
