Hand on records whose key is no text

What operators could see (found while looking for the report of odd registry entries): one record with a key that is not UTF-8, in any shared topic, and all instances that follow a seed lose it for good. Each then reads the store itself, which multiplies the calls to the store by the number of instances.

Cause: the key was a protobuf string.

The key is a bytes field now, which has the same encoding on the wire.

--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -12,7 +12,7 @@
 // FuzzMessage guards against messages from another instance that crash this one.
 func FuzzMessage(f *testing.F) {
 	for _, m := range []proto.Message{
-		&relaypb.Batch{Topic: 0, Next: 3, Full: true, Records: []*relaypb.Record{{Key: "k", Value: []byte("v"), Offset: 2}}},
+		&relaypb.Batch{Topic: 0, Next: 3, Full: true, Records: []*relaypb.Record{{Key: []byte("k"), Value: []byte("v"), Offset: 2}}},
 		&relaypb.Batch{From: 9, Next: 3, AgeMicroseconds: -5},
 		&relaypb.Loads{Endpoints: []uint32{1, 2}, Requests: []uint32{3}, PrefillMilliseconds: []uint32{4, 5}},
 	} {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,7 +141,7 @@
 	}
 	m.Next = b.NextOffset
 	for _, r := range b.Records {
-		m.Records = append(m.Records, &relaypb.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		m.Records = append(m.Records, &relaypb.Record{Key: []byte(r.Key), Value: r.Value, Offset: r.Offset})
 	}
 	return m
 }
@@ -262,7 +262,7 @@
 func (h *Hub) mergeBatch(m *relaypb.Batch) bool {
 	b := changefeed.Batch{NextOffset: m.GetNext()}
 	for _, r := range m.GetRecords() {
-		b.Records = append(b.Records, changefeed.Record{Key: r.GetKey(), Value: r.GetValue(), Offset: r.GetOffset()})
+		b.Records = append(b.Records, changefeed.Record{Key: string(r.GetKey()), Value: r.GetValue(), Offset: r.GetOffset()})
 	}
 	lastSuccess := time.Now().Add(-time.Duration(m.GetAgeMicroseconds()) * time.Microsecond)
 	t := h.topics[m.GetTopic()]
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -296,3 +296,34 @@
 		t.Errorf("four reads within %v", d)
 	}
 }
+
+// TestKeyNotText guards against followers that lose the records of a seed because another program has written a key that is
+// no text into a topic.
+func TestKeyNotText(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("records", func(t *testing.T) {
+		store := newFakeStore()
+		store.add("a")
+		_, others := startInstances(t, store, 1)
+		follower := others[0]
+		await := func(key string) {
+			t.Helper()
+			for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				if _, ok := follower.firstSeen(key); ok {
+					return
+				}
+			}
+			t.Fatalf("the follower has not received the key %q", key)
+		}
+		await("a")
+		before := follower.client.count()
+		store.add("\xff\xfe")
+		await("\xff\xfe")
+		store.add("b")
+		await("b")
+		time.Sleep(2 * freshTime)
+		if n := follower.client.count(); n != before {
+			t.Errorf("the follower called the store %d times", n-before)
+		}
+	})
+}
