Heed what endpoints say of stops and pauses in their responses

An endpoint that leaves says so in all its responses (DRAIN: no request more than drainMs later from the machine that passed one on), and one that refuses with 503 may state for how long it wants nothing (BUDGET: two requests at most in that time). Both headers were ignored: only the registry decided who leaves, and an endpoint that refused got the next request at once.

An endpoint that announces its stop gets no further request until a new process registers under its identifier; a 421 does not count, as it comes from another process at the address. One that states a time in a 503 gets none until then, also if it is the only one: clients are refused at once, and Retry-After covers the pause. The log says "leaving" and "paused".

TestUnwillingEndpoints covers the choice.

--- a/internal/core/attributes/attributes.go
+++ b/internal/core/attributes/attributes.go
@@ -52,6 +52,9 @@
 	UnrequestedEncoding bool // the body has a content encoding, although none was requested
 	IdleTimeout         time.Duration
 	CloseConnection     bool // the endpoint closes the connection after this response
+	Leaving             bool // the endpoint is about to stop
+	// RetryAfter is how long an endpoint that refuses a request wants no further ones from this instance; 0 if not stated.
+	RetryAfter time.Duration
 }
 
 // NoConfidence is the confidence of an answer without a rating.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -127,7 +127,7 @@
 	cache := t.estimateCache(now, r, m)
 	for i, e := range t.services[r.Service] {
 		s := t.states[e.ID]
-		if !t.eligible(r, e) || s.ejected(now) || !cache.isCandidate(i) {
+		if !t.eligible(now, r, e) || s.ejected(now) || !cache.isCandidate(i) {
 			continue
 		}
 		c := t.estimate(now, e, s, m, cache.uncached(i))
@@ -142,8 +142,10 @@
 	return best, true
 }
 
-func (t *Table) eligible(r Request, e routing.Endpoint) bool {
-	return !r.ExcludedEndpoints[e.ID] && (r.Version == "" || e.Version == r.Version)
+// eligible reports whether an endpoint may get the request. An ejected one may if there is no other; one that has asked for no
+// requests may not.
+func (t *Table) eligible(now time.Time, r Request, e routing.Endpoint) bool {
+	return t.states[e.ID].acceptsWork(now) && !r.ExcludedEndpoints[e.ID] && (r.Version == "" || e.Version == r.Version)
 }
 
 // fallback chooses the eligible endpoint whose ejection ends first. A request that must run at most once gets none if
@@ -151,7 +153,7 @@
 func (t *Table) fallback(now time.Time, r Request, m *latencyModel) (Choice, bool) {
 	var best *routing.Endpoint
 	for i, e := range t.services[r.Service] {
-		if !t.eligible(r, e) {
+		if !t.eligible(now, r, e) {
 			continue
 		}
 		if best == nil || t.states[e.ID].ejectedUntil.Before(t.states[best.ID].ejectedUntil) {
@@ -268,24 +270,53 @@
 	}
 }
 
-// TimeToCapacity estimates the time until a service can take a request: until the first ejection ends or the shortest
-// prefill queue is empty, whichever is earlier. It returns 0 for a service without endpoints.
+// TimeToCapacity estimates the time until a service can take a request: until the first ejection or pause ends or the
+// shortest prefill queue is empty, whichever is earlier. It returns 0 for a service without endpoints.
 func (t *Table) TimeToCapacity(now time.Time, service string) time.Duration {
 	if len(t.services[service]) == 0 {
 		return 0
 	}
-	shortest := t.settings.EjectMax
+	shortest, found := t.settings.EjectMax, false
 	for _, e := range t.services[service] {
 		s := t.states[e.ID]
+		if s.leaving {
+			continue
+		}
 		d := time.Duration(s.prefillQueue(now) * float64(time.Millisecond))
 		if s.ejected(now) {
 			d = s.ejectedUntil.Sub(now)
 		}
-		shortest = min(shortest, d)
+		d = max(min(d, t.settings.EjectMax), s.pausedUntil.Sub(now))
+		if !found || d < shortest {
+			shortest, found = d, true
+		}
 	}
 	return shortest
 }
 
+// MarkLeaving records that an endpoint has announced its stop and reports whether that is news. It gets no further request.
+func (t *Table) MarkLeaving(id string) bool {
+	s := t.states[id]
+	if s == nil || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// Pause records that an endpoint has asked for no requests for the given time, and reports whether it had not asked before.
+func (t *Table) Pause(now time.Time, id string, d time.Duration) bool {
+	s := t.states[id]
+	if s == nil {
+		return false
+	}
+	first := s.acceptsWork(now)
+	if end := now.Add(d); end.After(s.pausedUntil) {
+		s.pausedUntil = end
+	}
+	return first
+}
+
 // Eject ejects an endpoint that refused a connection or stopped responding, and returns the time until it may get
 // requests again.
 func (t *Table) Eject(now time.Time, id string) time.Duration {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -33,6 +33,61 @@
 	}
 }
 
+// TestUnwillingEndpoints guards against a request to an endpoint that has announced its stop or asked for no requests, also if
+// it is the only one that is not ejected, and against a time to capacity that ends before its pause does.
+func TestUnwillingEndpoints(t *testing.T) {
+	const pause = 90 * time.Second
+	for name, ejected := range map[string]bool{"others accept work": false, "others are ejected": true} {
+		t.Run(name, func(t *testing.T) {
+			table := New(DefaultSettings("a"))
+			l := newEndpoints(4, "a")
+			table.SetEndpoints(l)
+			leaving, paused, others := l[service][0].ID, l[service][1].ID, l[service][2:]
+			if !table.MarkLeaving(leaving) || table.MarkLeaving(leaving) || !table.Pause(start, paused, pause) || table.Pause(start, paused, pause/2) {
+				t.Error("wrong report of a change")
+			}
+			if ejected {
+				for _, e := range others {
+					table.Eject(start, e.ID)
+				}
+			}
+			chosen := func(now time.Time) map[string]bool {
+				out := map[string]bool{}
+				for i := range 40 {
+					table.SetEndpoints(l) // as after an update of the registry
+					if c, ok := table.Choose(now, promptRequest(i)); ok {
+						table.RecordSend(now, promptRequest(i), c)
+						out[c.Endpoint.ID] = true
+					}
+				}
+				return out
+			}
+			if c := chosen(start.Add(pause - time.Millisecond)); c[leaving] || c[paused] || len(c) == 0 {
+				t.Errorf("chosen in the pause: %v", c)
+			}
+			if c := chosen(start.Add(pause)); c[leaving] || !c[paused] {
+				t.Errorf("chosen after the pause: %v", c)
+			}
+			l[service][0].StartedAtMS++ // a new process
+			table.SetEndpoints(l)
+			if c := chosen(start.Add(pause)); !c[leaving] {
+				t.Errorf("chosen after a new start: %v", c)
+			}
+		})
+	}
+	table := New(DefaultSettings("a"))
+	l := newEndpoints(2, "a")
+	table.SetEndpoints(l)
+	table.MarkLeaving(l[service][0].ID)
+	table.Pause(start, l[service][1].ID, pause)
+	if _, ok := table.Choose(start, promptRequest(0)); ok {
+		t.Error("an unwilling endpoint is chosen")
+	}
+	if d := table.TimeToCapacity(start, service); d != pause {
+		t.Errorf("time to capacity %v, want %v", d, pause)
+	}
+}
+
 // TestSharedPrompt guards against a prompt that is read at many endpoints because each instance sends it to a different
 // one, as in a large fleet whose instances rarely get the same prompt.
 func TestSharedPrompt(t *testing.T) {
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -36,7 +36,9 @@
 	failures, outcomes float64 // exponentially decayed counts
 	decayedAt          time.Time
 	ejectedUntil       time.Time
-	ejections          int // ejections since the last success
+	ejections          int       // ejections since the last success
+	leaving            bool      // the endpoint has announced its stop
+	pausedUntil        time.Time // the endpoint has asked for no requests before then
 
 	prefixes map[uint64]time.Time // time of the last use, by prefix hash
 }
@@ -47,6 +49,9 @@
 
 func (s *state) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
+// acceptsWork reports whether the endpoint has not asked to get no requests.
+func (s *state) acceptsWork(now time.Time) bool { return !s.leaving && !now.Before(s.pausedUntil) }
+
 // running estimates the number of requests at the endpoint. It adds the loads of the other instances to the local
 // requests; without recent loads it derives them from the endpoint's last report, with a weight that falls with its age.
 func (s *state) running(now time.Time, reportTTL time.Duration) float64 {
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -75,6 +75,7 @@
 	}
 	a.response = response
 	a.attributes = x.handler.options.Protocol.DecodeResponse(response.Status, response.Header)
+	a.recordEndpointState()
 	x.attempts++
 	x.handler.balancer.recordFirstByte(time.Now(), a.inFlight, a.attributes.Load)
 	if !a.attributes.NotExecuted {
@@ -113,6 +114,20 @@
 	return a.forwardBuffered()
 }
 
+// recordEndpointState records what the endpoint says of itself in its response.
+func (a *attempt) recordEndpointState() {
+	x, id := a.exchange, a.choice.Endpoint.ID
+	if a.response.Status == http.StatusMisdirectedRequest {
+		return // another endpoint has taken over the address
+	}
+	if a.attributes.Leaving && x.handler.balancer.markLeaving(id) {
+		x.handler.log.logEndpointState(id, "leaving", 0, nil)
+	}
+	if d := a.attributes.RetryAfter; d > 0 && x.handler.balancer.pause(time.Now(), id, d) {
+		x.handler.log.logEndpointState(id, "paused", d, nil)
+	}
+}
+
 // impliesNotExecuted reports whether clients conclude from a status that the request has not run.
 func impliesNotExecuted(status int) bool {
 	switch status {
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -242,6 +242,20 @@
 	return b.table.Eject(now, id)
 }
 
+// markLeaving records that an endpoint has announced its stop and reports whether that is news.
+func (b *balancer) markLeaving(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.MarkLeaving(id)
+}
+
+// pause records that an endpoint has asked for no requests for the given time, and reports whether it had not asked before.
+func (b *balancer) pause(now time.Time, id string, d time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Pause(now, id, d)
+}
+
 // recordSlowness records the time to the first byte over the expected time. It returns the reason if that stopped a
 // roll-out.
 func (b *balancer) recordSlowness(e routing.Endpoint, route string, slowness float64) string {
