Roll back versions that fail rarely

Cause: the tests compare a failure rate of 5 % or more with one of 35 % or more and forget answers after seconds, so below a rate of about 16 % their sums drift down. The answers of the old version are only a lower bound for the good rate there.

Evidence: the sums that the log now shows.

All answers of both versions since the first share of the requests are now summed over the instances, like the other counts, and compared in a sequential test whose good rate follows the old version's. Counting starts with the first share so that both versions meet the same disturbances.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -261,6 +261,9 @@
 	if r.order == nil || r.state != routing.RolloutRunning {
 		return false
 	}
+	if r.progress(now) >= r.settings.CanaryStart {
+		r.evidence.totals.countTotal(version == r.order.target, failed) // earlier answers had other conditions
+	}
 	if version != r.order.target {
 		r.evidence.baseline.addOutcome(failed)
 		return false
--- a/internal/core/canary/evidence.go
+++ b/internal/core/canary/evidence.go
@@ -38,6 +38,7 @@
 	slowBaseline tally                          // streams of the old version; a slow one counts as failed
 	recent       map[failureMode]*decayingCount // decaying counts of the new version's answers, for EvaluatePooled
 	paces        *paceEvidence
+	totals       Totals // this instance's answers
 }
 
 // gapStats sums the logarithms of the gaps of one kind of stream on the old version. The gap of a stream is the mean time
--- a/internal/core/canary/pool.go
+++ b/internal/core/canary/pool.go
@@ -94,6 +94,11 @@
 			out[m.key(service, r.order.target)] = s
 		}
 	}
+	for k, c := range map[totalKey]AnswerCounts{oldTotalKey: r.evidence.totals.Old, targetTotalKey: r.evidence.totals.Target} {
+		if c.Answers > 0 {
+			out[k.key(service, r.order.target)] = c
+		}
+	}
 	return out
 }
 
@@ -115,11 +120,18 @@
 			return r.rollBack(reason + " at all instances together")
 		}
 	}
+	if r.Totals(service, others).logLikelihoodRatio() >= rareRollbackThreshold {
+		return r.rollBack("rare failures at all instances together")
+	}
 	return false
 }
 
 // logLikelihoodRatio compares the hypothesis of a bad version with that of a good one, whose answers are bad at goodRate.
 func (s AnswerCounts) logLikelihoodRatio(goodRate float64) float64 {
-	badRate := max(minBadRate, min(2*goodRate, 0.9))
+	return s.likelihoodRatio(goodRate, max(minBadRate, min(2*goodRate, 0.9)))
+}
+
+// likelihoodRatio returns the log-likelihood ratio of two rates of bad answers.
+func (s AnswerCounts) likelihoodRatio(goodRate, badRate float64) float64 {
 	return s.Bad*math.Log(badRate/goodRate) + (s.Answers-s.Bad)*math.Log((1-badRate)/(1-goodRate))
 }
--- a/internal/core/canary/pool_test.go
+++ b/internal/core/canary/pool_test.go
@@ -10,9 +10,10 @@
 )
 
 // simulateInstances runs a roll-out on several instances that exchange their counts ten times a second if pooled is set.
-// The function answer returns whether an answer of the new version fails and its relative gap. The results are the
+// A share oldFailures of the old version's answers fail. The function answer returns whether an answer of the new version fails
+// and its relative gap. The results are the
 // number of bad answers before the first instance rolls the version back, and the reason for that.
-func simulateInstances(instances, rate int, seed uint64, pooled bool, answer func(g *rand.Rand, route string) (failed bool, gap float64)) (badAnswers int, reason string) {
+func simulateInstances(instances, rate int, seed uint64, pooled bool, oldFailures float64, answer func(g *rand.Rand, route string) (failed bool, gap float64)) (badAnswers int, reason string) {
 	const exchangeInterval = 100 * time.Millisecond
 	g := rand.New(rand.NewPCG(seed, 9))
 	settings := DefaultSettings(0.0975, 0.2)
@@ -44,7 +45,7 @@
 		}
 		r, route := l[g.IntN(instances)], []string{"a", "b", "c"}[g.IntN(3)]
 		v := r.PickVersion(now, g.Float64())
-		failed, gap := g.Float64() < 0.01, 1.0
+		failed, gap := g.Float64() < oldFailures, 1.0
 		if v == "v2" {
 			failed, gap = answer(g, route)
 			if failed || gap > 2 {
@@ -92,7 +93,7 @@
 	for name, answer := range versions {
 		for _, instances := range []int{6, 78, 195, 770} {
 			t.Run(fmt.Sprint(name, ", ", instances), func(t *testing.T) {
-				n, reason := simulateInstances(instances, 120+3*instances, uint64(instances), true, answer)
+				n, reason := simulateInstances(instances, 120+3*instances, uint64(instances), true, 0.01, answer)
 				if reason == "" || n > 50 {
 					t.Errorf("%d bad answers, stopped: %q", n, reason)
 				}
@@ -105,7 +106,7 @@
 func TestPooledEvidenceOfGoodVersion(t *testing.T) {
 	for _, instances := range []int{6, 195} {
 		for seed := range uint64(10) {
-			n, reason := simulateInstances(instances, 120+3*instances, seed, true, func(g *rand.Rand, _ string) (bool, float64) {
+			n, reason := simulateInstances(instances, 120+3*instances, seed, true, 0.01, func(g *rand.Rand, _ string) (bool, float64) {
 				return g.Float64() < 0.02, 1
 			})
 			if reason != "" {
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -192,7 +192,8 @@
 	if p := r.PaceSummary(now, service); p.Answers > 0 {
 		b.logPacesAt = now.Add(paceLogInterval)
 		target, _, _ := r.Status()
-		b.options.Logger.Info("roll-out: Paces.", zap.String("service", service), zap.String("version", target), zap.Stringer("paces", p))
+		b.options.Logger.Info("roll-out: Paces.", zap.String("service", service), zap.String("version", target), zap.Stringer("paces", p),
+			zap.Stringer("answers", r.Totals(service, b.recentPeerCounts(now))))
 	}
 }
 
