Keep waiting for a slow endpoint when a new configuration drops the route

Cause: a silent send is given up only when another one is certain. That check looked at endpoints and the retry budget, but not at the configuration: one that has come since the request was matched may have no route for it, or lack its key, and then no further send is made.

The check now asks the newest configuration whether it allows another attempt. Matching a request is a function without effects for that.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -151,26 +151,39 @@
 // matchRoute applies a configuration to the request: it sets the route, the organisation and the priority, and checks the
 // API key and the size of the header.
 func (x *exchange) matchRoute(config *routing.Configuration) *localError {
-	path, _, _ := strings.Cut(requestTarget(x.r), "?")
-	x.route = config.MatchRoute(x.r.Host, path)
-	if x.route == nil {
-		return newLocalError(http.StatusNotFound, "no route", nil)
+	route, org, localErr := x.findRoute(config)
+	x.route = route
+	if route == nil {
+		return localErr
 	}
-	x.organisation, x.priority = "", x.route.Priority
-	if !x.route.Public && config.RequiresKeys() {
-		org := config.OrganisationByKey(x.request.APIKey)
-		if org == nil {
-			return newLocalError(http.StatusUnauthorized, "unknown key", nil)
-		}
+	x.organisation, x.priority = "", route.Priority
+	if org != nil {
 		x.organisation = org.Name
 		if org.Priority != nil {
 			x.priority = *org.Priority
 		}
 	}
+	return localErr
+}
+
+// findRoute returns the route and, unless the route is public, the organisation of the request in a configuration. It returns
+// an error if the configuration does not allow the request.
+func (x *exchange) findRoute(config *routing.Configuration) (*routing.Route, *routing.Organisation, *localError) {
+	path, _, _ := strings.Cut(requestTarget(x.r), "?")
+	route := config.MatchRoute(x.r.Host, path)
+	if route == nil {
+		return nil, nil, newLocalError(http.StatusNotFound, "no route", nil)
+	}
+	var org *routing.Organisation
+	if !route.Public && config.RequiresKeys() {
+		if org = config.OrganisationByKey(x.request.APIKey); org == nil {
+			return route, nil, newLocalError(http.StatusUnauthorized, "unknown key", nil)
+		}
+	}
 	if n := headerSize(x.r.Header); config.Limits.HeaderBytes > 0 && n > config.Limits.HeaderBytes {
-		return newLocalError(http.StatusRequestHeaderFieldsTooLarge, "header too large", nil)
+		return route, org, newLocalError(http.StatusRequestHeaderFieldsTooLarge, "header too large", nil)
 	}
-	return nil
+	return route, org, nil
 }
 
 // readBody reads the body of the client's request.
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -46,10 +46,13 @@
 	return d
 }
 
-// reserveRetry reports whether another endpoint can take the request, and charges the retry if so. It keeps the given
-// share of the retry budget untouched.
+// reserveRetry reports whether the newest configuration allows the request to be sent again and another endpoint can take it,
+// and charges the retry if so. It keeps the given share of the retry budget untouched.
 func (a *attempt) reserveRetry(reserve float64) bool {
 	x, now := a.exchange, time.Now()
+	if !a.nextAllowed() {
+		return false
+	}
 	q := x.placementRequest()
 	q.ExcludedEndpoints = maps.Clone(x.excludedEndpoints)
 	q.ExcludedEndpoints[a.choice.Endpoint.ID] = true
@@ -60,6 +63,21 @@
 	return true
 }
 
+// nextAllowed reports whether the newest configuration allows another attempt after this one.
+func (a *attempt) nextAllowed() bool {
+	x := a.exchange
+	latest := x.handler.snapshot.Load().configuration
+	if x.headSent || latest == x.snapshot.configuration {
+		return true
+	}
+	attempts := x.attempts
+	if a.response == nil {
+		attempts++ // this attempt is not counted yet
+	}
+	route, _, localErr := x.findRoute(latest)
+	return localErr == nil && attempts < route.MaxAttempts
+}
+
 // watchFirstByte moves a repeatable request to another endpoint if this one does not begin to respond in time. The
 // returned function stops the timer.
 func (a *attempt) watchFirstByte() func() {
