Remember announced stops and pauses across a lapsed registration

Cause: what an endpoint had asked for was dropped with its registration. While the store is away an endpoint that leaves can't say so there; its entry expires, and comes back as ready with the store, so it would have got requests again.

The table keeps the state of such endpoints until they register a new process, or for five minutes. TestUnwillingEndpointReturns failed before (requests to both endpoints); it also bounds the number of states kept.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -102,8 +102,9 @@
 		}
 	}
 	for id, s := range t.states {
-		// An endpoint that has left keeps its state until its last request has ended.
-		if states[id] == nil && s.localRequests > 0 {
+		// An endpoint that has left keeps its state until its last request has ended. What it has asked for holds if its
+		// registration comes back.
+		if states[id] == nil && (s.localRequests > 0 || s.leaving || !s.pausedUntil.IsZero()) {
 			states[id] = s
 		}
 	}
@@ -295,12 +296,13 @@
 }
 
 // MarkLeaving records that an endpoint has announced its stop and reports whether that is news. It gets no further request.
-func (t *Table) MarkLeaving(id string) bool {
+func (t *Table) MarkLeaving(now time.Time, id string) bool {
 	s := t.states[id]
 	if s == nil || s.leaving {
 		return false
 	}
-	s.leaving = true
+	t.forgetUnwilling(now)
+	s.leaving, s.askedAt, s.prefixes = true, now, map[uint64]time.Time{}
 	return true
 }
 
@@ -311,12 +313,35 @@
 		return false
 	}
 	first := s.acceptsWork(now)
+	if first {
+		t.forgetUnwilling(now)
+	}
 	if end := now.Add(d); end.After(s.pausedUntil) {
 		s.pausedUntil = end
 	}
+	s.askedAt = now
 	return first
 }
 
+// unwillingRetention is how long an endpoint without a registration is remembered for what it has asked for. Registrations
+// come back within seconds of an outage.
+const unwillingRetention = 5 * time.Minute
+
+// forgetUnwilling drops the states of endpoints that have left, have no request in progress and asked long ago.
+func (t *Table) forgetUnwilling(now time.Time) {
+	registered := map[string]bool{}
+	for _, l := range t.services {
+		for _, e := range l {
+			registered[e.ID] = true
+		}
+	}
+	for id, s := range t.states {
+		if !registered[id] && s.localRequests <= 0 && now.Sub(s.askedAt) >= unwillingRetention && !now.Before(s.pausedUntil) {
+			delete(t.states, id)
+		}
+	}
+}
+
 // Eject ejects an endpoint that refused a connection or stopped responding, and returns the time until it may get
 // requests again.
 func (t *Table) Eject(now time.Time, id string) time.Duration {
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -43,7 +43,7 @@
 			l := newEndpoints(4, "a")
 			table.SetEndpoints(l)
 			leaving, paused, others := l[service][0].ID, l[service][1].ID, l[service][2:]
-			if !table.MarkLeaving(leaving) || table.MarkLeaving(leaving) || !table.Pause(start, paused, pause) || table.Pause(start, paused, pause/2) {
+			if !table.MarkLeaving(start, leaving) || table.MarkLeaving(start, leaving) || !table.Pause(start, paused, pause) || table.Pause(start, paused, pause/2) {
 				t.Error("wrong report of a change")
 			}
 			if ejected {
@@ -78,7 +78,7 @@
 	table := New(DefaultSettings("a"))
 	l := newEndpoints(2, "a")
 	table.SetEndpoints(l)
-	table.MarkLeaving(l[service][0].ID)
+	table.MarkLeaving(start, l[service][0].ID)
 	table.Pause(start, l[service][1].ID, pause)
 	if _, ok := table.Choose(start, promptRequest(0)); ok {
 		t.Error("an unwilling endpoint is chosen")
@@ -88,6 +88,37 @@
 	}
 }
 
+// TestUnwillingEndpointReturns guards against a request to an endpoint that has announced its stop or asked for no requests and
+// whose registration expires and comes back, as after an outage of the store, and against a table that keeps such
+// endpoints for ever.
+func TestUnwillingEndpointReturns(t *testing.T) {
+	table := New(DefaultSettings("a"))
+	l := newEndpoints(3, "a")
+	table.SetEndpoints(l)
+	table.MarkLeaving(start, l[service][0].ID)
+	table.Pause(start, l[service][1].ID, time.Minute)
+	table.SetEndpoints(map[string][]routing.Endpoint{service: l[service][2:]})
+	table.SetEndpoints(l)
+	for i := range 40 {
+		if c, ok := table.Choose(start.Add(time.Second), promptRequest(i)); !ok || c.Endpoint.ID != l[service][2].ID {
+			t.Errorf("request %d goes to %q", i, c.Endpoint.ID)
+		}
+	}
+	for i := range 100 {
+		many := newEndpoints(20, "a")
+		for k := range many[service] {
+			many[service][k].ID += fmt.Sprint(" of round ", i)
+		}
+		table.SetEndpoints(many)
+		for _, e := range many[service] {
+			table.MarkLeaving(start.Add(time.Duration(i)*time.Minute), e.ID)
+		}
+	}
+	if n := len(table.states); n > 20*10 {
+		t.Errorf("%d states of endpoints that have left", n)
+	}
+}
+
 // TestSharedPrompt guards against a prompt that is read at many endpoints because each instance sends it to a different
 // one, as in a large fleet whose instances rarely get the same prompt.
 func TestSharedPrompt(t *testing.T) {
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -39,6 +39,7 @@
 	ejections          int       // ejections since the last success
 	leaving            bool      // the endpoint has announced its stop
 	pausedUntil        time.Time // the endpoint has asked for no requests before then
+	askedAt            time.Time // when it last asked for one of the two
 
 	prefixes map[uint64]time.Time // time of the last use, by prefix hash
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -116,14 +116,14 @@
 
 // recordEndpointState records what the endpoint says of itself in its response.
 func (a *attempt) recordEndpointState() {
-	x, id := a.exchange, a.choice.Endpoint.ID
+	x, id, now := a.exchange, a.choice.Endpoint.ID, time.Now()
 	if a.response.Status == http.StatusMisdirectedRequest {
 		return // another endpoint has taken over the address
 	}
-	if a.attributes.Leaving && x.handler.balancer.markLeaving(id) {
+	if a.attributes.Leaving && x.handler.balancer.markLeaving(now, id) {
 		x.handler.log.logEndpointState(id, "leaving", 0, nil)
 	}
-	if d := a.attributes.RetryAfter; d > 0 && x.handler.balancer.pause(time.Now(), id, d) {
+	if d := a.attributes.RetryAfter; d > 0 && x.handler.balancer.pause(now, id, d) {
 		x.handler.log.logEndpointState(id, "paused", d, nil)
 	}
 }
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -244,10 +244,10 @@
 }
 
 // markLeaving records that an endpoint has announced its stop and reports whether that is news.
-func (b *balancer) markLeaving(id string) bool {
+func (b *balancer) markLeaving(now time.Time, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.table.MarkLeaving(id)
+	return b.table.MarkLeaving(now, id)
 }
 
 // pause records that an endpoint has asked for no requests for the given time, and reports whether it had not asked before.
