--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -274,8 +274,12 @@
 		},
 	}
 	sequences := [][]string{
-		{"registry", "order", "state"}, {"registry", "state", "order", "state"}, {"order", "registry", "state"},
-		{"order", "state", "registry"}, {"state", "order", "registry", "state"}, {"state", "registry", "order", "state"},
+		{"registry", "order", "state"},
+		{"registry", "state", "order", "state"},
+		{"order", "registry", "state"},
+		{"order", "state", "registry"},
+		{"state", "order", "registry", "state"},
+		{"state", "registry", "order", "state"},
 	}
 	for name, c := range map[string]struct {
 		endpoints map[string]int
