Do not take an error in an event for the rest of a stream

An endpoint that resumes may answer with status 200, an event stream and "event: error", which passes the other two checks.

Events of streams that can be resumed have identifiers. If those delivered so far have them, the rest now has to begin with an event that has one; otherwise the request goes on at another endpoint or the stream is cut. Only the first event is checked, so that streams may still end with a marker of their own.

--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -30,6 +30,7 @@
 		return stepRetry, "confidence " + strconv.Itoa(a.attributes.Confidence)
 	}
 	events := forward.NewEventReader(a.response.Body, x.responseMemory.Grow)
+	resumed := x.headSent && x.request.LastEventID != ""
 	extendWait := a.watchEvents()
 	if err := extendWait(time.Now()); err != nil {
 		return a.handleBrokenStream(err)
@@ -71,6 +72,8 @@
 			return a.rejectResponse(errEndlessStream)
 		case !x.isNewEvent(event.ID):
 			return a.rejectResponse(errRepeatedEvent)
+		case resumed && a.dataEvents == 1 && event.HasData && event.ID == "":
+			return a.rejectResponse(errNoEventID)
 		}
 		if err := x.writeEvent(a, event, events.Buffered()); err != nil {
 			x.recordError(err)
@@ -91,6 +94,9 @@
 	errEndlessStream = errors.New("stream does not end")
 	errEndedEarly    = errors.New("connection closed before the first byte of the body")
 	errRepeatedEvent = errors.New("event was already delivered to the client")
+	// errNoEventID states that the rest of a stream whose events have identifiers begins with one that has none, such as an
+	// error of the endpoint.
+	errNoEventID = errors.New("rest of the stream begins with an event without an identifier")
 )
 
 // isNewEvent reports whether an event follows the last one that the client has. Identifiers that are not numbers count as
