Drop replies that name another request in the callers' API

An endpoint sends a reply once more, late; net/http's connection pool takes it as the reply to the next request on that connection.

Cause: chats and repeatable calls use pooled connections, and nothing tied a reply to its request. Orders always had a connection of their own and are not affected.

A reply that names another request in Cassiaspoke-Request is an error now, and the request goes on elsewhere. Endpoints that do not repeat the header can't be checked; the stand-ins do repeat it. In TestRepeatedReply each second call and chat received the reply to the one before; now it gets an error.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -35,6 +35,7 @@
 	engine.ErrWrongVersion:   endpoint.FailWrongVersion,
 	engine.ErrStatus:         endpoint.FailErrorStatus,
 	engine.ErrTruncated:      endpoint.FailErrorStatus,
+	engine.ErrWrongReply:     endpoint.FailErrorStatus,
 }
 
 // runUntilComplete tries endpoints until the answer is complete, the retry budget is exhausted or an error occurs that is
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -114,6 +114,9 @@
 		return Result{}, w.classify("stream", err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := checkOwner("stream", res, id); err != nil {
+		return Result{}, err
+	}
 	s := streamReader{version: q.Model, onText: onText, watchdog: w, progress: c.s.ProgressTimeout, start: start}
 	s.result.Report = parseReport(res.Header)
 	c.s.Propagator.ExtractHeader(res.Header)
@@ -272,6 +275,15 @@
 	return bytes.TrimRight(long, "\r\n"), nil
 }
 
+// checkOwner returns an error if a reply names another request. An endpoint may send a reply once more, and on a pooled connection
+// the next request would receive it. Endpoints that do not repeat the identifier can't be checked.
+func checkOwner(op string, res *http.Response, id string) error {
+	if got := res.Header.Get(HeaderRequestID); got != "" && got != id {
+		return &Error{Op: op, Kind: ErrWrongReply, Err: fmt.Errorf("reply to request %.64q", got)}
+	}
+	return nil
+}
+
 // statusError returns the error for a reply with an unexpected status.
 func statusError(op string, res *http.Response) error {
 	b, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBodyBytes))
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -1,8 +1,11 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -155,3 +158,76 @@
 		t.Errorf("got %v, want %s", err, engine.ErrRefused)
 	}
 }
+
+// TestRepeatedReply guards against a caller that receives a reply to an earlier call, because an endpoint sent that reply once
+// more on a connection that is in use again.
+func TestRepeatedReply(t *testing.T) {
+	l, a := listen(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveRepeating(conn)
+		}
+	}()
+	defer func() {
+		_ = l.Close()
+		<-done
+	}()
+	c := newClient(t)
+	defer c.Close()
+	for i := range 6 {
+		call := engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: fmt.Sprint("call-", i)}
+		r, err := c.CallService(t.Context(), a, call, time.Second)
+		checkOwn(t, call.ID, string(r.Body), err)
+	}
+	for i := range 6 {
+		id, text := fmt.Sprint("chat-", i), ""
+		q := engine.ChatRequest{Model: "m@1", Messages: []engine.Message{{Role: "user", Content: prompt}}}
+		_, err := c.Stream(t.Context(), a, id, q, func(s string) error {
+			text += s
+			return nil
+		})
+		checkOwn(t, id, text, err)
+	}
+}
+
+// checkOwn checks that a call has received its own reply, or an error and no text.
+func checkOwn(t *testing.T, id, text string, err error) {
+	t.Helper()
+	var e *engine.Error
+	switch {
+	case err == nil && text != id:
+		t.Errorf("%s received the reply to %s", id, text)
+	case err != nil && (text != "" || !errors.As(err, &e) || e.Kind != engine.ErrWrongReply):
+		t.Errorf("%s: text %q, error %v", id, text, err)
+	}
+}
+
+// serveRepeating replies to each request with its identifier. It sends the reply to the request before it once more first.
+func serveRepeating(conn net.Conn) {
+	defer conn.Close()
+	b := bufio.NewReader(conn)
+	previous := ""
+	for {
+		r, err := http.ReadRequest(b)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		id := r.Header.Get(engine.HeaderRequestID)
+		body := id
+		if r.Method == http.MethodPost {
+			body = fmt.Sprintf(`data: {"model":"m@1","choices":[{"delta":{"content":%q},"finish_reason":"stop"}]}`, id) + "\n\n"
+		}
+		reply := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", engine.HeaderRequestID, id, len(body), body)
+		if _, err := io.WriteString(conn, previous+reply); err != nil {
+			return
+		}
+		previous = reply
+	}
+}
--- a/internal/engine/error.go
+++ b/internal/engine/error.go
@@ -13,6 +13,7 @@
 	ErrWrongVersion   ErrorKind = "wrong-version" // another version than the requested one answered
 	ErrStatus         ErrorKind = "status"        // the endpoint replied with an error status
 	ErrTruncated      ErrorKind = "truncated"     // the reply is malformed, or the stream ended without a finish reason
+	ErrWrongReply     ErrorKind = "wrong-reply"   // the reply belongs to another request
 	ErrCancelled      ErrorKind = "cancelled"     // the caller cancelled the call
 	ErrTooLarge       ErrorKind = "too-large"     // the reply exceeds the size limit
 )
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -95,6 +95,9 @@
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := checkOwner("service", res, call.ID); err != nil {
+		return ServiceReply{}, err
+	}
 	c.s.Propagator.ExtractHeader(res.Header)
 	b, err := io.ReadAll(io.LimitReader(res.Body, c.s.MaxReplyBytes+1))
 	if err != nil {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -163,6 +163,7 @@
 
 // handleChat serves a chat completion, streamed or whole.
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	var q engine.ChatRequest
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil || len(q.Messages) == 0 {
 		http.Error(w, "malformed request", http.StatusBadRequest)
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -68,6 +68,7 @@
 		writeReply(w, engine.ProbeReply{ID: s.name, Slots: serviceSlots, Leaving: s.leaving.Load()}, nil)
 		return
 	}
+	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	if s.leaving.Load() {
 		w.Header().Set(engine.HeaderLeaving, "true")
 	}
