Prefer the version that started first as the one in use

Endpoints state when they started, and those of the version in use started first. The number of endpoints decides only where no start is known. TestVersionInUseByAge failed before for the first two cases.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -1,6 +1,8 @@
 package canary
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
@@ -59,8 +61,8 @@
 // Rollout is the roll-out state of one service. It is not safe for concurrent use.
 type Rollout struct {
 	settings       Settings
-	currentVersion string         // version in use before the order; empty until endpoints are known
-	endpoints      map[string]int // registered endpoints of each version
+	currentVersion string   // version in use before the order; empty until endpoints are known
+	endpoints      Versions // registered endpoints
 	order          *activeOrder
 	state          routing.RolloutState
 	reason         string
@@ -131,8 +133,17 @@
 	return true
 }
 
-// UpdateVersions sets the number of registered endpoints of each version.
-func (r *Rollout) UpdateVersions(endpoints map[string]int) {
+// VersionEndpoints describes the registered endpoints of one version.
+type VersionEndpoints struct {
+	Count       int
+	OldestStart time.Time // start of the one that has run for longest; zero if no start is known
+}
+
+// Versions holds the registered endpoints of each version.
+type Versions map[string]VersionEndpoints
+
+// UpdateVersions sets the registered endpoints of each version.
+func (r *Rollout) UpdateVersions(endpoints Versions) {
 	r.endpoints = endpoints
 	r.updateCurrentVersion()
 }
@@ -144,19 +155,16 @@
 	if r.order != nil {
 		if r.state != routing.RolloutCompleted {
 			excluded = r.order.target
-		} else if r.endpoints[r.order.target] > 0 {
+		} else if r.endpoints[r.order.target].Count > 0 {
 			r.currentVersion = r.order.target
 		}
 	}
-	if r.endpoints[r.currentVersion] > 0 && r.currentVersion != excluded {
+	if r.endpoints[r.currentVersion].Count > 0 && r.currentVersion != excluded {
 		return
 	}
 	best := ""
-	for v, n := range r.endpoints {
-		if v == excluded {
-			continue
-		}
-		if best == "" || n > r.endpoints[best] || n == r.endpoints[best] && v < best {
+	for _, v := range slices.Sorted(maps.Keys(r.endpoints)) {
+		if v != excluded && (best == "" || r.endpoints[v].precedes(r.endpoints[best])) {
 			best = v
 		}
 	}
@@ -165,6 +173,15 @@
 	}
 }
 
+// precedes reports whether a version rather than another one was in use first: its oldest endpoint started earlier. If a start
+// is not known, the one with more endpoints counts as the first.
+func (v VersionEndpoints) precedes(other VersionEndpoints) bool {
+	if v.OldestStart.IsZero() || other.OldestStart.IsZero() || v.OldestStart.Equal(other.OldestStart) {
+		return v.Count > other.Count
+	}
+	return v.OldestStart.Before(other.OldestStart)
+}
+
 // TargetShare returns the share of requests that go to the new version.
 func (r *Rollout) TargetShare(now time.Time) float64 {
 	if r.order == nil {
--- a/internal/core/canary/canary_test.go
+++ b/internal/core/canary/canary_test.go
@@ -19,10 +19,19 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+// counts returns versions with the given numbers of endpoints, whose starts are not known.
+func counts(n map[string]int) Versions {
+	out := Versions{}
+	for v, c := range n {
+		out[v] = VersionEndpoints{Count: c}
+	}
+	return out
+}
+
 // newOrderedRollout returns a roll-out that was ordered at start.
 func newOrderedRollout() *Rollout {
 	r := New(DefaultSettings(exposure, slack))
-	r.UpdateVersions(map[string]int{"v1": 3})
+	r.UpdateVersions(counts(map[string]int{"v1": 3}))
 	r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 	r.SetStateRead()
 	return r
@@ -124,7 +133,7 @@
 				var l []*Rollout
 				for range instances {
 					r := New(DefaultSettings(bound, slack/instances))
-					r.UpdateVersions(map[string]int{"v1": 3})
+					r.UpdateVersions(counts(map[string]int{"v1": 3}))
 					r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 					r.SetStateRead()
 					l = append(l, r)
@@ -211,7 +220,7 @@
 // whether that version was rolled back.
 func TestTargetUnusedBeforeStateRead(t *testing.T) {
 	r := New(DefaultSettings(exposure, slack))
-	r.UpdateVersions(map[string]int{"v1": 3, "v2": 3})
+	r.UpdateVersions(counts(map[string]int{"v1": 3, "v2": 3}))
 	r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 	if v := r.PickVersion(start.Add(23*time.Second), 0); v != "v1" {
 		t.Errorf("picks %s", v)
@@ -267,8 +276,10 @@
 func TestVersionInUse(t *testing.T) {
 	order := routing.RolloutOrder{Service: "s", Target: "v10", Duration: duration}
 	steps := map[string]func(r *Rollout, state routing.RolloutState, endpoints map[string]int){
-		"registry": func(r *Rollout, _ routing.RolloutState, endpoints map[string]int) { r.UpdateVersions(endpoints) },
-		"order":    func(r *Rollout, _ routing.RolloutState, _ map[string]int) { r.ApplyOrder(start, order, false) },
+		"registry": func(r *Rollout, _ routing.RolloutState, endpoints map[string]int) {
+			r.UpdateVersions(counts(endpoints))
+		},
+		"order": func(r *Rollout, _ routing.RolloutState, _ map[string]int) { r.ApplyOrder(start, order, false) },
 		"state": func(r *Rollout, state routing.RolloutState, _ map[string]int) {
 			r.ApplyPublished(routing.RolloutStatus{Service: "s", Target: "v10", State: state})
 		},
@@ -311,10 +322,10 @@
 // registry had lost all endpoints of the old version for a moment.
 func TestVersionInUseReturns(t *testing.T) {
 	r := New(DefaultSettings(exposure, slack))
-	r.UpdateVersions(map[string]int{"v2": 3})
+	r.UpdateVersions(counts(map[string]int{"v2": 3}))
 	r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, false)
 	r.SetStateRead()
-	r.UpdateVersions(map[string]int{"v1": 1, "v2": 3})
+	r.UpdateVersions(counts(map[string]int{"v1": 1, "v2": 3}))
 	if v := r.PickVersion(start.Add(time.Second), 0); v != "v1" {
 		t.Errorf("requests go to %q, want v1", v)
 	}
@@ -324,10 +335,38 @@
 // the next order arrives before the state of the one before it.
 func TestVersionInUseAfterNextOrder(t *testing.T) {
 	r := newOrderedRollout()
-	r.UpdateVersions(map[string]int{"v2": 3, "v3": 3}) // the roll-out to v2 was completed
+	r.UpdateVersions(counts(map[string]int{"v2": 3, "v3": 3})) // the roll-out to v2 was completed
 	r.ApplyOrder(start.Add(duration), routing.RolloutOrder{Service: "s", Target: "v3", Duration: duration}, true)
 	r.SetStateRead()
 	if v := r.PickVersion(start.Add(duration+time.Second), 0); v != "v2" {
 		t.Errorf("requests go to %q, want v2", v)
 	}
 }
+
+// TestVersionInUseByAge guards against an instance that starts while endpoints of a new version are registered, knows no order
+// or another one, and takes the version with more endpoints for the one in use.
+func TestVersionInUseByAge(t *testing.T) {
+	at := func(n int, started time.Duration) VersionEndpoints { return VersionEndpoints{n, start.Add(started)} }
+	for name, c := range map[string]struct {
+		target   string
+		versions Versions
+		want     string
+	}{
+		"order not read yet":           {"", Versions{"v9": at(2, 0), "v10": at(3, time.Minute)}, "v9"},
+		"last one drains, next target": {"v11", Versions{"v9": at(2, 0), "v10": at(3, time.Minute), "v11": at(3, 2*time.Minute)}, "v9"},
+		"start not known":              {"", Versions{"v9": {Count: 3}, "v10": at(2, time.Minute)}, "v9"},
+		"same start":                   {"", Versions{"v9": at(3, 0), "v10": at(2, 0)}, "v9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := New(DefaultSettings(exposure, slack))
+			r.UpdateVersions(c.versions)
+			if c.target != "" {
+				r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: c.target, Duration: duration}, false)
+				r.SetStateRead()
+			}
+			if v := r.PickVersion(start.Add(time.Second), 0); v != c.want {
+				t.Errorf("requests go to %q, want %q", v, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/canary/pace_test.go
+++ b/internal/core/canary/pace_test.go
@@ -25,7 +25,7 @@
 	var l []*Rollout
 	for range c.instances {
 		r := New(DefaultSettings(exposure, slack/float64(c.instances)))
-		r.UpdateVersions(map[string]int{"v1": 9})
+		r.UpdateVersions(counts(map[string]int{"v1": 9}))
 		r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 		r.SetStateRead()
 		l = append(l, r)
--- a/internal/core/canary/pool_test.go
+++ b/internal/core/canary/pool_test.go
@@ -20,7 +20,7 @@
 	var l []*Rollout
 	for range instances {
 		r := New(settings)
-		r.UpdateVersions(map[string]int{"v1": 10})
+		r.UpdateVersions(counts(map[string]int{"v1": 10}))
 		r.ApplyOrder(start, routing.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, true)
 		r.SetStateRead()
 		l = append(l, r)
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -54,23 +54,28 @@
 	b.table.SetEndpoints(services)
 	warmAt, now := map[string]time.Time{}, time.Now()
 	for s, l := range services {
-		n := map[string]int{}
+		versions := canary.Versions{}
 		for _, e := range l {
-			n[e.Version]++
+			v := versions[e.Version]
+			v.Count++
+			if start := time.UnixMilli(e.StartedAtMS); e.StartedAtMS > 0 && (v.OldestStart.IsZero() || start.Before(v.OldestStart)) {
+				v.OldestStart = start
+			}
+			versions[e.Version] = v
 			if t, ok := b.warmAt[e.ID]; ok {
 				warmAt[e.ID] = t
 			} else if e.WarmUpRemaining > 0 {
 				warmAt[e.ID] = now.Add(e.WarmUpRemaining)
 			}
 		}
-		b.updateVersions(s, n)
+		b.updateVersions(s, versions)
 	}
 	b.warmAt = warmAt
 }
 
-// updateVersions tells the roll-out of a service how many endpoints each version has, and logs a change of the version in
+// updateVersions tells the roll-out of a service which endpoints each version has, and logs a change of the version in
 // use. The caller holds the mutex.
-func (b *balancer) updateVersions(service string, endpoints map[string]int) {
+func (b *balancer) updateVersions(service string, endpoints canary.Versions) {
 	r := b.rolloutOf(service)
 	old := r.CurrentVersion()
 	r.UpdateVersions(endpoints)
