Let no act of the soak change a settings file that a process is reading

Cause: starting an instance writes its settings file and then starts the process. Another act that changes the settings could write its malformed content, or truncate the file, between the two. A process refuses to start with such a file, as it should, and the soak counted its own set-up as a broken promise. No promise of the product was broken.

A mutex for each instance now covers the start and the writes. Nothing but the soak is changed.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -28,8 +28,10 @@
 type instance struct {
 	index    int
 	settings string
-	store    *link // its connections to the store
-	peers    *link // connections of other instances to it
+
+	settingsMu sync.Mutex // held while the settings file is written, and while a process starts with it
+	store      *link      // its connections to the store
+	peers      *link      // connections of other instances to it
 
 	mu            sync.Mutex
 	process       *process // nil while the instance is down
@@ -130,6 +132,8 @@
 
 // startInstance starts a process for an instance.
 func (f *fleet) startInstance(n *instance) error {
+	n.settingsMu.Lock() // until the process has read the file
+	defer n.settingsMu.Unlock()
 	if err := f.writeSettings(n); err != nil { // reloadSettings may have left a malformed file
 		return err
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -168,14 +168,17 @@
 // reloadSettings makes an instance reload its settings file, at times with malformed content, and writes the file again.
 func (f *fleet) reloadSettings(time.Duration) {
 	n := f.randomInstance()
-	malformed := f.randomIndex(2) == 0
-	if malformed {
+	if malformed := f.randomIndex(2) == 0; malformed {
+		n.settingsMu.Lock()
 		f.recordError(os.WriteFile(n.settings, []byte("{ broken"), 0o600))
+		n.settingsMu.Unlock()
 	}
 	if p := n.currentProcess(); p != nil {
 		p.signal(syscall.SIGHUP)
 	}
 	time.Sleep(minFaultDuration)
+	n.settingsMu.Lock()
+	defer n.settingsMu.Unlock()
 	f.recordError(f.writeSettings(n))
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,8 +9,12 @@
 )
 
 // testSeeds are seeds that failed once, by cause, and one that always runs.
-var testSeeds = map[string]uint64{
-	"first": 1,
+var testSeeds = map[string]struct {
+	seed   uint64
+	length time.Duration // of the fault injection
+}{
+	"first": {1, 6 * time.Second},
+	"an instance starts while another act breaks its settings file": {9329, 10 * time.Second},
 }
 
 // Guards against lost, repeated or truncated responses and late configuration changes while processes, links, endpoints and
@@ -20,11 +24,11 @@
 	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", bin, "../../cmd/cassiaspoke").CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v\n%s", err, out)
 	}
-	for name, seed := range testSeeds {
+	for name, c := range testSeeds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r, err := Run(t.Context(), Options{
-				Executable: bin, Dir: t.TempDir(), Seed: seed, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4,
+				Executable: bin, Dir: t.TempDir(), Seed: c.seed, FaultDuration: c.length, Instances: 3, Engines: 4,
 			})
 			if err != nil {
 				t.Errorf("%v\n%s\n%s", err, lines(r.Violations), lines(r.Events))
