Log and measure how recent records from other instances are

The logs could not tell whether an instance used late records, a seed read late, or an instance noticed the loss of its seed and read late itself.

Each batch now carries its origin, the time up to which it is certainly complete, and how that is known. A follower asks its seed, after each message, how recent the records are; the time counts from the start of the call, so delays on the way make records look older, never newer. What an instance decides is unchanged.

Lines: "configuration: In force." and "endpoint: Registration changed." have from, age and age-by; a line tells when a topic's origin changes.

--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -18,8 +18,29 @@
 	Records    []Record
 	NextOffset int64 // offset at which the next read starts
 	Trimmed    bool  // the store no longer keeps the records at the requested offset
+	Evidence   Evidence
 }
 
+// Evidence says where records come from and how recent they are.
+type Evidence struct {
+	Origin string    // OriginStore, or the address of the instance that passed the records on
+	Basis  Basis     // how AsOf is known
+	AsOf   time.Time // the records include all that the store had at this time; zero if that is not known
+}
+
+// OriginStore is the origin of records that this instance has read itself.
+const OriginStore = "store"
+
+// Basis is the way in which an instance knows how recent records are.
+type Basis string
+
+// Bases of evidence.
+const (
+	BasisNone      Basis = "none"      // another instance sent the records, and no call of this one tells their age
+	BasisRead      Basis = "read"      // a call of this instance to the store
+	BasisConfirmed Basis = "confirmed" // a call of this instance to the one that sent the records
+)
+
 // AnyOffset is the offset that makes an append unconditional, whatever the end of the topic is.
 const AnyOffset = -1
 
@@ -36,7 +57,8 @@
 	Records    []Record
 	IsSnapshot bool      // Records is a snapshot with the newest record of each existing key
 	NextOffset int64     // offset at which the next read starts
-	CalledAt   time.Time // start of the call; the records are at least this recent
+	CalledAt   time.Time // start of the call
+	Evidence   Evidence  // of the records
 	Err        error     // set if the call failed
 }
 
@@ -137,7 +159,10 @@
 		cancel()
 		<-done
 	}
-	u.Records, u.NextOffset = b.Records, b.NextOffset
+	u.Records, u.NextOffset, u.Evidence = b.Records, b.NextOffset, b.Evidence
+	if u.Evidence.Basis == "" { // the source is the store itself
+		u.Evidence = Evidence{Origin: OriginStore, Basis: BasisRead, AsOf: u.CalledAt}
+	}
 	if b.Trimmed {
 		u.NextOffset = -1
 	}
--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -113,7 +113,7 @@
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, metricsInterval)
 	defer func() { _ = closer.Close() }()
-	o := ingressOptions(s, logger)
+	o := ingressOptions(s, logger, scope)
 	o.MetricsScope, o.MetricsHandler, o.DroppedLogLines = scope, reporter.HTTPHandler(), sink.Dropped
 	for _, l := range []struct {
 		listener *net.Listener
@@ -160,7 +160,7 @@
 }
 
 // ingressOptions converts settings to the options of an ingress instance.
-func ingressOptions(s settings.Ingress, logger *zap.Logger) ingress.Options {
+func ingressOptions(s settings.Ingress, logger *zap.Logger, scope tally.Scope) ingress.Options {
 	dialer := forward.Dialer{Timeout: dialTimeout}
 	store := platform.NewStore(s.Store, &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxStoreHeaderBytes,
@@ -173,26 +173,26 @@
 	}
 	feeds := ingress.Feeds{Operators: feedOptions(b.ApplyDelay), Registry: feedOptions(b.DrainDelay), Shared: feedOptions(b.ApplyDelay)}
 	feeds.Shared.Wait, feeds.Shared.MaxRetryInterval = unboundedReadWait, unboundedReadWait
-	relayOptions := relay.Options{Instance: s.Instance.ID, Logger: logger, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+	relayOptions := relay.Options{Instance: s.Instance.ID, Logger: logger, MetricsScope: scope, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}}
 	if s.Peers != nil {
 		relayOptions.Address, relayOptions.Seeds = s.Peers.Listen, s.Peers.Seeds
 	}
 	hub := relay.NewHub(relayOptions)
-	addTopic := func(t platform.Topic, o changefeed.Options, minInterval, startupWait time.Duration) changefeed.Source {
-		return hub.AddTopic(store.TopicClient(t), relay.ReadPolicy{StartupWait: startupWait, MinInterval: minInterval, MaxAge: max(minInterval, o.Wait) + relayDelay})
+	addTopic := func(name string, t platform.Topic, o changefeed.Options, minInterval, startupWait time.Duration) changefeed.Source {
+		return hub.AddTopic(name, store.TopicClient(t), relay.ReadPolicy{StartupWait: startupWait, MinInterval: minInterval, MaxAge: max(minInterval, o.Wait) + relayDelay})
 	}
 	registryInterval := time.Duration(registryIntervalShare * float64(b.DrainDelay))
 	// Topics must be added in the same order on all instances.
-	operators, registry := addTopic(platform.TopicOperator, feeds.Operators, 0, requiredTopicWait), addTopic(platform.TopicRegistry, feeds.Registry, registryInterval, requiredTopicWait)
+	operators, registry := addTopic("operators", platform.TopicOperator, feeds.Operators, 0, requiredTopicWait), addTopic("registry", platform.TopicRegistry, feeds.Registry, registryInterval, requiredTopicWait)
 	status, instances := store.TopicClient(platform.TopicStatus), store.TopicClient(platform.TopicInstances)
 	bodyMemory := int64(bodyMemoryShare * float64(s.Limits.Memory))
 	requestMemory, responseMemory := memory.NewBudget(bodyMemory), memory.NewBudget(bodyMemory)
 	return ingress.Options{
 		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Codec: platform.RecordCodec{}, Logger: logger,
 		OperatorSource: operators, RegistrySource: registry, Dialer: dialer, Hub: hub, Feeds: feeds,
-		StatusTopic: relayedTopic{addTopic(platform.TopicStatus, feeds.Shared, 0, optionalTopicWait), status}, InstancesTopic: relayedTopic{addTopic(platform.TopicInstances, feeds.Shared, 0, optionalTopicWait), instances},
+		StatusTopic: relayedTopic{addTopic("status", platform.TopicStatus, feeds.Shared, 0, optionalTopicWait), status}, InstancesTopic: relayedTopic{addTopic("instances", platform.TopicInstances, feeds.Shared, 0, optionalTopicWait), instances},
 		Placement:       placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation:      escalation.DefaultSettings(),
 		Retries:         retry.Settings{Window: b.RetryWindow, Ratio: retryRatioShare * b.RetryRatio, MinRetries: max(minRetrySlack, b.RetrySlack/maxFleetSize)},
--- a/internal/ingress/controller.go
+++ b/internal/ingress/controller.go
@@ -117,23 +117,23 @@
 		case err != nil:
 			c.options.Logger.Error("configuration: A record can't be read; the one in force stays.", zap.Int64("offset", r.Offset), zap.Error(err))
 		case change.Configuration != nil:
-			c.applyConfiguration(change.Configuration, r.Offset)
+			c.applyConfiguration(now, change.Configuration, r.Offset, u.Evidence)
 		case change.Order != nil:
 			c.applyRolloutOrder(now, *change.Order, r.Offset, !u.IsSnapshot)
 		}
 	}
-	c.current.configurationAt = u.CalledAt
+	c.current.configurationEvidence = u.Evidence
 }
 
 // applyConfiguration activates a configuration unless one of the same or a newer version is active.
-func (c *controller) applyConfiguration(config *routing.Configuration, offset int64) {
+func (c *controller) applyConfiguration(now time.Time, config *routing.Configuration, offset int64, e changefeed.Evidence) {
 	old := c.current.configuration
 	if old != nil && config.Version <= old.Version {
 		return
 	}
 	c.current.configuration = config
-	c.options.Logger.Info("configuration: In force.", zap.Int64("version", config.Version), zap.Int64("offset", offset),
-		zap.Int("routes", len(config.Routes)), zap.Int("organisations", len(config.Organisations)))
+	c.options.Logger.Info("configuration: In force.", append(originFields(now, e), zap.Int64("version", config.Version), zap.Int64("offset", offset),
+		zap.Int("routes", len(config.Routes)), zap.Int("organisations", len(config.Organisations)))...)
 }
 
 // applyRolloutOrder starts a roll-out. justGiven is false for an order that was read with the existing records of the
@@ -162,7 +162,7 @@
 		}
 		changes = append(changes, change)
 	}
-	c.current.registryAt = u.CalledAt
+	c.current.registryRead, c.current.registryEvidence = true, u.Evidence
 	if u.IsSnapshot {
 		c.applyRosterEvent(now, roster.Event{Snapshot: changes})
 		return
@@ -179,10 +179,10 @@
 		return
 	}
 	for _, change := range changes {
-		c.options.Logger.Info("endpoint: Registration changed.", zap.String("endpoint", change.ID), zap.String("change", string(change.Reason)),
+		c.options.Logger.Info("endpoint: Registration changed.", append(originFields(now, c.current.registryEvidence),
+			zap.String("endpoint", change.ID), zap.String("change", string(change.Reason)),
 			zap.String("service", change.Endpoint.Service), zap.String("version", change.Endpoint.Version), zap.Stringer("address", change.Endpoint.Address),
-			zap.String("availability-zone", change.Endpoint.AvailabilityZone), zap.Int64("sequence", change.Endpoint.Sequence),
-			zap.Duration("registry-age", now.Sub(c.current.registryAt)))
+			zap.String("availability-zone", change.Endpoint.AvailabilityZone), zap.Int64("sequence", change.Endpoint.Sequence))...)
 	}
 	c.balancer.setEndpoints(c.roster.AvailableEndpoints())
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/time/rate"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 )
@@ -133,8 +134,8 @@
 		fields = append(fields, zap.Array("prompt-parts", promptParts(x.request.PromptParts)))
 	}
 	if config := x.snapshot.configuration; config != nil {
-		fields = append(fields, zap.Int64("configuration", config.Version), zap.Duration("configuration-age", now.Sub(x.snapshot.configurationAt)),
-			zap.Duration("registry-age", now.Sub(x.snapshot.registryAt)))
+		fields = append(fields, zap.Int64("configuration", config.Version), ageField("configuration-age", now, x.snapshot.configurationEvidence),
+			ageField("registry-age", now, x.snapshot.registryEvidence))
 	}
 	if x.localError != nil {
 		fields = append(fields, zap.String("reason", x.localError.reason), zap.Duration("retry-after", x.localError.retryAfter))
@@ -154,6 +155,19 @@
 	h.log.logger.Info("request: Ended.", fields...)
 }
 
+// ageField returns the age of records; it is left out if nothing tells it.
+func ageField(key string, now time.Time, e changefeed.Evidence) zap.Field {
+	if e.AsOf.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration(key, now.Sub(e.AsOf))
+}
+
+// originFields returns where records come from, how old they are and how this instance knows that.
+func originFields(now time.Time, e changefeed.Evidence) []zap.Field {
+	return []zap.Field{zap.String("from", e.Origin), ageField("age", now, e), zap.String("age-by", string(e.Basis))}
+}
+
 // Outcomes of requests in logs and metrics.
 const (
 	outcomeServed         = "served"
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -52,10 +52,12 @@
 	}
 	if v.configuration != nil {
 		m.scope.Gauge("configuration_version").Update(float64(v.configuration.Version))
-		m.scope.Gauge("configuration_age_seconds").Update(time.Since(v.configurationAt).Seconds())
 	}
-	if !v.registryAt.IsZero() {
-		m.scope.Gauge("registry_age_seconds").Update(time.Since(v.registryAt).Seconds())
+	if at := v.configurationEvidence.AsOf; !at.IsZero() {
+		m.scope.Gauge("configuration_age_seconds").Update(time.Since(at).Seconds())
+	}
+	if at := v.registryEvidence.AsOf; !at.IsZero() {
+		m.scope.Gauge("registry_age_seconds").Update(time.Since(at).Seconds())
 	}
 	m.scope.Gauge("refused_prompt_parts").Update(float64(refusedParts))
 	m.scope.Gauge("log_omitted").Update(float64(l.omitted.Load()))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -41,26 +42,43 @@
 	Seeds  []netip.AddrPort
 	Dial   func(ctx context.Context, address string) (net.Conn, error) // connects to another instance
 	Logger *zap.Logger
+	// MetricsScope is the scope of all metrics; none are kept without it.
+	MetricsScope tally.Scope
+	// Clock returns the time since a fixed point, including the time for which the host was suspended. The default is the
+	// host's clock.
+	Clock func() time.Duration
 }
 
 // Hub shares topics and loads with other instances.
 type Hub struct {
 	relaypb.UnimplementedRelayServer
 
-	options   Options
-	reporter  Reporter // reports the load of this instance; nil if loads are not shared
-	notifier  *notifier
-	topics    []*topic
-	reports   *reportTable
-	following atomic.Bool // whether records are being received from another instance
-	started   time.Time
+	options  Options
+	reporter Reporter // reports the load of this instance; nil if loads are not shared
+	notifier *notifier
+	metrics  *metrics
+	topics   []*topic
+	reports  *reportTable
+	seed     atomic.Pointer[netip.AddrPort] // the instance that sends records; nil if there is none
+	started  time.Time
 }
 
 // NewHub returns a hub without topics.
 func NewHub(o Options) *Hub {
-	return &Hub{options: o, notifier: newNotifier(), reports: newReportTable(), started: time.Now()}
+	if o.Clock == nil {
+		o.Clock = hostClock
+	}
+	if o.MetricsScope == nil {
+		o.MetricsScope = tally.NoopScope
+	}
+	return &Hub{options: o, notifier: newNotifier(), metrics: newMetrics(o.MetricsScope), reports: newReportTable(), started: time.Now()}
 }
 
+func (h *Hub) now() instant { return instant(h.options.Clock()) }
+
+// asTime converts an instant to a time of this process.
+func (h *Hub) asTime(i instant) time.Time { return time.Now().Add(-h.now().sub(i)) }
+
 // SetReporter makes this instance share its load; it must be called before Run and Serve.
 func (h *Hub) SetReporter(r Reporter) { h.reporter = r }
 
@@ -73,12 +91,15 @@
 	return period - time.Since(h.started)
 }
 
-// AddTopic adds a topic and returns its source. All instances must add their topics in the same order, as messages refer to
-// a topic by its index.
-func (h *Hub) AddTopic(store changefeed.Source, p ReadPolicy) *Source {
+// AddTopic adds a topic and returns its source; the name stands in logs and metrics. All instances must add their topics in
+// the same order, as messages refer to a topic by its index.
+func (h *Hub) AddTopic(name string, store changefeed.Source, p ReadPolicy) *Source {
 	t := newTopic(h.notifier)
 	h.topics = append(h.topics, t)
-	return &Source{hub: h, store: store, topic: t, policy: p}
+	m := h.metrics.topicScope(name)
+	return &Source{hub: h, name: name, store: store, topic: t, policy: p, metrics: sourceMetrics{
+		reads: m.Counter("relay_store_reads"), age: m.Gauge("relay_record_age_seconds"),
+	}}
 }
 
 // IsSeed reports whether this instance reads the store for others. Without seeds, each instance reads the store itself.
@@ -165,7 +186,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		a := l[i%len(l)]
 		err := h.followSeed(ctx, a)
-		h.following.Store(false)
+		h.seed.Store(nil)
 		if ctx.Err() != nil {
 			return
 		}
@@ -235,6 +256,11 @@
 		if h.reporter != nil {
 			w.Go(func() { h.shareLoads(streamCtx, r) })
 		}
+		for _, t := range h.topics {
+			t.dropWaiting()
+		}
+		received := make(chan struct{}, 1)
+		w.Go(func() { h.confirmRecords(streamCtx, r, received) })
 		// The seed sends a message after each successful call to the store. If none arrives, the seed, its connection
 		// to the store or the network has failed.
 		idle := time.AfterFunc(followTimeout, cancel)
@@ -251,9 +277,13 @@
 			if !h.mergeBatch(m) {
 				return &Error{Op: "merge", Kind: ErrGap}
 			}
-			if !h.following.Swap(true) {
+			if h.seed.Swap(&a) == nil {
 				h.options.Logger.Info("relay: Following another instance.", zap.Stringer("from", a))
 			}
+			select {
+			case received <- struct{}{}:
+			default: // a confirmation is due already
+			}
 		}
 	})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -127,6 +127,14 @@
 
 // startInstances starts one seed and a number of followers of one topic.
 func startInstances(t *testing.T, store *fakeStore, followers int) (seed *testInstance, others []*testInstance) {
+	t.Helper()
+	return startInstancesOver(t, store, followers, func(ctx context.Context, s string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", s)
+	})
+}
+
+// startInstancesOver starts instances that connect to the seed with dial.
+func startInstancesOver(t *testing.T, store *fakeStore, followers int, dial func(context.Context, string) (net.Conn, error)) (seed *testInstance, others []*testInstance) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -140,12 +148,9 @@
 		t.Cleanup(cancel)
 		n := &testInstance{client: &storeClient{store: store}, stop: cancel, seenAt: map[string]time.Time{}}
 		n.hub = NewHub(Options{
-			Instance: id, Address: self, Seeds: []netip.AddrPort{a}, Logger: zap.NewNop(),
-			Dial: func(ctx context.Context, s string) (net.Conn, error) {
-				return (&net.Dialer{}).DialContext(ctx, "tcp", s)
-			},
+			Instance: id, Address: self, Seeds: []netip.AddrPort{a}, Logger: zap.NewNop(), Dial: dial,
 		})
-		s := n.hub.AddTopic(n.client, ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime})
+		s := n.hub.AddTopic("test", n.client, ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime})
 		f := changefeed.NewFollower(s, changefeed.Options{Wait: readWait, Timeout: time.Second, RetryInterval: 50 * time.Millisecond}, func(u changefeed.Update) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -247,7 +252,7 @@
 // TestOlderRecords guards against an older message from an instance that lags behind replacing newer records.
 func TestOlderRecords(t *testing.T) {
 	h := NewHub(Options{Logger: zap.NewNop()})
-	s := h.AddTopic(&storeClient{store: newFakeStore()}, ReadPolicy{MaxAge: time.Minute})
+	s := h.AddTopic("test", &storeClient{store: newFakeStore()}, ReadPolicy{MaxAge: time.Minute})
 	now := time.Now()
 	record := func(o int64) changefeed.Record { return changefeed.Record{Key: "k", Value: []byte{byte(o)}, Offset: o} }
 	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(7)}, NextOffset: 8}, now)
@@ -274,7 +279,7 @@
 	h := NewHub(Options{Logger: zap.NewNop()})
 	r := &storeClient{store: store}
 	const interval = 250 * time.Millisecond
-	s := h.AddTopic(r, ReadPolicy{MinInterval: interval, MaxAge: freshTime})
+	s := h.AddTopic("test", r, ReadPolicy{MinInterval: interval, MaxAge: freshTime})
 	if _, err := s.Snapshot(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
 	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 )
 
@@ -18,18 +21,59 @@
 // Source provides the records of a topic received from a seed while they are fresh, and reads the store otherwise.
 type Source struct {
 	hub    *Hub
+	name   string // of the topic, in logs and metrics
 	store  changefeed.Source
 	topic  *topic
 	policy ReadPolicy
-	// lastRead is the start of the last read of the store. It needs no lock, as Snapshot and Read are called by one
-	// goroutine.
-	lastRead time.Time
+	// The fields below need no lock, as Snapshot and Read are called by one goroutine.
+
+	lastRead time.Time // start of the last read of the store
+	direct   bool      // the last records came from the store
+	metrics  sourceMetrics
+}
+
+// sourceMetrics records where the records of one topic come from and how recent they are.
+type sourceMetrics struct {
+	reads tally.Counter // reads of the store by this instance
+	age   tally.Gauge   // of the records in seconds, as this instance knows it
+}
+
+// relayedEvidence returns the evidence of records that a seed has sent. The caller must hold the topic's lock.
+func (s *Source) relayedEvidence() changefeed.Evidence {
+	e := changefeed.Evidence{Basis: changefeed.BasisNone}
+	if a := s.hub.seed.Load(); a != nil {
+		e.Origin = a.String()
+	}
+	if s.topic.confirmedAsOf != unknown {
+		e.Basis, e.AsOf = changefeed.BasisConfirmed, s.hub.asTime(s.topic.confirmedAsOf)
+	}
+	return e
+}
+
+// note logs when this instance starts or stops reading the topic from the store itself, and updates the metrics.
+func (s *Source) note(direct bool, e changefeed.Evidence, reason string) {
+	if direct {
+		s.metrics.reads.Inc(1)
+	}
+	if !e.AsOf.IsZero() {
+		s.metrics.age.Update(time.Since(e.AsOf).Seconds())
+	}
+	if s.direct == direct || s.hub.IsSeed() {
+		s.direct = direct
+		return
+	}
+	s.direct = direct
+	fields := []zap.Field{zap.String("topic", s.name), zap.String("from", e.Origin), zap.String("age-by", string(e.Basis)), zap.String("reason", reason)}
+	if !e.AsOf.IsZero() {
+		fields = append(fields, zap.Duration("age", time.Since(e.AsOf)))
+	}
+	s.hub.options.Logger.Info("relay: The origin of a topic's records changed.", fields...)
 }
 
 // freshUntil returns until when the records received from a seed are fresh, and whether they are fresh now. The caller must
 // hold the topic's lock.
 func (s *Source) freshUntil(now time.Time) (time.Time, bool) {
-	if !s.hub.following.Load() || !s.topic.loaded {
+	if s.hub.seed.Load() == nil || !s.topic.loaded {
 		return time.Time{}, false
 	}
 	end := s.topic.lastSuccess.Add(s.policy.MaxAge)
@@ -43,7 +87,7 @@
 		s.topic.mu.Lock()
 		if _, ok := s.freshUntil(time.Now()); ok {
 			defer s.topic.mu.Unlock()
-			return s.topic.snapshot(), nil
+			return s.relayed(s.topic.snapshot()), nil
 		}
 		s.topic.mu.Unlock()
 		timeLeft := s.hub.startupTimeLeft(s.policy.StartupWait)
@@ -54,13 +98,14 @@
 			return changefeed.Batch{}, err
 		}
 	}
+	calledAt := s.hub.now()
 	b, err := s.store.Snapshot(ctx)
-	if err == nil {
-		s.topic.setSnapshot(b, time.Now())
-	} else {
+	if err != nil {
 		s.topic.recordFailure()
+		return b, err
 	}
-	return b, err
+	s.topic.setSnapshot(b, time.Now())
+	return s.read(b, calledAt), nil
 }
 
 // Read returns the records from an offset on. If there are none, it waits for one until the wait is over.
@@ -75,7 +120,7 @@
 		}
 		if s.topic.next > from || !now.Before(end) {
 			defer s.topic.mu.Unlock()
-			return s.topic.recordsFrom(from), nil
+			return s.relayed(s.topic.recordsFrom(from)), nil
 		}
 		s.topic.mu.Unlock()
 		if err := sleep(ctx, min(end.Sub(now), freshUntil.Sub(now)), changed); err != nil {
@@ -93,16 +138,49 @@
 		wait = max(0, wait-d) // the caller's timeout covers both
 	}
 	s.lastRead = time.Now()
+	calledAt := s.hub.now()
 	b, err := s.store.Read(ctx, from, wait)
 	switch {
 	case err != nil:
 		s.topic.recordFailure()
-	case !b.Trimmed:
-		s.topic.addBatch(from, b, time.Now())
+		return b, err
+	case b.Trimmed:
+		return b, nil
 	}
-	return b, err
+	s.topic.addBatch(from, b, time.Now())
+	// A read that waited in vain shows that there was no record until the wait was over.
+	if len(b.Records) == 0 && s.hub.now().sub(calledAt) >= wait {
+		calledAt = calledAt.add(wait)
+	}
+	return s.read(b, calledAt), nil
+}
+
+// relayed adds the evidence to records that a seed has sent. The caller must hold the topic's lock.
+func (s *Source) relayed(b changefeed.Batch) changefeed.Batch {
+	b.Evidence = s.relayedEvidence()
+	s.note(false, b.Evidence, reasonRelayed)
+	return b
 }
 
+// read adds the evidence to records read from the store and remembers it for followers.
+func (s *Source) read(b changefeed.Batch, asOf instant) changefeed.Batch {
+	b.Evidence = changefeed.Evidence{Origin: changefeed.OriginStore, Basis: changefeed.BasisRead, AsOf: s.hub.asTime(asOf)}
+	s.topic.setReadAsOf(asOf)
+	reason := reasonLate
+	if s.hub.seed.Load() == nil {
+		reason = reasonNoSeed
+	}
+	s.note(true, b.Evidence, reason)
+	return b
+}
+
+// Reasons in the log for a change of the origin of a topic's records.
+const (
+	reasonRelayed = "the records of a seed are recent"
+	reasonLate    = "the records of the seed are too old"
+	reasonNoSeed  = "no seed sends records"
+)
+
 // sleep waits for a time, or until wake is closed or the context ends; it returns the error of the context.
 func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) error {
 	t := time.NewTimer(d)
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -22,6 +22,16 @@
 	next        int64     // offset after the last known record
 	lastSuccess time.Time // end of the last successful call to the store; zero after a failed call
 	notifier    *notifier
+
+	readAsOf      instant      // the records include all that the store had then, by calls of this instance; unknown after a failed call
+	confirmedAsOf instant      // the same, by confirmations of a seed
+	waiting       confirmation // covers records that have not arrived; zero if there is none
+}
+
+// confirmation says that the records of a topic before an offset were all of them at a time.
+type confirmation struct {
+	next int64
+	asOf instant
 }
 
 func newTopic(n *notifier) *topic { return &topic{newest: map[string]changefeed.Record{}, notifier: n} }
@@ -62,6 +72,7 @@
 	for _, r := range b.Records {
 		t.newest[r.Key] = r
 	}
+	t.applyWaiting()
 }
 
 // addBatch adds the records from an offset on; it reports false if the records before that offset are not all known.
@@ -88,9 +99,54 @@
 		t.recent = slices.Clone(t.recent[n:])
 		t.firstRecent = t.recent[0].Offset
 	}
+	t.applyWaiting()
 	return true
 }
 
+// setReadAsOf records that a call of this instance to the store returned all records up to a time.
+func (t *topic) setReadAsOf(at instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.readAsOf = max(t.readAsOf, at)
+}
+
+// confirm records that the records before an offset were all of them at a time. If some of these are not known yet, the
+// confirmation counts when they arrive, unless an earlier one is still waiting.
+func (t *topic) confirm(next int64, asOf instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.loaded && t.next >= next:
+		t.setConfirmedAsOf(asOf)
+	case t.waiting == confirmation{}:
+		t.waiting = confirmation{next, asOf}
+	}
+}
+
+// applyWaiting takes the confirmation that waits into account if all records that it covers are known. The caller must hold
+// the lock.
+func (t *topic) applyWaiting() {
+	if t.waiting != (confirmation{}) && t.next >= t.waiting.next {
+		t.setConfirmedAsOf(t.waiting.asOf)
+		t.waiting = confirmation{}
+	}
+}
+
+// dropWaiting forgets the confirmation of a seed that is not followed any more.
+func (t *topic) dropWaiting() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting = confirmation{}
+}
+
+// setConfirmedAsOf records a confirmation and notifies all who wait for a change. The caller must hold the lock.
+func (t *topic) setConfirmedAsOf(at instant) {
+	if at > t.confirmedAsOf {
+		t.confirmedAsOf = at
+		t.notifier.notifyAll()
+	}
+}
+
 // recordSuccess updates the time of the last successful call to the store and notifies all who wait for a change.
 func (t *topic) recordSuccess(at time.Time) {
 	if at.After(t.lastSuccess) {
@@ -103,7 +159,7 @@
 func (t *topic) recordFailure() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastSuccess = time.Time{}
+	t.lastSuccess, t.readAsOf = time.Time{}, unknown
 	t.notifier.notifyAll()
 }
 
