Reproduce changes that are in force late

TestSoakLateRecords: six processes, messages between instances 2.5 s late (seed 780) and 1.5 s late (seed 781): replaced keys are served, new ones are refused with 401, and endpoints that leave are reached, later than 1 s after the change.

The soak learns a delay of all that an instance sends to its followers (--peer-delay), which no fault lengthens.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -23,6 +23,7 @@
 	flagLength    = "length"
 	flagInstances = "instances"
 	flagEngines   = "engines"
+	flagPeerDelay = "peer-delay"
 	flagLogs      = "logs"
 )
 
@@ -37,6 +38,7 @@
 			&cli.DurationFlag{Name: flagLength, Usage: "duration of the fault injection per seed", Value: 10 * time.Second},
 			&cli.IntFlag{Name: flagInstances, Usage: "number of instances per seed", Value: 3},
 			&cli.IntFlag{Name: flagEngines, Usage: "number of model engines per seed", Value: 4},
+			&cli.DurationFlag{Name: flagPeerDelay, Usage: "delay of all that an instance sends to the instances that follow it"},
 			&cli.StringFlag{Name: flagLogs, Usage: "`DIRECTORY` in which the settings and the logs of failed seeds are kept"},
 		},
 		Action: runSoak,
@@ -67,7 +69,7 @@
 	for i := range uint64(c.Int(flagSeeds)) {
 		o := soak.Options{
 			Executable: executable, Dir: filepath.Join(dir, fmt.Sprint("seed-", first+i)), Seed: first + i, FaultDuration: c.Duration(flagLength),
-			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines),
+			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay),
 		}
 		slots <- struct{}{}
 		wg.Go(func() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,13 +128,14 @@
 // startInstances starts one seed and a number of followers of one topic.
 func startInstances(t *testing.T, store *fakeStore, followers int) (seed *testInstance, others []*testInstance) {
 	t.Helper()
-	return startInstancesOver(t, store, followers, func(ctx context.Context, s string) (net.Conn, error) {
+	p := ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime}
+	return startInstancesOver(t, store, followers, p, func(ctx context.Context, s string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", s)
 	})
 }
 
-// startInstancesOver starts instances that connect to the seed with dial.
-func startInstancesOver(t *testing.T, store *fakeStore, followers int, dial func(context.Context, string) (net.Conn, error)) (seed *testInstance, others []*testInstance) {
+// startInstancesOver starts instances with a policy that connect to the seed with dial.
+func startInstancesOver(t *testing.T, store *fakeStore, followers int, p ReadPolicy, dial func(context.Context, string) (net.Conn, error)) (seed *testInstance, others []*testInstance) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -150,7 +151,7 @@
 		n.hub = NewHub(Options{
 			Instance: id, Address: self, Seeds: []netip.AddrPort{a}, Logger: zap.NewNop(), Dial: dial,
 		})
-		s := n.hub.AddTopic("test", n.client, ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime})
+		s := n.hub.AddTopic("test", n.client, p)
 		f := changefeed.NewFollower(s, changefeed.Options{Wait: readWait, Timeout: time.Second, RetryInterval: 50 * time.Millisecond}, func(u changefeed.Update) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -98,6 +98,7 @@
 		if n.peers, err = newLink(netip.AddrPort{}); err != nil {
 			return nil, err
 		}
+		n.peers.responseDelay = o.PeerDelay
 		f.instances = append(f.instances, n)
 	}
 	for _, n := range f.instances {
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -23,6 +24,7 @@
 )
 
 const (
+	queuedChunks      = 256                   // pieces of data on their way through a link with a delay
 	linkDelay         = 60 * time.Millisecond // several times the duration of a call to the store
 	linkBufferBytes   = 32 << 10
 	stallPollInterval = 5 * time.Millisecond // between checks whether a stalled connection may pass data again
@@ -36,6 +38,8 @@
 	target netip.AddrPort
 	fault  linkFault
 	conns  map[*proxiedConn]bool
+
+	responseDelay time.Duration // of all data from the target to the caller, in addition to faults
 }
 
 // proxiedConn is a connection through a link.
@@ -117,7 +121,7 @@
 	k.mu.Unlock()
 	var w sync.WaitGroup
 	w.Go(func() { k.forward(p, upstream, caller, stalledFromCaller) })
-	w.Go(func() { k.forward(p, caller, upstream, stalledToCaller) })
+	w.Go(func() { k.forward(p, caller, k.delayedReader(upstream), stalledToCaller) })
 	w.Wait()
 	k.mu.Lock()
 	delete(k.conns, p)
@@ -126,7 +130,7 @@
 }
 
 // forward copies data in one direction. It passes an orderly close on as such, and resets both sides after an error.
-func (k *link) forward(p *proxiedConn, to, from net.Conn, directionFault linkFault) {
+func (k *link) forward(p *proxiedConn, to net.Conn, from io.Reader, directionFault linkFault) {
 	b := make([]byte, linkBufferBytes)
 	for {
 		n, err := from.Read(b)
@@ -153,6 +157,54 @@
 	}
 }
 
+// chunk is data, or the end of it, that is due at a time.
+type chunk struct {
+	data []byte
+	err  error
+	due  time.Time
+}
+
+// delayedReader reads the responses of a target as late as the link delays them, without holding up later ones more.
+type delayedReader struct {
+	chunks <-chan chunk
+	rest   chunk
+}
+
+func (k *link) delayedReader(c net.Conn) io.Reader {
+	if k.responseDelay == 0 {
+		return c
+	}
+	out := make(chan chunk, queuedChunks)
+	go func() {
+		defer close(out)
+		for {
+			b := make([]byte, linkBufferBytes)
+			n, err := c.Read(b)
+			out <- chunk{b[:n], err, time.Now().Add(k.responseDelay)}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return &delayedReader{chunks: out}
+}
+
+func (r *delayedReader) Read(b []byte) (int, error) {
+	if len(r.rest.data) == 0 && r.rest.err == nil {
+		var ok bool
+		if r.rest, ok = <-r.chunks; !ok {
+			return 0, io.EOF
+		}
+		time.Sleep(time.Until(r.rest.due))
+	}
+	n := copy(b, r.rest.data)
+	r.rest.data = r.rest.data[n:]
+	if len(r.rest.data) > 0 {
+		return n, nil
+	}
+	return n, r.rest.err
+}
+
 // delayOrStall sleeps if the link delays data, and reports whether data must wait for a fault to end.
 func (k *link) delayOrStall(p *proxiedConn, directionFault linkFault) bool {
 	k.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,7 @@
 	FaultDuration time.Duration // length of the phase with faults; the phase with planned changes only takes half as long
 	Instances     int
 	Engines       int
+	PeerDelay     time.Duration // of all that an instance sends to the instances that follow it
 }
 
 // settleTime is the pause between phases. After it, endpoints that failed receive requests again and the bounds for applying
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,27 +9,38 @@
 )
 
 // testSeeds are seeds that failed once, by cause, and one that always runs.
-var testSeeds = map[string]struct {
-	seed   uint64
-	length time.Duration // of the fault injection
-}{
-	"first": {1, 6 * time.Second},
-	"an instance starts while another act breaks its settings file": {9329, 10 * time.Second},
+var testSeeds = map[string]Options{
+	"first": {Seed: 1, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4},
+	"an instance starts while another act breaks its settings file": {Seed: 9329, FaultDuration: 10 * time.Second, Instances: 3, Engines: 4},
 }
 
 // Guards against lost, repeated or truncated responses and late configuration changes while processes, links, endpoints and
 // the store fail.
 func TestSoak(t *testing.T) {
+	runSeeds(t, testSeeds)
+}
+
+// Guards against instances that apply changes late because the messages of the instance that reads the store for them are
+// long on their way.
+func TestSoakLateRecords(t *testing.T) {
+	runSeeds(t, map[string]Options{
+		"2.5 s": {Seed: 780, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, PeerDelay: 2500 * time.Millisecond},
+		"1.5 s": {Seed: 781, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, PeerDelay: 1500 * time.Millisecond},
+	})
+}
+
+// runSeeds builds the program and runs seeds at the same time.
+func runSeeds(t *testing.T, seeds map[string]Options) {
+	t.Helper()
 	bin := filepath.Join(t.TempDir(), "cassiaspoke")
 	if out, err := exec.CommandContext(t.Context(), "go", "build", "-o", bin, "../../cmd/cassiaspoke").CombinedOutput(); err != nil {
 		t.Fatalf("go build: %v\n%s", err, out)
 	}
-	for name, c := range testSeeds {
+	for name, o := range seeds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Options{
-				Executable: bin, Dir: t.TempDir(), Seed: c.seed, FaultDuration: c.length, Instances: 3, Engines: 4,
-			})
+			o.Executable, o.Dir = bin, t.TempDir()
+			r, err := Run(t.Context(), o)
 			if err != nil {
 				t.Errorf("%v\n%s\n%s", err, lines(r.Violations), lines(r.Events))
 			}
