Use the records of a seed only as long as it confirms that they are recent

Callers saw changes of routes and keys, and endpoints that leave, later than the bounds allow (CONFIG, DENIED, DRAIN), by as much as messages between instances were late.

Cause: a follower dated records from their arrival less the age that the seed had written into the message. Time in buffers, on the link, and before a paused process read them counted as zero, so any lag looked fresh and the follower never read the store.

Now only the answer to a call of one's own dates records (as decision 0041 has it for the product's own log): the time of the call less the age in the answer. Delays make records look older, so an instance reads the store itself while its seed is late, and keeps a read pending until the seed is prompt again. A seed dates its own reads from their start, or the end of their wait if that brought nothing, instead of the time at which it handles the reply. Clocks count times of suspension. A seed that confirms nothing recent for three checks is left.

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -60,8 +60,11 @@
 	requiredTopicWait = 60 * time.Millisecond
 	// optionalTopicWait is the startup wait for all other topics.
 	optionalTopicWait = 2 * time.Second
-	// relayDelay covers a call to the store and the transfer of its records to another instance.
-	relayDelay = 300 * time.Millisecond
+	// maxRelayDelay covers a call to the store, the transfer of its records to another instance and their confirmation.
+	maxRelayDelay = 300 * time.Millisecond
+	// relayDelayShare limits that time to a share of a bound. The rest of the bound, after the wait of a read, is left for
+	// a read of one's own.
+	relayDelayShare = 0.2
 	// maxIdleConns is the maximum number of idle connections to an endpoint.
 	maxIdleConns = 8
 	// retryRatioShare is the share of the fleet's retry ratio that the instances use. The rest covers differences between
@@ -180,19 +183,26 @@
 		relayOptions.Address, relayOptions.Seeds = s.Peers.Listen, s.Peers.Seeds
 	}
 	hub := relay.NewHub(relayOptions)
-	addTopic := func(name string, t platform.Topic, o changefeed.Options, minInterval, startupWait time.Duration) changefeed.Source {
-		return hub.AddTopic(name, store.TopicClient(t), relay.ReadPolicy{StartupWait: startupWait, MinInterval: minInterval, MaxAge: max(minInterval, o.Wait) + relayDelay})
+	addTopic := func(name string, t platform.Topic, o changefeed.Options, p relay.ReadPolicy) changefeed.Source {
+		p.MaxAge += max(p.MinInterval, o.Wait)
+		p.Timeout = storeTimeout
+		return hub.AddTopic(name, store.TopicClient(t), p)
 	}
-	registryInterval := time.Duration(registryIntervalShare * float64(b.DrainDelay))
+	required := func(bound time.Duration) relay.ReadPolicy {
+		return relay.ReadPolicy{StartupWait: requiredTopicWait, MaxAge: min(maxRelayDelay, time.Duration(relayDelayShare*float64(bound))), Required: true}
+	}
+	optional := relay.ReadPolicy{StartupWait: optionalTopicWait, MaxAge: maxRelayDelay}
+	registryPolicy := required(b.DrainDelay)
+	registryPolicy.MinInterval = time.Duration(registryIntervalShare * float64(b.DrainDelay))
 	// Topics must be added in the same order on all instances.
-	operators, registry := addTopic("operators", platform.TopicOperator, feeds.Operators, 0, requiredTopicWait), addTopic("registry", platform.TopicRegistry, feeds.Registry, registryInterval, requiredTopicWait)
+	operators, registry := addTopic("operators", platform.TopicOperator, feeds.Operators, required(b.ApplyDelay)), addTopic("registry", platform.TopicRegistry, feeds.Registry, registryPolicy)
 	status, instances := store.TopicClient(platform.TopicStatus), store.TopicClient(platform.TopicInstances)
 	bodyMemory := int64(bodyMemoryShare * float64(s.Limits.Memory))
 	requestMemory, responseMemory := memory.NewBudget(bodyMemory), memory.NewBudget(bodyMemory)
 	return ingress.Options{
 		Instance: s.Instance.ID, Protocol: platform.Protocol{}, Codec: platform.RecordCodec{}, Logger: logger,
 		OperatorSource: operators, RegistrySource: registry, Dialer: dialer, Hub: hub, Feeds: feeds,
-		StatusTopic: relayedTopic{addTopic("status", platform.TopicStatus, feeds.Shared, 0, optionalTopicWait), status}, InstancesTopic: relayedTopic{addTopic("instances", platform.TopicInstances, feeds.Shared, 0, optionalTopicWait), instances},
+		StatusTopic: relayedTopic{addTopic("status", platform.TopicStatus, feeds.Shared, optional), status}, InstancesTopic: relayedTopic{addTopic("instances", platform.TopicInstances, feeds.Shared, optional), instances},
 		Placement:       placement.DefaultSettings(s.Instance.AvailabilityZone),
 		Escalation:      escalation.DefaultSettings(),
 		Retries:         retry.Settings{Window: b.RetryWindow, Ratio: retryRatioShare * b.RetryRatio, MinRetries: max(minRetrySlack, b.RetrySlack/maxFleetSize)},
--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -6,8 +6,6 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
 )
@@ -16,6 +14,7 @@
 	confirmTimeout   = time.Second            // of a call to the seed, and time between calls if it sends no records
 	confirmInterval  = 100 * time.Millisecond // mean time between calls while the seed sends records often
 	confirmBurst     = 4                      // calls without that pause, so that a start takes few round trips
+	maxLateChecks    = 3                      // consecutive checks, confirmTimeout apart, without recent records until the next seed is tried
 	confirmBatchTime = 5 * time.Millisecond   // for which messages of several topics are awaited before a call
 )
 
@@ -43,32 +42,58 @@
 	}
 }
 
-// confirmRecords asks a seed how recent its records are, each time it has sent some, until the context ends.
-func (h *Hub) confirmRecords(ctx context.Context, r relaypb.RelayClient, received <-chan struct{}) {
+// recordsRecent reports whether the records of all required topics are recent enough to be used.
+func (h *Hub) recordsRecent() bool {
+	for _, t := range h.topics {
+		t.mu.Lock()
+		asOf := t.confirmedAsOf
+		t.mu.Unlock()
+		if t.policy.Required && (asOf == unknown || h.now().sub(asOf) >= t.policy.MaxAge) {
+			return false
+		}
+	}
+	return true
+}
+
+// confirmRecords asks a seed how recent its records are, each time it has sent some, until the context ends. It returns an
+// error if the records are late for a while. Checks are counted instead of measuring the time, so that a pause of this
+// process is not blamed on the seed.
+func (h *Hub) confirmRecords(ctx context.Context, r relaypb.RelayClient, received <-chan struct{}) error {
 	limiter := rate.NewLimiter(rate.Every(confirmInterval), confirmBurst)
 	t := time.NewTicker(confirmTimeout)
 	defer t.Stop()
-	for limiter.Wait(ctx) == nil {
-		calledAt := h.now()
-		callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
-		m, err := r.Confirm(callCtx, &relaypb.ConfirmRequest{Instance: h.options.Instance})
-		cancel()
-		h.metrics.confirmTime.RecordDuration(h.now().sub(calledAt))
-		switch {
-		case ctx.Err() != nil:
-			return
-		case err == nil:
-			h.applyConfirmation(calledAt, m)
-		case status.Code(err) == codes.Unimplemented:
-			h.options.Logger.Warn("relay: The seed is of an older release and can't confirm its records.", zap.Error(err))
-		default:
-			h.options.Logger.Debug("relay: A confirmation failed.", zap.Error(err))
+	for lateChecks := 0; ; {
+		if err := limiter.Wait(ctx); err != nil {
+			return nil //nolint:nilerr // the stream has ended
 		}
+		h.confirmOnce(ctx, r)
 		select {
 		case <-ctx.Done():
+			return nil
 		case <-t.C:
+			lateChecks++
+			if h.recordsRecent() {
+				lateChecks = 0
+			}
+			if lateChecks == maxLateChecks {
+				return &Error{Op: "confirm", Kind: ErrStale}
+			}
 		case <-received:
 			_ = sleep(ctx, confirmBatchTime, nil) // the loop checks the context
 		}
 	}
 }
+
+// confirmOnce asks a seed once how recent its records are.
+func (h *Hub) confirmOnce(ctx context.Context, r relaypb.RelayClient) {
+	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	calledAt := h.now()
+	m, err := r.Confirm(callCtx, &relaypb.ConfirmRequest{Instance: h.options.Instance})
+	h.metrics.confirmTime.RecordDuration(h.now().sub(calledAt))
+	if err != nil {
+		h.options.Logger.Debug("relay: A confirmation failed.", zap.Error(err))
+		return
+	}
+	h.applyConfirmation(calledAt, m)
+}
--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -8,7 +8,7 @@
 // Kinds of error.
 const (
 	ErrGap    ErrorKind = "gap"        // records between two messages are missing
-	ErrStale  ErrorKind = "stale"      // the other instance has lost its connection to the store
+	ErrStale  ErrorKind = "stale"      // the other instance does not confirm recent records
 	ErrStream ErrorKind = "broken off" // the stream between two instances failed or ended
 )
 
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -136,7 +136,7 @@
 			store := newFakeStore()
 			store.add("first")
 			read, write := delays()
-			_, others := startInstancesOver(t, store, 1, ReadPolicy{MaxAge: freshTime}, func(ctx context.Context, a string) (net.Conn, error) {
+			_, others := startInstancesOver(t, store, 1, ReadPolicy{MaxAge: freshTime, Required: true}, func(ctx context.Context, a string) (net.Conn, error) {
 				c, err := (&net.Dialer{}).DialContext(ctx, "tcp", a)
 				if err != nil {
 					return nil, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -29,7 +30,6 @@
 	startupRetryInterval = 20 * time.Millisecond
 	startupPhase         = time.Second            // after the start of an instance
 	retryInterval        = 500 * time.Millisecond // from a failed stream to the next one
-	followTimeout        = 3 * time.Second        // time without a message after which the next seed is tried
 	keepAliveInterval    = 10 * time.Second       // between probes of an idle connection; gRPC allows no shorter one
 	keepAliveTimeout     = 3 * time.Second        // for the response to a probe
 )
@@ -95,6 +95,7 @@
 // the same order, as messages refer to a topic by its index.
 func (h *Hub) AddTopic(name string, store changefeed.Source, p ReadPolicy) *Source {
 	t := newTopic(h.notifier)
+	t.policy = p
 	h.topics = append(h.topics, t)
 	m := h.metrics.topicScope(name)
 	return &Source{hub: h, name: name, store: store, topic: t, policy: p, metrics: sourceMetrics{
@@ -107,6 +108,9 @@
 	return len(h.options.Seeds) == 0 || slices.Contains(h.options.Seeds, h.options.Address)
 }
 
+// hasFollowers reports whether other instances may follow this one.
+func (h *Hub) hasFollowers() bool { return len(h.options.Seeds) > 0 && h.IsSeed() }
+
 // Serve accepts connections from other instances until the context ends.
 func (h *Hub) Serve(ctx context.Context, l net.Listener) error {
 	s := grpc.NewServer(
@@ -125,16 +129,18 @@
 // Follow sends the newest records of each topic to another instance, and then all changes.
 func (h *Hub) Follow(r *relaypb.FollowRequest, s grpc.ServerStreamingServer[relaypb.Batch]) error {
 	h.options.Logger.Info("relay: Another instance follows this one.", zap.String("follower", r.GetInstance()))
-	sentOffsets := make([]int64, len(h.topics))   // offset after the last record sent, 0 before the snapshot is sent
-	sentTimes := make([]time.Time, len(h.topics)) // time of the last successful call to the store that was reported
+	sent := make([]struct {
+		next     int64 // offset after the last record sent, 0 before the snapshot is sent
+		readAsOf instant
+	}, len(h.topics))
 	for {
 		changed := h.notifier.nextChange()
 		for i, t := range h.topics {
 			t.mu.Lock()
 			var m *relaypb.Batch
-			if t.loaded && t.lastSuccess.After(sentTimes[i]) {
-				m = newBatch(t, sentOffsets[i], i)
-				sentOffsets[i], sentTimes[i] = t.next, t.lastSuccess
+			if l := &sent[i]; t.loaded && (t.next > l.next || t.readAsOf > l.readAsOf) {
+				m = h.newBatch(t, l.next, i)
+				l.next, l.readAsOf = t.next, t.readAsOf
 			}
 			t.mu.Unlock()
 			if m == nil {
@@ -154,9 +160,9 @@
 
 // newBatch returns the records of a topic from an offset on, or a snapshot if these are not all kept. The caller must hold
 // the topic's lock.
-func newBatch(t *topic, from int64, index int) *relaypb.Batch {
+func (h *Hub) newBatch(t *topic, from int64, index int) *relaypb.Batch {
 	b := t.recordsFrom(from)
-	m := &relaypb.Batch{Topic: uint32(index), From: from, AgeMicroseconds: time.Since(t.lastSuccess).Microseconds()}
+	m := &relaypb.Batch{Topic: uint32(index), From: from, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds()}
 	if from == 0 || b.Trimmed {
 		b, m.Full = t.snapshot(), true
 	}
@@ -241,18 +247,19 @@
 	return f(callCtx, relaypb.NewRelayClient(conn))
 }
 
-// followSeed receives records from a seed and shares loads with it until the stream ends or stays silent for followTimeout.
+// followSeed receives records from a seed and shares loads with it until the stream ends or the seed does not confirm recent
+// records.
 func (h *Hub) followSeed(ctx context.Context, a netip.AddrPort) error {
 	return h.withClient(ctx, a, func(ctx context.Context, r relaypb.RelayClient) error {
-		streamCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
+		streamCtx, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
 		s, err := r.Follow(streamCtx, &relaypb.FollowRequest{Instance: h.options.Instance})
 		if err != nil {
 			return &Error{Op: "follow", Kind: ErrStream, Err: err}
 		}
 		var w sync.WaitGroup
 		defer w.Wait()
-		defer cancel()
+		defer cancel(nil)
 		if h.reporter != nil {
 			w.Go(func() { h.shareLoads(streamCtx, r) })
 		}
@@ -260,17 +267,12 @@
 			t.dropWaiting()
 		}
 		received := make(chan struct{}, 1)
-		w.Go(func() { h.confirmRecords(streamCtx, r, received) })
-		// The seed sends a message after each successful call to the store. If none arrives, the seed, its connection
-		// to the store or the network has failed.
-		idle := time.AfterFunc(followTimeout, cancel)
-		defer idle.Stop()
+		w.Go(func() { cancel(h.confirmRecords(streamCtx, r, received)) })
 		for {
 			m, err := s.Recv()
 			if err != nil {
-				return &Error{Op: "receive", Kind: ErrStream, Err: err}
+				return &Error{Op: "receive", Kind: ErrStream, Err: cmp.Or(context.Cause(streamCtx), err)}
 			}
-			idle.Reset(followTimeout)
 			if int(m.GetTopic()) >= len(h.topics) {
 				continue // a topic of a newer release
 			}
@@ -294,11 +296,10 @@
 	for _, r := range m.GetRecords() {
 		b.Records = append(b.Records, changefeed.Record{Key: string(r.GetKey()), Value: r.GetValue(), Offset: r.GetOffset()})
 	}
-	lastSuccess := time.Now().Add(-time.Duration(m.GetAgeMicroseconds()) * time.Microsecond)
 	t := h.topics[m.GetTopic()]
 	if m.GetFull() {
-		t.setSnapshot(b, lastSuccess)
+		t.setSnapshot(b, unknown)
 		return true
 	}
-	return t.addBatch(m.GetFrom(), b, lastSuccess)
+	return t.addBatch(m.GetFrom(), b, unknown)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,7 +128,7 @@
 // startInstances starts one seed and a number of followers of one topic.
 func startInstances(t *testing.T, store *fakeStore, followers int) (seed *testInstance, others []*testInstance) {
 	t.Helper()
-	p := ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime}
+	p := ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime, Required: true}
 	return startInstancesOver(t, store, followers, p, func(ctx context.Context, s string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", s)
 	})
@@ -254,14 +254,13 @@
 func TestOlderRecords(t *testing.T) {
 	h := NewHub(Options{Logger: zap.NewNop()})
 	s := h.AddTopic("test", &storeClient{store: newFakeStore()}, ReadPolicy{MaxAge: time.Minute})
-	now := time.Now()
 	record := func(o int64) changefeed.Record { return changefeed.Record{Key: "k", Value: []byte{byte(o)}, Offset: o} }
-	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(7)}, NextOffset: 8}, now)
-	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(3)}, NextOffset: 4}, now.Add(1))
-	if !s.topic.addBatch(2, changefeed.Batch{Records: []changefeed.Record{record(2), record(3)}, NextOffset: 4}, now.Add(2)) {
+	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(7)}, NextOffset: 8}, 1)
+	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(3)}, NextOffset: 4}, 2)
+	if !s.topic.addBatch(2, changefeed.Batch{Records: []changefeed.Record{record(2), record(3)}, NextOffset: 4}, 3) {
 		t.Error("an older batch was reported as a gap")
 	}
-	if s.topic.addBatch(9, changefeed.Batch{Records: []changefeed.Record{record(9)}, NextOffset: 10}, now.Add(3)) {
+	if s.topic.addBatch(9, changefeed.Batch{Records: []changefeed.Record{record(9)}, NextOffset: 10}, 4) {
 		t.Error("a gap was not reported")
 	}
 	if b := s.topic.snapshot(); b.NextOffset != 8 || b.Records[0].Offset != 7 {
@@ -280,7 +279,7 @@
 	h := NewHub(Options{Logger: zap.NewNop()})
 	r := &storeClient{store: store}
 	const interval = 250 * time.Millisecond
-	s := h.AddTopic("test", r, ReadPolicy{MinInterval: interval, MaxAge: freshTime})
+	s := h.AddTopic("test", r, ReadPolicy{MinInterval: interval, MaxAge: freshTime, Required: true})
 	if _, err := s.Snapshot(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -83,7 +83,7 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", s)
 		}})
 		h.SetReporter(w)
-		f := changefeed.NewFollower(h.AddTopic("test", &storeClient{store: store}, ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime}),
+		f := changefeed.NewFollower(h.AddTopic("test", &storeClient{store: store}, ReadPolicy{StartupWait: testTimeout, MaxAge: freshTime, Required: true}),
 			changefeed.Options{Wait: readWait, Timeout: time.Second, RetryInterval: 50 * time.Millisecond}, func(changefeed.Update) {})
 		g.Go(func() { f.Run(ctx) })
 		g.Go(func() { h.Run(ctx) })
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -15,7 +15,10 @@
 	// StartupWait is how long after its start an instance waits for the records of a seed before it reads the store itself.
 	StartupWait time.Duration
 	MinInterval time.Duration // minimum time between the starts of two reads of the store
-	MaxAge      time.Duration // time since the last successful call to the store for which the records of a seed are used
+	MaxAge      time.Duration // age up to which the records of a seed are used
+	Timeout     time.Duration // of a read of the store, in addition to the time that it waits; none if zero
+	// Required makes an instance leave a seed that does not confirm recent records of the topic.
+	Required bool
 }
 
 // Source provides the records of a topic received from a seed while they are fresh, and reads the store otherwise.
@@ -29,6 +32,7 @@
 
 	lastRead time.Time // start of the last read of the store
 	direct   bool      // the last records came from the store
+	recheck  bool      // the last read returned records, so it does not show that they were the last ones when it ended
 	metrics  sourceMetrics
 }
 
@@ -50,8 +54,8 @@
 	return e
 }
 
-// note logs when this instance starts or stops reading the topic from the store itself, and updates the metrics.
-func (s *Source) note(direct bool, e changefeed.Evidence, reason string) {
+// observe logs when this instance starts or stops reading the topic from the store itself, and updates the metrics.
+func (s *Source) observe(direct bool, e changefeed.Evidence, reason string) {
 	if direct {
 		s.metrics.reads.Inc(1)
 	}
@@ -70,14 +74,14 @@
 	s.hub.options.Logger.Info("relay: The origin of a topic's records changed.", fields...)
 }
 
-// freshUntil returns until when the records received from a seed are fresh, and whether they are fresh now. The caller must
-// hold the topic's lock.
-func (s *Source) freshUntil(now time.Time) (time.Time, bool) {
+// recentFor returns for how long the records of a seed remain usable, and whether they are. The caller must hold the topic's
+// lock.
+func (s *Source) recentFor() (time.Duration, bool) {
 	if s.hub.seed.Load() == nil || !s.topic.loaded {
-		return time.Time{}, false
+		return 0, false
 	}
-	end := s.topic.lastSuccess.Add(s.policy.MaxAge)
-	return end, now.Before(end)
+	d := s.topic.confirmedAsOf.add(s.policy.MaxAge).sub(s.hub.now())
+	return d, d > 0 && s.topic.confirmedAsOf != unknown
 }
 
 // Snapshot returns the newest record of each key and the offset from which to read later changes.
@@ -85,7 +89,7 @@
 	for {
 		changed := s.hub.notifier.nextChange()
 		s.topic.mu.Lock()
-		if _, ok := s.freshUntil(time.Now()); ok {
+		if _, ok := s.recentFor(); ok {
 			defer s.topic.mu.Unlock()
 			return s.relayed(s.topic.snapshot()), nil
 		}
@@ -104,7 +108,7 @@
 		s.topic.recordFailure()
 		return b, err
 	}
-	s.topic.setSnapshot(b, time.Now())
+	s.topic.setSnapshot(b, calledAt)
 	return s.read(b, calledAt), nil
 }
 
@@ -113,7 +117,7 @@
 	for end := time.Now().Add(wait); ; {
 		now, changed := time.Now(), s.hub.notifier.nextChange()
 		s.topic.mu.Lock()
-		freshUntil, ok := s.freshUntil(now)
+		recentFor, ok := s.recentFor()
 		if !ok {
 			s.topic.mu.Unlock()
 			return s.readStore(ctx, from, max(0, end.Sub(now)))
@@ -123,7 +127,7 @@
 			return s.relayed(s.topic.recordsFrom(from)), nil
 		}
 		s.topic.mu.Unlock()
-		if err := sleep(ctx, min(end.Sub(now), freshUntil.Sub(now)), changed); err != nil {
+		if err := sleep(ctx, min(end.Sub(now), recentFor), changed); err != nil {
 			return changefeed.Batch{}, err
 		}
 	}
@@ -137,8 +141,16 @@
 		}
 		wait = max(0, wait-d) // the caller's timeout covers both
 	}
+	if s.recheck || !s.direct && !s.hub.IsSeed() {
+		wait = 0 // the response shows at once what the store has now
+	}
+	if s.policy.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+s.policy.Timeout)
+		defer cancel()
+	}
 	s.lastRead = time.Now()
-	calledAt := s.hub.now()
+	asOf := s.hub.now()
 	b, err := s.store.Read(ctx, from, wait)
 	switch {
 	case err != nil:
@@ -147,30 +159,30 @@
 	case b.Trimmed:
 		return b, nil
 	}
-	s.topic.addBatch(from, b, time.Now())
-	// A read that waited in vain shows that there was no record until the wait was over.
-	if len(b.Records) == 0 && s.hub.now().sub(calledAt) >= wait {
-		calledAt = calledAt.add(wait)
+	// A read that has waited in vain shows that there was no record until its wait was over.
+	if len(b.Records) == 0 && s.hub.now().sub(asOf) >= wait {
+		asOf = asOf.add(wait)
 	}
-	return s.read(b, calledAt), nil
+	s.recheck = len(b.Records) > 0 && s.hub.hasFollowers()
+	s.topic.addBatch(from, b, asOf)
+	return s.read(b, asOf), nil
 }
 
 // relayed adds the evidence to records that a seed has sent. The caller must hold the topic's lock.
 func (s *Source) relayed(b changefeed.Batch) changefeed.Batch {
 	b.Evidence = s.relayedEvidence()
-	s.note(false, b.Evidence, reasonRelayed)
+	s.observe(false, b.Evidence, reasonRelayed)
 	return b
 }
 
-// read adds the evidence to records read from the store and remembers it for followers.
+// read adds the evidence to records read from the store.
 func (s *Source) read(b changefeed.Batch, asOf instant) changefeed.Batch {
 	b.Evidence = changefeed.Evidence{Origin: changefeed.OriginStore, Basis: changefeed.BasisRead, AsOf: s.hub.asTime(asOf)}
-	s.topic.setReadAsOf(asOf)
 	reason := reasonLate
 	if s.hub.seed.Load() == nil {
 		reason = reasonNoSeed
 	}
-	s.note(true, b.Evidence, reason)
+	s.observe(true, b.Evidence, reason)
 	return b
 }
 
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 )
@@ -14,13 +13,14 @@
 
 // topic holds the known records of one topic of the store.
 type topic struct {
+	policy ReadPolicy
+
 	mu          sync.Mutex
 	loaded      bool                         // a snapshot has been set
 	newest      map[string]changefeed.Record // newest record of each key
 	recent      []changefeed.Record          // all records from the offset firstRecent on
 	firstRecent int64
-	next        int64     // offset after the last known record
-	lastSuccess time.Time // end of the last successful call to the store; zero after a failed call
+	next        int64 // offset after the last known record
 	notifier    *notifier
 
 	readAsOf      instant      // the records include all that the store had then, by calls of this instance; unknown after a failed call
@@ -59,11 +59,13 @@
 	n.c = make(chan struct{})
 }
 
-// setSnapshot replaces all records by the newest record of each key, unless later records are known.
-func (t *topic) setSnapshot(b changefeed.Batch, lastSuccess time.Time) {
+// setSnapshot replaces all records by the newest record of each key, unless later records are known. The snapshot includes
+// all that the store had at readAsOf; this is unknown if another instance sent the snapshot.
+func (t *topic) setSnapshot(b changefeed.Batch, readAsOf instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.recordSuccess(lastSuccess)
+	defer t.notifier.notifyAll()
+	t.readAsOf = max(t.readAsOf, readAsOf)
 	if t.loaded && b.NextOffset < t.next {
 		return
 	}
@@ -75,14 +77,16 @@
 	t.applyWaiting()
 }
 
-// addBatch adds the records from an offset on; it reports false if the records before that offset are not all known.
-func (t *topic) addBatch(from int64, b changefeed.Batch, lastSuccess time.Time) bool {
+// addBatch adds the records from an offset on; it reports false if the records before that offset are not all known. The
+// batch ends with the last record that the store had at readAsOf; this is unknown if another instance sent the batch.
+func (t *topic) addBatch(from int64, b changefeed.Batch, readAsOf instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.loaded || from > t.next {
 		return false
 	}
-	t.recordSuccess(lastSuccess)
+	defer t.notifier.notifyAll()
+	t.readAsOf = max(t.readAsOf, readAsOf)
 	for _, r := range b.Records {
 		if r.Offset < t.next {
 			continue
@@ -103,13 +107,6 @@
 	return true
 }
 
-// setReadAsOf records that a call of this instance to the store returned all records up to a time.
-func (t *topic) setReadAsOf(at instant) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.readAsOf = max(t.readAsOf, at)
-}
-
 // confirm records that the records before an offset were all of them at a time. If some of these are not known yet, the
 // confirmation counts when they arrive, unless an earlier one is still waiting.
 func (t *topic) confirm(next int64, asOf instant) {
@@ -147,20 +144,11 @@
 	}
 }
 
-// recordSuccess updates the time of the last successful call to the store and notifies all who wait for a change.
-func (t *topic) recordSuccess(at time.Time) {
-	if at.After(t.lastSuccess) {
-		t.lastSuccess = at
-	}
-	t.notifier.notifyAll()
-}
-
-// recordFailure clears the time of the last successful call to the store, so the records no longer count as fresh.
+// recordFailure records that a call of this instance to the store failed, so the records no longer count as recent here.
 func (t *topic) recordFailure() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastSuccess, t.readAsOf = time.Time{}, unknown
-	t.notifier.notifyAll()
+	t.readAsOf = unknown
 }
 
 // recordsFrom returns the records from an offset on, or a batch marked as trimmed if not all of them are kept. The caller
