Answer requests that have not ended when a planned stop does

Cause: a request taken before the balancer has noticed the stop may have a deadline beyond it, and the connections were closed with the request under way. Requests that may outlast the stop were refused only from 3 s on, counted from when the process handled the signal.

Now requests under way end half a second before the grace period does: 503 if no endpoint can have run them, 502 if one may have; only responses that have begun are cut. Refusals begin half a second earlier, and are checked before each send.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -46,6 +46,7 @@
 	x := a.exchange
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
 	defer a.cancel(nil)
+	defer context.AfterFunc(x.handler.stopDue, func() { a.cancel(errInstanceStops) })()
 	record := attemptRecord{
 		endpoint: a.choice.Endpoint.ID, model: x.effectiveModel(), version: a.choice.Endpoint.Version, expected: a.choice.TimeToFirstByte,
 	}
@@ -180,6 +181,9 @@
 	if errors.Is(err, errRefusedPart) {
 		return x.giveUp("prompt part"), "prompt part"
 	}
+	if errors.Is(err, errInstanceStops) {
+		return x.giveUp("instance stops"), "instance stops"
+	}
 	return x.giveUp("deadline"), "deadline"
 }
 
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -27,6 +27,7 @@
 	errSuspectContent = errors.New("the content of the request has crashed endpoints")
 	errRefusedPart    = errors.New("a part of the prompt crashes endpoints")
 	errDeadlinePassed = errors.New("the deadline has passed")
+	errInstanceStops  = errors.New("the instance stops")
 )
 
 // exchange is the state of one client request while it is served.
@@ -138,6 +139,9 @@
 	if !now.Before(x.deadline) {
 		return x.giveUp("deadline"), nil
 	}
+	if localErr := x.checkStop(); localErr != nil || x.handler.stopDue.Err() != nil {
+		return x.giveUp("instance stops"), localErr
+	}
 	if localErr := x.refreshConfiguration(); localErr != nil {
 		return x.giveUp("configuration"), localErr
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -37,6 +37,7 @@
 	stopping     *atomic.Bool
 	serverClosed *atomic.Bool               // the grace period is over, and connections with requests under way were closed
 	stopDeadline *atomic.Pointer[time.Time] // end of the grace period; set once the load balancer has noticed the stop
+	stopDue      context.Context            // ends when requests under way have to end
 	startedAt    time.Time
 	ready        <-chan struct{} // closed once the configuration and the endpoints are known
 }
@@ -111,12 +112,18 @@
 		timeout = defaultRequestTimeout
 	}
 	x.deadline = x.start.Add(timeout)
-	if stopDeadline := x.handler.stopDeadline.Load(); stopDeadline != nil && x.deadline.After(*stopDeadline) {
-		return &localError{
-			status: http.StatusServiceUnavailable, reason: "the instance stops before its answer may end", retryAfter: jitterRetryAfter(0),
-		}
+	return x.checkStop()
+}
+
+// checkStop returns an error if the request may outlast this instance, unless an endpoint may have run it already.
+func (x *exchange) checkStop() *localError {
+	stopDeadline := x.handler.stopDeadline.Load()
+	if stopDeadline == nil || x.mayHaveRun || !x.deadline.After(*stopDeadline) {
+		return nil
+	}
+	return &localError{
+		status: http.StatusServiceUnavailable, reason: "the instance stops before its answer may end", retryAfter: jitterRetryAfter(0),
 	}
-	return nil
 }
 
 // awaitReady waits up to admissionWait for the first configuration and endpoints, which a starting instance reads in a few
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,7 +20,9 @@
 	maxHeaderBytes    = 64 << 10 // the configuration's limit on headers is checked after the server has read the head
 	sweepInterval     = time.Second
 	readinessDelay    = 3 * time.Second        // the load balancer checks once a second and needs two failed checks
+	signalReserve     = 500 * time.Millisecond // part of readinessDelay for a stop signal that is handled late
 	exitReserve       = 500 * time.Millisecond // part of the grace period that is left for the process to exit
+	lastAnswersTime   = 200 * time.Millisecond // part of exitReserve to answer requests that have not ended
 	sideHeaderTimeout = time.Second
 	closeIdleInterval = 100 * time.Millisecond // between passes that close idle connections during a stop
 )
@@ -32,6 +34,8 @@
 	stopping       atomic.Bool
 	serverClosed   atomic.Bool
 	stopDeadline   atomic.Pointer[time.Time]
+	stopDue        context.Context // ends when requests under way have to end
+	endRequests    context.CancelFunc
 	activeRequests atomic.Int64
 	balancer       *balancer
 	controller     *controller
@@ -45,6 +49,7 @@
 func New(o Options) *Ingress {
 	i := &Ingress{options: o, pool: forward.NewPool(o.Dialer, o.MaxIdleConnsPerEndpoint)}
 	i.snapshot.Store(&snapshot{})
+	i.stopDue, i.endRequests = context.WithCancel(context.Background())
 	i.balancer = newBalancer(o)
 	if o.Hub != nil {
 		o.Hub.SetReporter(i.balancer)
@@ -55,7 +60,7 @@
 	i.handler = &handler{
 		options: o, snapshot: &i.snapshot, balancer: i.balancer, pool: i.pool, coordinator: i.coordinator, metrics: newMetrics(o.MetricsScope),
 		log: newRequestLog(o.Logger), stopping: &i.stopping, serverClosed: &i.serverClosed, stopDeadline: &i.stopDeadline,
-		startedAt: time.Now(), ready: i.controller.ready,
+		stopDue: i.stopDue, startedAt: time.Now(), ready: i.controller.ready,
 	}
 	return i
 }
@@ -136,15 +141,17 @@
 
 // stopServing keeps serving until the platform's load balancer has noticed the stop. Then it accepts no further
 // connections, closes idle ones, whose clients would otherwise send requests until the process exits, and waits for
-// requests under way until the grace period ends. New requests that may outlast the grace period are refused. Shutdown of
-// http.Server is not used: it closes idle connections without checking for a request that has just arrived.
+// requests under way until the grace period ends. New requests that may outlast the grace period are refused, and requests
+// that have not ended by then are answered, unless their response has begun. Shutdown of http.Server is not used: it closes idle connections without checking for a request that has just arrived.
 func (i *Ingress) stopServing(s *http.Server, l *clientListener) {
 	start := time.Now()
 	i.stopping.Store(true)
 	i.options.Logger.Info("instance: Stopping.", zap.Int64("requests", i.activeRequests.Load()), zap.Duration("grace", i.options.GracePeriod))
 	deadline := start.Add(max(i.options.GracePeriod-exitReserve, exitReserve))
-	time.Sleep(min(readinessDelay, i.options.GracePeriod/2))
+	listenUntil := start.Add(min(readinessDelay, i.options.GracePeriod/2))
+	time.Sleep(time.Until(listenUntil) - signalReserve)
 	i.stopDeadline.Store(&deadline)
+	time.Sleep(time.Until(listenUntil))
 	if err := l.stopAccepting(); err != nil {
 		i.options.Logger.Error("instance: The listener could not be closed.", zap.Error(err))
 	}
@@ -153,6 +160,10 @@
 		time.Sleep(closeIdleInterval)
 		openConns = l.closeIdle()
 	}
+	i.endRequests()
+	for end := time.Now().Add(lastAnswersTime); i.activeRequests.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(lastAnswersTime / 20)
+	}
 	i.serverClosed.Store(true)
 	err := s.Close()
 	i.options.Logger.Info("instance: Stopped.", zap.Int64("requests", i.activeRequests.Load()), zap.Int("connections", openConns),
