Take an unframed reply without a body for a lost connection in the callers' API

Not possible here: TestHeadCutOff (platform's path: length, chunks, streams, interim and foreign responses before, error pages, byte by byte) and TestReplyCutOff (callers' API) cut at each byte and passed on the code before, but for one case: the callers' API took a reply with neither length nor chunks, whose connection ends before the first byte of the body, for an empty success ("status 200, body \"\"").

--- /dev/null
+++ b/internal/engine/cut_test.go
@@ -0,0 +1,78 @@
+package engine_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+)
+
+// serveText answers each request with the same bytes and closes the connection.
+func serveText(t *testing.T, text string) netip.AddrPort {
+	t.Helper()
+	l, a := listen(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, text)
+			}
+			_ = c.(*net.TCPConn).CloseWrite()
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	return a
+}
+
+// TestReplyCutOff guards against a reply that is taken for complete although the endpoint stopped within its head or its body
+// and closed the connection.
+func TestReplyCutOff(t *testing.T) {
+	const event = `data: {"model":"m@1","choices":[{"delta":{"content":"text"},"finish_reason":"stop"}]}` + "\n\n"
+	replies := map[string]string{
+		"length":           "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks":           "HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"interim response": "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"error page":       "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 4\r\n\r\nbody",
+	}
+	for name, text := range replies {
+		t.Run("call/"+name, func(t *testing.T) {
+			for n := range len(text) {
+				c := newClient(t)
+				r, err := c.CallService(t.Context(), serveText(t, text[:n]), engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, 5*time.Second)
+				if err == nil {
+					t.Errorf("cut after %d of %d bytes: status %d, body %q", n, len(text), r.Status, r.Body)
+				}
+			}
+		})
+	}
+	t.Run("call/without length and body", func(t *testing.T) {
+		r, err := newClient(t).CallService(t.Context(), serveText(t, "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n"), engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, 5*time.Second)
+		if err == nil {
+			t.Errorf("status %d, body %q", r.Status, r.Body)
+		}
+	})
+	t.Run("stream", func(t *testing.T) {
+		text := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event
+		q := engine.ChatRequest{Model: "m@1", Messages: []engine.Message{{Role: "user", Content: prompt}}}
+		for n := range len(text) - 2 { // the event ends with its first line feed
+			if _, err := newClient(t).Stream(t.Context(), serveText(t, text[:n]), "chat", q, func(string) error { return nil }); err == nil {
+				t.Errorf("cut after %d of %d bytes", n, len(text))
+			}
+		}
+	})
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -106,9 +106,17 @@
 	if int64(len(b)) > c.s.MaxReplyBytes {
 		return ServiceReply{}, &Error{Op: "service", Kind: ErrTooLarge, Err: errors.New("reply exceeds the limit")}
 	}
+	if len(b) == 0 && endsWithConnection(res) {
+		return ServiceReply{}, &Error{Op: "service", Kind: ErrConnectionLost, Err: errors.New("the connection ended before the first byte of a body without a length")}
+	}
 	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: b, Report: parseReport(res.Header)}, nil
 }
 
+// endsWithConnection reports whether only the end of the connection marks the end of a reply's body.
+func endsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+}
+
 // newServiceRequest returns the HTTP request of a call. Of the caller's headers, it passes on only those that describe
 // bodies.
 func newServiceRequest(ctx context.Context, a netip.AddrPort, call ServiceCall) (*http.Request, error) {
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -155,3 +156,37 @@
 		t.Errorf("two endpoints have sent bytes: active %v, %d others, %d silent", active, others, silent)
 	}
 }
+
+// TestHeadCutOff guards against a success with an empty or short body when an endpoint stops within the head or the body of
+// its response and closes the connection.
+func TestHeadCutOff(t *testing.T) {
+	const (
+		interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+		length  = "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody"
+	)
+	for name, text := range map[string]string{
+		"length":           length,
+		"chunks":           "HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"stream":           "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n8\r\ndata: 1\n\r\n1\r\n\n\r\n0\r\n\r\n",
+		"interim response": interim + length,
+		"another response": "HTTP/1.1 200 OK\r\nX-Id: another\r\nContent-Length: 2\r\n\r\nxx" + length,
+		"error page":       "HTTP/1.1 500 Internal Server Error\r\nX-Id: own\r\nContent-Length: 4\r\n\r\nbody",
+		"line feeds only":  strings.ReplaceAll(length, "\r\n", "\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for n := range len(text) {
+				for _, r := range []io.Reader{strings.NewReader(text[:n]), iotest.OneByteReader(strings.NewReader(text[:n]))} {
+					c := testConn(r)
+					resp, err := c.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+					if err != nil {
+						continue
+					}
+					p := &Response{Body: resp.Body, Length: resp.ContentLength, conn: c, ctx: t.Context()}
+					if b, err := p.ReadAll(1<<20, noLimit); err == nil {
+						t.Errorf("cut after %d of %d bytes: status %d with the whole body %q", n, len(text), resp.StatusCode, b)
+					}
+				}
+			}
+		})
+	}
+}
