Refuse ages that are no time, and leave a late seed for all topics

Looking for the cause of the late configuration elsewhere: an age near the largest number overflowed and made a seed's records look recent (TestConfirmation, "an age that is no time", failed before). Reads of topics that wait for 20 s went on waiting for a seed that was left as late; they look again now.

FuzzMessage covers confirmations.

--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -15,6 +15,7 @@
 	confirmInterval  = 100 * time.Millisecond // mean time between calls while the seed sends records often
 	confirmBurst     = 4                      // calls without that pause, so that a start takes few round trips
 	maxLateChecks    = 3                      // consecutive checks, confirmTimeout apart, without recent records until the next seed is tried
+	maxConfirmedAge  = time.Hour              // of records in a confirmation; older ones are not confirmed
 	confirmBatchTime = 5 * time.Millisecond   // for which messages of several topics are awaited before a call
 )
 
@@ -36,7 +37,7 @@
 // applyConfirmation records how recent the topics are. The reply was written after calledAt, whenever it arrived.
 func (h *Hub) applyConfirmation(calledAt instant, m *relaypb.ConfirmReply) {
 	for _, a := range m.GetTopics() {
-		if int(a.GetTopic()) < len(h.topics) && a.GetAgeMicroseconds() >= 0 {
+		if int(a.GetTopic()) < len(h.topics) && a.GetAgeMicroseconds() >= 0 && a.GetAgeMicroseconds() < maxConfirmedAge.Microseconds() {
 			h.topics[a.GetTopic()].confirm(a.GetNext(), calledAt.add(-time.Duration(a.GetAgeMicroseconds())*time.Microsecond))
 		}
 	}
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -14,6 +14,7 @@
 	for _, m := range []proto.Message{
 		&relaypb.Batch{Topic: 0, Next: 3, Full: true, Records: []*relaypb.Record{{Key: []byte("k"), Value: []byte("v"), Offset: 2}}},
 		&relaypb.Batch{From: 9, Next: 3, AgeMicroseconds: -5},
+		&relaypb.ConfirmReply{Topics: []*relaypb.TopicAge{{Next: 3, AgeMicroseconds: 5}, {Topic: 9, AgeMicroseconds: -1}}},
 		&relaypb.Loads{Endpoints: []uint32{1, 2}, Requests: []uint32{3}, PrefillMilliseconds: []uint32{4, 5}},
 	} {
 		b, err := proto.Marshal(m)
@@ -34,6 +35,14 @@
 				}
 			}
 		}
+		a := &relaypb.ConfirmReply{}
+		if proto.Unmarshal(b, a) == nil {
+			now := h.now()
+			h.applyConfirmation(now, a)
+			if at := h.topics[0].confirmedAsOf; at > now {
+				t.Errorf("records confirmed for a time %v ahead", at.sub(now))
+			}
+		}
 		l := &relaypb.Loads{}
 		if proto.Unmarshal(b, l) == nil {
 			if n := decodeLoads(l); len(n) > len(l.GetEndpoints()) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,8 +1,8 @@
 package relay
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -196,6 +196,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		var e *Error
+		if errors.As(err, &e) && e.Kind == ErrStale {
+			h.notifier.notifyAll() // reads that wait for this seed's records must not wait on
+		}
 		h.options.Logger.Warn("relay: Lost the instance that reads the store; reading the store directly until another one responds.",
 			zap.Stringer("from", a), zap.Error(err))
 		delay := retryInterval
@@ -271,7 +275,11 @@
 		for {
 			m, err := s.Recv()
 			if err != nil {
-				return &Error{Op: "receive", Kind: ErrStream, Err: cmp.Or(context.Cause(streamCtx), err)}
+				var stale *Error
+				if errors.As(context.Cause(streamCtx), &stale) {
+					return stale
+				}
+				return &Error{Op: "receive", Kind: ErrStream, Err: err}
 			}
 			if int(m.GetTopic()) >= len(h.topics) {
 				continue // a topic of a newer release
