Do not place requests by loads that were long on their way

With messages 2.5 s late, an instance placed requests by loads 2.5 s old as if they were current (TestLateLoads fails without the check).

Messages of loads carry numbers, and name the last one that their sender had received, so each side knows how old they are at most. Loads older than 2 s are not used; results of new versions are, as they remain true. Counter: relay_late_reports.

--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -174,7 +174,9 @@
 func (b *balancer) SetRemoteReport(at time.Time, report relay.Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.table.SetRemoteLoads(at, report.Loads)
+	if report.Loads != nil {
+		b.table.SetRemoteLoads(at, report.Loads)
+	}
 	b.peerCounts, b.peerCountsAt = report.Trials, at
 	for s, r := range b.rollouts {
 		r.SetPeerPaces(at, report.Paces)
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -4,9 +4,14 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
 )
 
 // lateConn passes on what it reads, and what is written to it, after a delay that depends on the bytes passed so far.
@@ -159,3 +164,84 @@
 		})
 	}
 }
+
+// TestLateLoads guards against loads of other instances that are long on their way and taken for current ones. Results of
+// new versions count whenever they come.
+func TestLateLoads(t *testing.T) {
+	for name, c := range map[string]struct {
+		delay time.Duration // of what a seed sends
+		late  bool
+	}{"prompt": {0, false}, "late": {2500 * time.Millisecond, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			lis, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			a := netip.MustParseAddrPort(lis.Addr().String())
+			dial := func(ctx context.Context, s string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s)
+				if err != nil {
+					return nil, err
+				}
+				return newLateConn(conn, func(int) time.Duration { return c.delay }, func(int) time.Duration { return 0 }), nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var g sync.WaitGroup
+			defer g.Wait()
+			defer cancel()
+			seed := NewHub(Options{Instance: "seed", Address: a, Seeds: []netip.AddrPort{a}, Logger: zap.NewNop(), Dial: dial})
+			seed.SetReporter(&fakeReporter{})
+			g.Go(func() {
+				if err := seed.Serve(ctx, lis); err != nil {
+					t.Error(err)
+				}
+			})
+			follower, reporter := NewHub(Options{Instance: "a", Seeds: []netip.AddrPort{a}, Logger: zap.NewNop(), Dial: dial}), &fakeReporter{}
+			follower.SetReporter(reporter)
+			g.Go(func() { follower.Run(ctx) })
+			received := func() Report {
+				reporter.mu.Lock()
+				defer reporter.mu.Unlock()
+				return reporter.others
+			}
+			waitFor(t, "the results of the seed", func() bool { return received().Trials[trialKey].Answers > 0 })
+			for end := time.Now().Add(maxReportAge); time.Now().Before(end); time.Sleep(reportInterval) {
+				if l := received().Loads; (l == nil) != c.late {
+					t.Fatalf("loads %v", l)
+				}
+			}
+		})
+	}
+}
+
+// TestStreamClock guards against messages that look younger than they are because their numbers are odd.
+func TestStreamClock(t *testing.T) {
+	c := &streamClock{}
+	for i := range instant(3) {
+		c.stamp(&relaypb.Loads{}, 10*(i+1))
+	}
+	for _, x := range []struct {
+		number, answers uint32
+		want            time.Duration
+	}{
+		{0, 0, 0}, // an older release
+		{1, 0, 100},
+		{1, 1, 90},
+		{2, 2, 80},
+		{3, 2, 80},
+		{4, 1, 100}, // not sent in this order
+		{5, 9, 100}, // never sent
+		{6, 3, 70},
+	} {
+		if got := c.maxAge(&relaypb.Loads{Number: x.number, Answers: x.answers}, 100); got != x.want {
+			t.Errorf("message %d, which answers %d: age %d, want %d", x.number, x.answers, got, x.want)
+		}
+	}
+	for i := range instant(2 * maxUnanswered) {
+		c.stamp(&relaypb.Loads{}, 100+i)
+	}
+	if n := len(c.sentAt); n > maxUnanswered {
+		t.Errorf("%d times are kept", n)
+	}
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -9,12 +9,14 @@
 // metrics records how late the records of other instances come and how often the store is read instead.
 type metrics struct {
 	confirmTime tally.Histogram // duration of the calls by which a seed confirms its records
+	lateReports tally.Counter   // reports whose loads came too late to be used
 	scope       tally.Scope
 }
 
 func newMetrics(s tally.Scope) *metrics {
 	return &metrics{
 		confirmTime: s.Histogram("relay_confirmation_time", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 12)),
+		lateReports: s.Counter("relay_late_reports"),
 		scope:       s,
 	}
 }
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -23,6 +23,7 @@
 	reportBytesPerSecond = 8 << 10              // to one instance; larger reports are sent less often
 	reportLifetime       = time.Second          // time after which a report is ignored
 	entryBytes           = 8                    // approximate size of an endpoint's entry in a report
+	maxReportAge         = 2 * reportLifetime   // age from which on the loads of a report are not used
 )
 
 // Report is a report about the requests of one instance, or the sum of such reports.
@@ -53,7 +54,8 @@
 type Reporter interface {
 	// LocalReport returns the report of this instance.
 	LocalReport() Report
-	// SetRemoteReport sets the sum of the reports of all other instances, received at the time given.
+	// SetRemoteReport sets the sum of the reports of all other instances, received at the time given. Its loads are nil if
+	// they are too old to be used.
 	SetRemoteReport(at time.Time, r Report)
 }
 
@@ -151,6 +153,17 @@
 	return m
 }
 
+// decodeRecent returns the report in a message received on a stream. It leaves out loads that may be too old; results of new
+// versions remain true.
+func (h *Hub) decodeRecent(m *relaypb.Loads, c *streamClock) Report {
+	r := decodeReport(m)
+	if c.maxAge(m, h.now()) >= maxReportAge {
+		r.Loads = nil
+		h.metrics.lateReports.Inc(1)
+	}
+	return r
+}
+
 // decodeReport returns the report in a message, without invalid counts and sums.
 func decodeReport(m *relaypb.Loads) Report {
 	r := Report{Loads: decodeLoads(m), Trials: make(canary.CountsByKey, len(m.GetTrials())), Paces: make(canary.PacesByKey, len(m.GetPaces()))}
@@ -188,7 +201,8 @@
 	if err != nil {
 		return &Error{Op: "share", Kind: ErrStream, Err: err}
 	}
-	seed := m.GetSeed()
+	seed, clock := m.GetSeed(), &streamClock{}
+	clock.note(m)
 	key := h.reports.newKey()
 	h.reports.addStreams(1)
 	defer h.reports.addStreams(-1)
@@ -205,13 +219,18 @@
 			if err != nil {
 				return // the stream has ended; the context that is cancelled here ends the sender below
 			}
-			h.reports.set(key, receivedReport{report: decodeReport(m), receivedAt: time.Now()})
+			clock.note(m)
+			if !seed {
+				h.reports.set(key, receivedReport{report: h.decodeRecent(m, clock), receivedAt: time.Now()})
+			}
 		}
 	}()
 	for {
 		sum := h.reports.sum(time.Now(), key, !seed)
 		sum.add(h.reporter.LocalReport())
-		if err := s.Send(encodeReport(sum)); err != nil {
+		m := encodeReport(sum)
+		clock.stamp(m, h.now())
+		if err := s.Send(m); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
 		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+2*(len(sum.Trials)+len(sum.Paces))), nil); err != nil {
@@ -227,11 +246,14 @@
 		h.options.Logger.Warn("relay: Opening the stream of loads failed.", zap.Error(err))
 		return
 	}
+	clock := &streamClock{}
 	go func() {
 		lastReport := newReport()
 		for sentAt := (time.Time{}); ; {
 			if r := h.reporter.LocalReport(); !r.equal(lastReport) || time.Since(sentAt) >= reportLifetime/2 {
-				if err := s.Send(encodeReport(r)); err != nil {
+				m := encodeReport(r)
+				clock.stamp(m, h.now())
+				if err := s.Send(m); err != nil {
 					return // the receiver below gets the cause
 				}
 				lastReport, sentAt = r, time.Now()
@@ -249,20 +271,28 @@
 			}
 			return
 		}
-		h.reporter.SetRemoteReport(time.Now(), decodeReport(m))
+		clock.note(m)
+		h.reporter.SetRemoteReport(time.Now(), h.decodeRecent(m, clock))
 	}
 }
 
 // receiveFromSeed receives the sum of the loads of another seed and its followers until the stream ends.
 func (h *Hub) receiveFromSeed(ctx context.Context, c relaypb.RelayClient, key string) error {
 	s, err := c.Share(ctx)
-	if err == nil {
-		err = s.Send(&relaypb.Loads{Seed: true})
-	}
-	for err == nil {
+	clock := &streamClock{}
+	for lastSent := unknown; err == nil; {
+		if h.now().sub(lastSent) >= reportLifetime/2 {
+			request := &relaypb.Loads{Seed: true}
+			lastSent = h.now()
+			clock.stamp(request, lastSent)
+			if err = s.Send(request); err != nil {
+				break
+			}
+		}
 		var m *relaypb.Loads
 		if m, err = s.Recv(); err == nil {
-			h.reports.set(key, receivedReport{report: decodeReport(m), receivedAt: time.Now(), fromSeed: true})
+			clock.note(m)
+			h.reports.set(key, receivedReport{report: h.decodeRecent(m, clock), receivedAt: time.Now(), fromSeed: true})
 		}
 	}
 	return &Error{Op: "gather", Kind: ErrStream, Err: err}
