--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -18,13 +18,14 @@
 
 // Names of the flags of the soak command.
 const (
-	flagSeeds     = "seeds"
-	flagParallel  = "parallel"
-	flagLength    = "length"
-	flagInstances = "instances"
-	flagEngines   = "engines"
-	flagPeerDelay = "peer-delay"
-	flagLogs      = "logs"
+	flagSeeds      = "seeds"
+	flagParallel   = "parallel"
+	flagLength     = "length"
+	flagInstances  = "instances"
+	flagEngines    = "engines"
+	flagPeerDelay  = "peer-delay"
+	flagSeedFaults = "seed-faults"
+	flagLogs       = "logs"
 )
 
 func soakCommand() *cli.Command {
@@ -39,6 +40,7 @@
 			&cli.IntFlag{Name: flagInstances, Usage: "number of instances per seed", Value: 3},
 			&cli.IntFlag{Name: flagEngines, Usage: "number of model engines per seed", Value: 4},
 			&cli.DurationFlag{Name: flagPeerDelay, Usage: "delay of all that an instance sends to the instances that follow it"},
+			&cli.BoolFlag{Name: flagSeedFaults, Usage: "also disturb the instances that read the store for others"},
 			&cli.StringFlag{Name: flagLogs, Usage: "`DIRECTORY` in which the settings and the logs of failed seeds are kept"},
 		},
 		Action: runSoak,
@@ -69,7 +71,7 @@
 	for i := range uint64(c.Int(flagSeeds)) {
 		o := soak.Options{
 			Executable: executable, Dir: filepath.Join(dir, fmt.Sprint("seed-", first+i)), Seed: first + i, FaultDuration: c.Duration(flagLength),
-			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay),
+			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay), SeedFaults: c.Bool(flagSeedFaults),
 		}
 		slots <- struct{}{}
 		wg.Go(func() {
--- a/internal/relay/confirm_test.go
+++ b/internal/relay/confirm_test.go
@@ -170,3 +170,26 @@
 	}
 	checkAge("read after a record", delay)
 }
+
+// TestFirstDirectRead guards against an instance that notices late records of its seed and then waits for long: for a record
+// that may have come long ago, or for a connection to the store that hangs.
+func TestFirstDirectRead(t *testing.T) {
+	const wait, timeout = time.Minute, 100 * time.Millisecond
+	for name, hanging := range map[string]bool{"the store responds": false, "the store hangs": true} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Hour
+			h, s, client := newTestFollower(t, &now)
+			s.policy.Timeout = timeout
+			h.mergeBatch(&relaypb.Batch{Full: true, Next: 1, Records: []*relaypb.Record{{Key: []byte("k"), Value: []byte("v")}}})
+			if hanging {
+				client.hang()
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			_, err := s.Read(ctx, 1, wait)
+			if (err != nil) != hanging || ctx.Err() != nil {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -17,6 +19,7 @@
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
 	maxExtraServing  = 2 * time.Second        // upper bound of the time that a leaving endpoint serves after its drain time
+	slowPeriod       = 50 * time.Millisecond  // in which a slow instance runs once
 	storeDelay       = 300 * time.Millisecond // delay of responses of a slow store
 )
 
@@ -115,8 +118,9 @@
 // setupErrorPrefix starts the events for errors of the soak itself.
 const setupErrorPrefix = "the soak failed:"
 
-func (f *fleet) killInstance(d time.Duration) {
-	n := f.randomInstance()
+func (f *fleet) killInstance(d time.Duration) { f.kill(f.randomInstance(), d) }
+
+func (f *fleet) kill(n *instance, d time.Duration) {
 	end := n.beginDisturbance()
 	defer end()
 	p := n.currentProcess()
@@ -129,8 +133,9 @@
 	f.recordError(f.startInstance(n))
 }
 
-func (f *fleet) pauseInstance(d time.Duration) {
-	n := f.randomInstance()
+func (f *fleet) pauseInstance(d time.Duration) { f.pause(f.randomInstance(), d) }
+
+func (f *fleet) pause(n *instance, d time.Duration) {
 	defer n.beginDisturbance()()
 	p := n.currentProcess()
 	if p == nil {
@@ -182,14 +187,63 @@
 	f.recordError(f.writeSettings(n))
 }
 
+// slow lets an instance run for a tenth of the time only.
+func (f *fleet) slow(n *instance, d time.Duration) {
+	defer n.beginDisturbance()()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		p := n.currentProcess()
+		if p == nil {
+			return
+		}
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(9 * slowPeriod / 10)
+		p.signal(syscall.SIGCONT)
+		time.Sleep(slowPeriod / 10)
+	}
+}
+
 func (f *fleet) disruptStoreLink(d time.Duration) {
 	n := f.randomInstance()
+	f.disruptStore(n, linkFaults[f.randomIndex(len(linkFaults))], d)
+}
+
+func (f *fleet) disruptStore(n *instance, fault linkFault, d time.Duration) {
 	defer n.beginDisturbance()()
-	n.store.setFault(linkFaults[f.randomIndex(len(linkFaults))])
+	n.store.setFault(fault)
 	time.Sleep(d)
 	n.store.setFault(noLinkFault)
 }
 
+// disturbSeeds disturbs one, or all, of the instances that read the store for others, time and again until a time. Draws of
+// its own leave the rest of the schedule as it is without it.
+func (f *fleet) disturbSeeds(ctx context.Context, until time.Time) {
+	rng := rand.New(rand.NewPCG(f.options.Seed, 2))
+	acts := map[string]func(n *instance, d time.Duration){
+		"is killed": f.kill, "stands still": f.pause, "is slow": f.slow,
+		"is cut off from the store": func(n *instance, d time.Duration) { f.disruptStore(n, stalled, d) },
+		"gets late replies":         func(n *instance, d time.Duration) { f.disruptStore(n, delayed, d) },
+	}
+	names := slices.Sorted(maps.Keys(acts))
+	var w sync.WaitGroup
+	defer w.Wait()
+	for ctx.Err() == nil {
+		gap, name := time.Duration(rng.Int64N(int64(2*maxActionGap))), names[rng.IntN(len(names))]
+		d := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
+		seeds := f.instances[:seedInstances]
+		if i := rng.IntN(len(seeds) + 1); i < len(seeds) {
+			seeds = seeds[i : i+1]
+		}
+		if !time.Now().Add(gap).Before(until) {
+			return
+		}
+		time.Sleep(gap)
+		for _, n := range seeds {
+			f.addEvent("seed %d %s, %v", n.index, name, d.Round(time.Millisecond))
+			w.Go(func() { acts[name](n, d) })
+		}
+	}
+}
+
 func (f *fleet) disruptPeerLink(d time.Duration) {
 	n := f.randomInstance()
 	n.peers.setFault(linkFaults[f.randomIndex(len(linkFaults))])
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,7 @@
 	Instances     int
 	Engines       int
 	PeerDelay     time.Duration // of all that an instance sends to the instances that follow it
+	SeedFaults    bool          // also disturb the instances that read the store for others
 }
 
 // settleTime is the pause between phases. After it, endpoints that failed receive requests again and the bounds for applying
@@ -53,7 +54,12 @@
 		}
 	}
 	time.Sleep(settleTime)
+	var seedFaults sync.WaitGroup
+	if o.SeedFaults {
+		seedFaults.Go(func() { f.disturbSeeds(ctx, time.Now().Add(o.FaultDuration)) })
+	}
 	f.runActions(ctx, time.Now().Add(o.FaultDuration), append(append([]action{}, faults...), plannedChanges...))
+	seedFaults.Wait()
 	time.Sleep(settleTime)
 	plannedFrom := time.Now()
 	f.addEvent("planned changes only")
