--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,11 +21,12 @@
 }
 
 // Guards against instances that apply changes late because the messages of the instance that reads the store for them are
-// long on their way.
+// long on their way, or that instance is paused, slow, killed or cut off.
 func TestSoakLateRecords(t *testing.T) {
 	runSeeds(t, map[string]Options{
-		"2.5 s": {Seed: 780, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, PeerDelay: 2500 * time.Millisecond},
-		"1.5 s": {Seed: 781, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, PeerDelay: 1500 * time.Millisecond},
+		"2.5 s":               {Seed: 780, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, PeerDelay: 2500 * time.Millisecond},
+		"seeds are disturbed": {Seed: 2000, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, SeedFaults: true},
+		"1.5 s":               {Seed: 781, FaultDuration: 6 * time.Second, Instances: 6, Engines: 4, PeerDelay: 1500 * time.Millisecond},
 	})
 }
 
