Give each instance of the soak a loopback address of its own

Another seed ran in the same command. Suspected, not shown by a run: its client connected to a port that had been given to a process of this seed. Each instance of each seed now has an address of its own, and identifiers begin with the seed, so a case like it would tell.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -52,7 +52,7 @@
 			}
 			conn, connProcess = c, processNumber
 		}
-		q := f.newRequest(rng, n, fmt.Sprintf("%d-%d-%d", n.index, client, i))
+		q := f.newRequest(rng, n, fmt.Sprintf("%d-%d-%d-%d", f.options.Seed, n.index, client, i))
 		q.processNumber = processNumber
 		if f.send(conn, q); q.response.Err != nil || q.response.Close {
 			_ = conn.Close()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -112,9 +112,16 @@
 // seedInstances is the number of seeds: instances that read the store on behalf of the others.
 const seedInstances = 2
 
+// address returns the loopback address on which an instance listens. Each instance of each seed has its own one, as the port of
+// a process that has ended may be given to another process while clients still connect to it.
+func (f *fleet) address(n *instance) netip.Addr {
+	s := f.options.Seed
+	return netip.AddrFrom4([4]byte{127, byte(1 + s>>8%127), byte(s), byte(1 + n.index%254)})
+}
+
 // writeSettings writes the settings file of an instance. A seed lists port 0 for itself, as its own port is not known yet.
 func (f *fleet) writeSettings(n *instance) error {
-	free := netip.MustParseAddrPort("127.0.0.1:0")
+	free := netip.AddrPortFrom(f.address(n), 0)
 	a := standin.Addresses{Requests: free, Readiness: free, Metrics: free, Peers: free}
 	for _, s := range f.instances[:min(seedInstances, len(f.instances))] {
 		if s == n {
