--- a/internal/core/placement/load.go
+++ b/internal/core/placement/load.go
@@ -38,3 +38,35 @@
 		s.remote, s.remoteAt = l[uint32(s.hash)], at
 	}
 }
+
+// Pauses holds for how much longer endpoints want no requests, by EndpointKey.
+type Pauses map[uint32]time.Duration
+
+// maxSharedPause limits for how long what other instances have heard from an endpoint counts. They repeat it in time while it
+// holds.
+const maxSharedPause = time.Second
+
+// LocalPauses returns what endpoints have asked of this instance.
+func (t *Table) LocalPauses(now time.Time) Pauses {
+	out := Pauses{}
+	for _, s := range t.states {
+		switch {
+		case s.leaving:
+			out[uint32(s.hash)] = maxSharedPause
+		case !s.acceptsWork(now):
+			out[uint32(s.hash)] = min(s.pausedUntil.Sub(now), maxSharedPause)
+		}
+	}
+	return out
+}
+
+// SetRemotePauses records what endpoints have asked of other instances. Such endpoints get requests only if no other can take
+// them.
+func (t *Table) SetRemotePauses(now time.Time, l Pauses) {
+	for _, s := range t.states {
+		s.remotePausedUntil = time.Time{}
+		if d, ok := l[uint32(s.hash)]; ok {
+			s.remotePausedUntil = now.Add(min(d, maxSharedPause))
+		}
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
@@ -128,7 +129,7 @@
 	cache := t.estimateCache(now, r, m)
 	for i, e := range t.services[r.Service] {
 		s := t.states[e.ID]
-		if !t.eligible(now, r, e) || s.ejected(now) || !cache.isCandidate(i) {
+		if !t.eligible(now, r, e) || s.avoided(now) || !cache.isCandidate(i) {
 			continue
 		}
 		c := t.estimate(now, e, s, m, cache.uncached(i))
@@ -149,15 +150,16 @@
 	return t.states[e.ID].acceptsWork(now) && !r.ExcludedEndpoints[e.ID] && (r.Version == "" || e.Version == r.Version)
 }
 
-// fallback chooses the eligible endpoint whose ejection ends first. A request that must run at most once gets none if
-// that ejection lasts for longer than the base time.
+// fallback chooses the eligible endpoint whose ejection ends first, and of those without one an endpoint that has not asked
+// other instances for a pause. A request that must run at most once gets none if that ejection lasts for longer than the
+// base time.
 func (t *Table) fallback(now time.Time, r Request, m *latencyModel) (Choice, bool) {
 	var best *routing.Endpoint
 	for i, e := range t.services[r.Service] {
 		if !t.eligible(now, r, e) {
 			continue
 		}
-		if best == nil || t.states[e.ID].ejectedUntil.Before(t.states[best.ID].ejectedUntil) {
+		if best == nil || t.usableBefore(now, e.ID, best.ID) {
 			best = &t.services[r.Service][i]
 		}
 	}
@@ -167,6 +169,16 @@
 	return t.estimate(now, *best, t.states[best.ID], m, r.PromptTokens), true
 }
 
+// usableBefore reports whether one endpoint stops being avoided earlier than another, or has fewer requests if they do at the
+// same time.
+func (t *Table) usableBefore(now time.Time, id, other string) bool {
+	a, b := t.states[id], t.states[other]
+	if c := a.usableAt(now).Compare(b.usableAt(now)); c != 0 {
+		return c < 0
+	}
+	return a.running(now, t.settings.ReportTTL) < b.running(now, t.settings.ReportTTL)
+}
+
 // estimate returns the estimates for a request with a number of uncached prompt tokens at an endpoint.
 func (t *Table) estimate(now time.Time, e routing.Endpoint, s *state, m *latencyModel, uncached int) Choice {
 	running := s.running(now, t.settings.ReportTTL)
@@ -319,10 +331,52 @@
 	if end := now.Add(d); end.After(s.pausedUntil) {
 		s.pausedUntil = end
 	}
-	s.askedAt = now
+	s.askedAt, s.pauseNoticed = now, true
 	return first
 }
 
+// EndedPauses returns the identifiers of the endpoints whose pause has ended since the last call, sorted.
+func (t *Table) EndedPauses(now time.Time) []string {
+	var out []string
+	for id, s := range t.states {
+		if s.pauseNoticed && !now.Before(s.pausedUntil) {
+			s.pauseNoticed = false
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Availability counts the endpoints of a service, and those of them that get no requests, by reason.
+type Availability struct {
+	Endpoints int
+	Leaving   int // announced their stop
+	Paused    int // asked for no requests for a time
+	Ejected   int // refused connections or stopped responding
+}
+
+// AllUnwilling reports whether there are endpoints and all of them have asked for no requests.
+func (a Availability) AllUnwilling() bool {
+	return a.Endpoints > 0 && a.Leaving+a.Paused == a.Endpoints
+}
+
+// Availability returns the counts of a service.
+func (t *Table) Availability(now time.Time, service string) Availability {
+	a := Availability{Endpoints: len(t.services[service])}
+	for _, e := range t.services[service] {
+		switch s := t.states[e.ID]; {
+		case s.leaving:
+			a.Leaving++
+		case !s.acceptsWork(now):
+			a.Paused++
+		case s.ejected(now):
+			a.Ejected++
+		}
+	}
+	return a
+}
+
 // unwillingRetention is how long an endpoint without a registration is remembered for what it has asked for. Registrations
 // come back within seconds of an outage.
 const unwillingRetention = 5 * time.Minute
--- a/internal/core/placement/prompt.go
+++ b/internal/core/placement/prompt.go
@@ -93,7 +93,7 @@
 	all, local, extra := newTopRanks(n), newTopRanks(n), newTopRanks(max(0, t.settings.ExtraCandidates))
 	for k, e := range l {
 		s := t.states[e.ID]
-		if !t.eligible(now, r, e) || s.ejected(now) {
+		if !t.eligible(now, r, e) || s.avoided(now) {
 			continue
 		}
 		v := bitmix.Mix(sharedHash ^ s.hash)
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -40,6 +40,8 @@
 	leaving            bool      // the endpoint has announced its stop
 	pausedUntil        time.Time // the endpoint has asked for no requests before then
 	askedAt            time.Time // when it last asked for one of the two
+	remotePausedUntil  time.Time // it has asked other instances for no requests before then
+	pauseNoticed       bool      // EndedPauses is to return the endpoint after its pause
 
 	prefixes map[uint64]time.Time // time of the last use, by prefix hash
 }
@@ -50,6 +52,20 @@
 
 func (s *state) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
+// avoided reports whether the endpoint gets requests only if no other can take them.
+func (s *state) avoided(now time.Time) bool { return s.ejected(now) || now.Before(s.remotePausedUntil) }
+
+// usableAt returns when the endpoint is no longer avoided.
+func (s *state) usableAt(now time.Time) time.Time {
+	out := now
+	for _, t := range []time.Time{s.ejectedUntil, s.remotePausedUntil} {
+		if t.After(out) {
+			out = t
+		}
+	}
+	return out
+}
+
 // acceptsWork reports whether the endpoint has not asked to get no requests.
 func (s *state) acceptsWork(now time.Time) bool { return !s.leaving && !now.Before(s.pausedUntil) }
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -121,11 +121,13 @@
 	if a.response.Status == http.StatusMisdirectedRequest {
 		return // another endpoint has taken over the address
 	}
-	if a.attributes.Leaving && x.handler.balancer.markLeaving(now, id) {
-		x.handler.log.logEndpointState(id, "leaving", 0, nil)
+	// Without a signature or a mark the response is no evidence of a stop, which would count until the endpoint starts again.
+	genuine := a.attributes.Signed || a.attributes.NotExecuted
+	if genuine && a.attributes.Leaving && x.handler.balancer.markLeaving(now, id) {
+		x.handler.noteUnwilling(id, x.request.ID, unwillingLeaving, 0)
 	}
 	if d := a.attributes.RetryAfter; d > 0 && x.handler.balancer.pause(now, id, d) {
-		x.handler.log.logEndpointState(id, "paused", d, nil)
+		x.handler.noteUnwilling(id, x.request.ID, unwillingPaused, d)
 	}
 }
 
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -161,8 +161,8 @@
 func (b *balancer) LocalReport() relay.Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	report := relay.Report{Loads: b.table.LocalLoads(), Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}}
 	now := time.Now()
+	report := relay.Report{Loads: b.table.LocalLoads(), Pauses: b.table.LocalPauses(now), Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}}
 	for s, r := range b.rollouts {
 		report.Trials.Merge(r.LocalCounts(now, s))
 		report.Paces.Merge(r.LocalPaces(now, s))
@@ -176,6 +176,7 @@
 	defer b.mu.Unlock()
 	if report.Loads != nil {
 		b.table.SetRemoteLoads(at, report.Loads)
+		b.table.SetRemotePauses(at, report.Pauses)
 	}
 	b.peerCounts, b.peerCountsAt = report.Trials, at
 	for s, r := range b.rollouts {
@@ -264,6 +265,20 @@
 	return b.table.Pause(now, id, d)
 }
 
+// endedPauses returns the endpoints whose pause has ended since the last call.
+func (b *balancer) endedPauses(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.EndedPauses(now)
+}
+
+// availability counts the endpoints of a service that get no requests.
+func (b *balancer) availability(now time.Time, service string) placement.Availability {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table.Availability(now, service)
+}
+
 // recordSlowness records the time to the first byte over the expected time. It returns the reason if that stopped a
 // roll-out.
 func (b *balancer) recordSlowness(e routing.Endpoint, route string, slowness float64) string {
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -69,11 +69,12 @@
 	firstByte     time.Duration
 	history       []attemptRecord
 	localError    *localError
-	abortConn     bool              // the response is truncated, so the connection is to be closed
-	clientLeft    bool              // the client closed its connection
-	noRetryReason string            // why no further attempt was made
-	refusedPart   *suspect.PartMark // the part of the prompt for which the request was not sent
-	firstErr      error             // the first error of an attempt, for the log
+	abortConn     bool                    // the response is truncated, so the connection is to be closed
+	clientLeft    bool                    // the client closed its connection
+	noRetryReason string                  // why no further attempt was made
+	availability  *placement.Availability // of the endpoints when none could take the request
+	refusedPart   *suspect.PartMark       // the part of the prompt for which the request was not sent
+	firstErr      error                   // the first error of an attempt, for the log
 }
 
 // attemptRecord describes one attempt for the log.
@@ -277,10 +278,15 @@
 	case x.mayHaveRun:
 		x.writeLocalError(&localError{status: http.StatusBadGateway, reason: "no whole answer", err: x.firstErr})
 	default:
-		retryAfter := jitterRetryAfter(max(minRetryAfter, x.handler.balancer.estimateCapacityWait(time.Now(), x.service)))
-		x.writeLocalError(&localError{
-			status: http.StatusServiceUnavailable, reason: "no endpoint can take it", retryAfter: retryAfter, err: x.firstErr,
-		})
+		now := time.Now()
+		a := x.handler.balancer.availability(now, x.service)
+		x.availability = &a
+		localErr := &localError{status: http.StatusServiceUnavailable, reason: "no endpoint can take it", err: x.firstErr}
+		if a.AllUnwilling() {
+			localErr.reason = "all endpoints have asked for no requests"
+		}
+		localErr.retryAfter = jitterRetryAfter(max(minRetryAfter, x.handler.balancer.estimateCapacityWait(now, x.service)))
+		x.writeLocalError(localErr)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -202,6 +202,9 @@
 			return
 		case now := <-t.C:
 			i.pool.CloseExpired(now)
+			for _, id := range i.balancer.endedPauses(now) {
+				i.handler.notePauseEnded(id)
+			}
 			i.handler.metrics.updateGauges(i.snapshot.Load(), i.activeRequests.Load(), i.balancer.endpointCounts(), i.coordinator.prompts.refusedCount(), i.handler.log, i.options.DroppedLogLines())
 		}
 	}
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -59,6 +59,33 @@
 	}
 }
 
+// Reasons for which an endpoint has asked for no requests, in logs and metrics.
+const (
+	unwillingLeaving = "leaving" // it is about to stop
+	unwillingPaused  = "paused"  // it has asked for a pause
+)
+
+// noteUnwilling logs and counts that an endpoint has asked for no requests in its response to a request; pause is 0 if it
+// stated no end.
+func (h *handler) noteUnwilling(id, request, reason string, pause time.Duration) {
+	h.metrics.countUnwilling(reason)
+	if !h.log.allowLine(h.log.eventLimiter) {
+		return
+	}
+	fields := []zap.Field{zap.String("endpoint", id), zap.String("reason", reason), zap.String("request", request), zap.String("from", "response")}
+	if pause > 0 {
+		fields = append(fields, zap.Duration("pause", pause), zap.Time("until", time.Now().Add(pause)))
+	}
+	h.log.logger.Warn("endpoint: Asked for no requests.", fields...)
+}
+
+// notePauseEnded logs that the pause of an endpoint is over.
+func (h *handler) notePauseEnded(id string) {
+	if h.log.allowLine(h.log.eventLimiter) {
+		h.log.logger.Info("endpoint: Gets requests again.", zap.String("endpoint", id), zap.String("reason", "its pause is over"))
+	}
+}
+
 // logRolloutStop logs that this instance stopped a roll-out.
 func (l *requestLog) logRolloutStop(service, version, reason string) {
 	logRolloutStop(l.logger, service, version, reason)
@@ -143,6 +170,9 @@
 			fields = append(fields, zap.NamedError("error", x.localError.err))
 		}
 	}
+	if v := x.availability; v != nil {
+		fields = append(fields, zap.Int("endpoints", v.Endpoints), zap.Int("leaving", v.Leaving), zap.Int("paused", v.Paused), zap.Int("ejected", v.Ejected))
+	}
 	if x.refusedPart != nil {
 		fields = append(fields, evidenceFields(now, *x.refusedPart)...)
 	}
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -44,6 +44,11 @@
 	m.scope.Tagged(map[string]string{"outcome": strings.TrimRight(outcome, " ()0123456789")}).Counter("sends").Inc(1)
 }
 
+// countUnwilling counts an endpoint that has asked for no requests.
+func (m *metrics) countUnwilling(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("endpoints_unwilling").Inc(1)
+}
+
 // updateGauges sets the gauges of this instance's current state.
 func (m *metrics) updateGauges(v *snapshot, active int64, endpoints map[string]int, refusedParts int, l *requestLog, dropped int64) {
 	m.scope.Gauge("active_requests").Update(float64(active))
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -31,21 +31,25 @@
 	Loads  placement.Loads    // active requests at each endpoint
 	Trials canary.CountsByKey // results of new versions of services
 	Paces  canary.PacesByKey  // times of answers during roll-outs
+	Pauses placement.Pauses   // endpoints that want no requests
 }
 
 func newReport() Report {
-	return Report{Loads: placement.Loads{}, Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}}
+	return Report{Loads: placement.Loads{}, Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}, Pauses: placement.Pauses{}}
 }
 
 // equal reports whether two reports are the same. During a roll-out they differ each time, as the answer counts
 // decay continuously.
 func (r Report) equal(o Report) bool {
-	return maps.Equal(r.Loads, o.Loads) && maps.Equal(r.Trials, o.Trials) && maps.Equal(r.Paces, o.Paces)
+	return maps.Equal(r.Loads, o.Loads) && maps.Equal(r.Pauses, o.Pauses) && maps.Equal(r.Trials, o.Trials) && maps.Equal(r.Paces, o.Paces)
 }
 
 // add adds another report to this one.
 func (r Report) add(o Report) {
 	addLoads(r.Loads, o.Loads)
+	for e, d := range o.Pauses {
+		r.Pauses[e] = max(r.Pauses[e], d)
+	}
 	r.Trials.Merge(o.Trials)
 	r.Paces.Merge(o.Paces)
 }
@@ -54,8 +58,8 @@
 type Reporter interface {
 	// LocalReport returns the report of this instance.
 	LocalReport() Report
-	// SetRemoteReport sets the sum of the reports of all other instances, received at the time given. Its loads are nil if
-	// they are too old to be used.
+	// SetRemoteReport sets the sum of the reports of all other instances, received at the time given. Its loads and
+	// pauses are nil if they are too old to be used.
 	SetRemoteReport(at time.Time, r Report)
 }
 
@@ -145,6 +149,10 @@
 	for k, s := range r.Paces {
 		m.Paces = append(m.Paces, &relaypb.Pace{Key: k, Answers: float32(s.Answers), LogSum: float32(s.LogSum)})
 	}
+	for e, d := range r.Pauses {
+		m.PausedEndpoints = append(m.PausedEndpoints, e)
+		m.PauseMilliseconds = append(m.PauseMilliseconds, uint32(max(0, d.Milliseconds())))
+	}
 	for e, o := range r.Loads {
 		m.Endpoints = append(m.Endpoints, e)
 		m.Requests = append(m.Requests, uint32(max(0, o.Requests)))
@@ -153,12 +161,12 @@
 	return m
 }
 
-// decodeRecent returns the report in a message received on a stream. It leaves out loads that may be too old; results of new
+// decodeRecent returns the report in a message received on a stream. It leaves out loads and pauses that may be too old; results of new
 // versions remain true.
 func (h *Hub) decodeRecent(m *relaypb.Loads, c *streamClock) Report {
 	r := decodeReport(m)
 	if c.maxAge(m, h.now()) >= maxReportAge {
-		r.Loads = nil
+		r.Loads, r.Pauses = nil, nil
 		h.metrics.lateReports.Inc(1)
 	}
 	return r
@@ -166,7 +174,7 @@
 
 // decodeReport returns the report in a message, without invalid counts and sums.
 func decodeReport(m *relaypb.Loads) Report {
-	r := Report{Loads: decodeLoads(m), Trials: make(canary.CountsByKey, len(m.GetTrials())), Paces: make(canary.PacesByKey, len(m.GetPaces()))}
+	r := Report{Loads: decodeLoads(m), Pauses: decodePauses(m), Trials: make(canary.CountsByKey, len(m.GetTrials())), Paces: make(canary.PacesByKey, len(m.GetPaces()))}
 	for _, p := range m.GetPaces() {
 		if p.GetAnswers() >= 0 && !math.IsNaN(float64(p.GetLogSum())) && !math.IsInf(float64(p.GetLogSum()), 0) {
 			r.Paces[p.GetKey()] = canary.PaceSum{Answers: float64(p.GetAnswers()), LogSum: float64(p.GetLogSum())}
@@ -180,6 +188,18 @@
 	return r
 }
 
+// decodePauses returns the pauses of a message, without entries that lack a field.
+func decodePauses(m *relaypb.Loads) placement.Pauses {
+	d := m.GetPauseMilliseconds()
+	out := make(placement.Pauses, len(m.GetPausedEndpoints()))
+	for i, e := range m.GetPausedEndpoints() {
+		if i < len(d) {
+			out[e] = time.Duration(d[i]) * time.Millisecond
+		}
+	}
+	return out
+}
+
 // decodeLoads returns the loads of a message, without entries that lack a field.
 func decodeLoads(m *relaypb.Loads) placement.Loads {
 	r, p := m.GetRequests(), m.GetPrefillMilliseconds()
@@ -233,7 +253,7 @@
 		if err := s.Send(m); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
-		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+2*(len(sum.Trials)+len(sum.Paces))), nil); err != nil {
+		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+len(sum.Pauses)+2*(len(sum.Trials)+len(sum.Paces))), nil); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
 	}
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -33,6 +33,7 @@
 		Loads:  placement.Loads{endpointKey: {Requests: 1, PrefillMS: 20}},
 		Trials: canary.CountsByKey{trialKey: {Answers: 3, Bad: 1}},
 		Paces:  canary.PacesByKey{paceKey: {Answers: 2, LogSum: 5}},
+		Pauses: placement.Pauses{endpointKey: time.Second},
 	}
 }
 
@@ -52,6 +53,9 @@
 	if p := r.others.Paces[paceKey]; p.Answers != 2*float64(o.Requests) || p.LogSum != 5*float64(o.Requests) {
 		return placement.EndpointLoad{}
 	}
+	if o.Requests > 0 && r.others.Pauses[endpointKey] != time.Second {
+		return placement.EndpointLoad{}
+	}
 	return o
 }
 
