Let endpoints of the soak announce stops and pauses in their responses

After a response with the announcement of a stop has reached the client, a later request from that process must not reach the endpoint after the drain time; in a pause at most two requests may come half a second after the first refusal. Draws are its own.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -25,6 +25,7 @@
 	flagEngines    = "engines"
 	flagPeerDelay  = "peer-delay"
 	flagSeedFaults = "seed-faults"
+	flagAnnounce   = "announcements"
 	flagLogs       = "logs"
 )
 
@@ -41,6 +42,7 @@
 			&cli.IntFlag{Name: flagEngines, Usage: "number of model engines per seed", Value: 4},
 			&cli.DurationFlag{Name: flagPeerDelay, Usage: "delay of all that an instance sends to the instances that follow it"},
 			&cli.BoolFlag{Name: flagSeedFaults, Usage: "also disturb the instances that read the store for others"},
+			&cli.BoolFlag{Name: flagAnnounce, Usage: "let endpoints announce stops and pauses in their responses"},
 			&cli.StringFlag{Name: flagLogs, Usage: "`DIRECTORY` in which the settings and the logs of failed seeds are kept"},
 		},
 		Action: runSoak,
@@ -71,7 +73,7 @@
 	for i := range uint64(c.Int(flagSeeds)) {
 		o := soak.Options{
 			Executable: executable, Dir: filepath.Join(dir, fmt.Sprint("seed-", first+i)), Seed: first + i, FaultDuration: c.Duration(flagLength),
-			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay), SeedFaults: c.Bool(flagSeedFaults),
+			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay), SeedFaults: c.Bool(flagSeedFaults), Announcements: c.Bool(flagAnnounce),
 		}
 		slots <- struct{}{}
 		wg.Go(func() {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,6 +69,7 @@
 		}
 	}
 	c.checkNoRollback()
+	c.checkAnnouncements()
 	if quiet == 0 || served*100 < quiet*minServedPercent {
 		c.addViolation(nil, "after the last fault %d of %d requests were served", served, quiet)
 	}
@@ -231,3 +232,58 @@
 		c.addViolation(q, "an answer cut by a planned change, error %v", a.Err)
 	}
 }
+
+const (
+	pauseGrace   = 500 * time.Millisecond // after the first refusal with a pause, for requests on their way
+	pausedSends  = 2                      // requests that may reach an endpoint in the rest of the pause
+	announceSlop = 100 * time.Millisecond // for the client's end of a response to reach its instance, as the machine may be busy
+)
+
+// checkAnnouncements checks that a process sends an endpoint nothing more after it has passed on a response that announces its
+// stop, and hardly anything in a pause that the endpoint has asked for. A restart, pause or cut of the instance excuses it.
+func (c *checker) checkAnnouncements() {
+	type sender struct {
+		instance      *instance
+		processNumber int
+		endpoint      *endpoint
+	}
+	known := map[string]*request{}
+	for _, q := range c.fleet.requests {
+		known[q.ID] = q
+	}
+	bySender := map[sender][]arrival{}
+	for _, l := range c.arrivals {
+		for _, a := range l {
+			if q := known[a.ID]; q != nil && !q.end.IsZero() {
+				k := sender{q.instance, q.processNumber, a.endpoint}
+				bySender[k] = append(bySender[k], a)
+			}
+		}
+	}
+	for s, l := range bySender {
+		slices.SortFunc(l, func(a, b arrival) int { return a.ReceivedAt.Compare(b.ReceivedAt) })
+		excused := func(from, to time.Time) bool {
+			s.instance.mu.Lock()
+			defer s.instance.mu.Unlock()
+			return anyOverlaps(s.instance.disturbances, from, to) || anyOverlaps(s.endpoint.linkDisturbances, from, to)
+		}
+		leavingAt, pausedFrom, pausedUntil, late := time.Time{}, time.Time{}, time.Time{}, 0
+		for _, a := range l {
+			q := known[a.ID]
+			if !leavingAt.IsZero() && q.sent.After(leavingAt.Add(drainBound)) && !excused(leavingAt, a.ReceivedAt) {
+				c.addViolation(q, "reached %s %v after a response with the announcement of its stop", s.endpoint.ID, q.sent.Sub(leavingAt))
+			}
+			if a.ToldLeaving && a.Ran && q.response.Complete && (leavingAt.IsZero() || q.end.Before(leavingAt)) {
+				leavingAt = q.end
+			}
+			if a.ReceivedAt.After(pausedFrom.Add(pauseGrace)) && a.ReceivedAt.Before(pausedUntil) && !excused(pausedFrom, a.ReceivedAt) {
+				if late++; late > pausedSends {
+					c.addViolation(q, "reached %s as number %d in the pause for which it had asked %v before", s.endpoint.ID, late, a.ReceivedAt.Sub(pausedFrom))
+				}
+			}
+			if !a.PausedUntil.IsZero() && a.ReceivedAt.After(pausedUntil) {
+				pausedFrom, pausedUntil, late = a.ReceivedAt.Add(announceSlop), a.PausedUntil, 0
+			}
+		}
+	}
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -45,7 +45,9 @@
 	*standin.Endpoint
 	link              *link
 	shutdownAnnounced time.Time // when it announced its shutdown, guarded by fleet.mu
+	leaving           bool      // it announces its shutdown in its responses only; guarded by fleet.mu
 	removed           bool
+	linkDisturbances  []*disturbance // guarded by fleet.mu
 }
 
 // fleet holds the instances under test, their endpoints and store, and the requests and events of the run.
@@ -239,19 +241,22 @@
 }
 
 // randomEndpoint returns an endpoint of a service that is not shutting down, or nil if it is the last one.
-func (f *fleet) randomEndpoint(service string) *endpoint {
+func (f *fleet) randomEndpoint(service string) *endpoint { return f.drawEndpoint(service, f.rng) }
+
+// drawEndpoint is randomEndpoint with draws from rng.
+func (f *fleet) drawEndpoint(service string, rng *rand.Rand) *endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var l []*endpoint
 	for _, e := range f.endpoints {
-		if !e.removed && e.shutdownAnnounced.IsZero() && e.Service == service {
+		if !e.removed && !e.leaving && e.shutdownAnnounced.IsZero() && e.Service == service {
 			l = append(l, e)
 		}
 	}
 	if len(l) < 2 {
 		return nil
 	}
-	return l[f.rng.IntN(len(l))]
+	return l[rng.IntN(len(l))]
 }
 
 // removeEndpoint deregisters an endpoint and closes it.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -18,8 +18,10 @@
 	maxActionGap     = 700 * time.Millisecond // upper bound of the time between the starts of two actions
 	minFaultDuration = 200 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
-	maxExtraServing  = 2 * time.Second        // upper bound of the time that a leaving endpoint serves after its drain time
-	slowPeriod       = 50 * time.Millisecond  // in which a slow instance runs once
+	maxExtraServing  = 2 * time.Second       // upper bound of the time that a leaving endpoint serves after its drain time
+	slowPeriod       = 50 * time.Millisecond // in which a slow instance runs once
+	minPause         = time.Second           // that an endpoint asks for
+	maxPause         = 4 * time.Second
 	storeDelay       = 300 * time.Millisecond // delay of responses of a slow store
 )
 
@@ -244,6 +246,40 @@
 	}
 }
 
+// announceInResponses lets endpoints ask for pauses and announce their stop in responses only, until a time. Draws of its own
+// leave the rest of the schedule as it is without it.
+func (f *fleet) announceInResponses(ctx context.Context, until time.Time) {
+	rng := rand.New(rand.NewPCG(f.options.Seed, 3))
+	var w sync.WaitGroup
+	defer w.Wait()
+	for ctx.Err() == nil {
+		gap, pauses, d := time.Duration(rng.Int64N(int64(2*maxActionGap))), rng.IntN(3) > 0, minPause+time.Duration(rng.Int64N(int64(maxPause-minPause)))
+		service := []string{standin.EngineService, standin.PlainService}[rng.IntN(2)]
+		if !time.Now().Add(gap).Before(until) {
+			return
+		}
+		time.Sleep(gap)
+		e := f.drawEndpoint(service, rng)
+		switch {
+		case e == nil:
+		case pauses:
+			f.addEvent("%s asks for a pause, %v", e.ID, d.Round(time.Millisecond))
+			e.RefuseFor(d)
+		default:
+			f.addEvent("%s announces its stop in responses, %v", e.ID, d.Round(time.Millisecond))
+			f.recordError(f.addEndpoint(service))
+			f.mu.Lock()
+			e.leaving = true
+			f.mu.Unlock()
+			e.AnnounceStop()
+			w.Go(func() {
+				time.Sleep(drainBound + d)
+				f.removeEndpoint(e)
+			})
+		}
+	}
+}
+
 func (f *fleet) disruptPeerLink(d time.Duration) {
 	n := f.randomInstance()
 	n.peers.setFault(linkFaults[f.randomIndex(len(linkFaults))])
@@ -253,9 +289,16 @@
 
 func (f *fleet) disruptEndpointLink(d time.Duration) {
 	if e := f.randomEndpoint(f.randomService()); e != nil {
+		s := &disturbance{from: time.Now()}
+		f.mu.Lock()
+		e.linkDisturbances = append(e.linkDisturbances, s)
+		f.mu.Unlock()
 		e.link.setFault(linkFaults[f.randomIndex(len(linkFaults))])
 		time.Sleep(d)
 		e.link.setFault(noLinkFault)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		s.to = time.Now()
 	}
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -21,6 +21,7 @@
 	Engines       int
 	PeerDelay     time.Duration // of all that an instance sends to the instances that follow it
 	SeedFaults    bool          // also disturb the instances that read the store for others
+	Announcements bool          // let endpoints announce stops and pauses in their responses
 }
 
 // settleTime is the pause between phases. After it, endpoints that failed receive requests again and the bounds for applying
@@ -54,12 +55,15 @@
 		}
 	}
 	time.Sleep(settleTime)
-	var seedFaults sync.WaitGroup
+	var extra sync.WaitGroup
 	if o.SeedFaults {
-		seedFaults.Go(func() { f.disturbSeeds(ctx, time.Now().Add(o.FaultDuration)) })
+		extra.Go(func() { f.disturbSeeds(ctx, time.Now().Add(o.FaultDuration)) })
+	}
+	if o.Announcements {
+		extra.Go(func() { f.announceInResponses(ctx, time.Now().Add(o.FaultDuration)) })
 	}
 	f.runActions(ctx, time.Now().Add(o.FaultDuration), append(append([]action{}, faults...), plannedChanges...))
-	seedFaults.Wait()
+	extra.Wait()
 	time.Sleep(settleTime)
 	plannedFrom := time.Now()
 	f.addEvent("planned changes only")
