Log what decides about a roll-out, and versions that turn bad after it

The lines of a stop, of a published state and of the paces have the progress, the share, the sums of all instances and the age of the others' part, the reference rate, and the ratio with its threshold. An instance warns, at most every ten seconds, when the version in use fails clearly more often than the old one did; before, nothing looked at it after "completed".

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -73,6 +73,7 @@
 	shiftedAt      float64      // progress at which all requests shifted
 	peerPaces      PacesByKey   // sums of all other instances
 	peerPacesAt    time.Time    // when these were collected
+	completed      completedVersion
 }
 
 // New returns the roll-out state of a service that has no order yet.
@@ -94,7 +95,7 @@
 		r.order.startedAt = now.Add(-orderDelay)
 	}
 	r.state, r.reason, r.evidence = routing.RolloutRunning, "ordered", newEvidence()
-	r.traffic, r.canaryShare, r.shifted = trafficStats{since: now}, 0, false
+	r.traffic, r.canaryShare, r.shifted, r.completed = trafficStats{since: now}, 0, false, completedVersion{}
 	r.updateCurrentVersion()
 	return true
 }
--- a/internal/core/canary/pace.go
+++ b/internal/core/canary/pace.go
@@ -170,7 +170,7 @@
 // PaceSummary returns a summary of the paces at all instances.
 func (r *Rollout) PaceSummary(now time.Time, service string) PaceSummary {
 	var out PaceSummary
-	if !r.Running() {
+	if r.order == nil {
 		return out
 	}
 	p, peers, keys := r.evidence.paces, r.recentPeerPaces(now), newPaceKeys(service, r.order.target)
--- a/internal/core/canary/totals.go
+++ b/internal/core/canary/totals.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
 // The other tests compare a new version with one of which a third of the answers fail, and look at its latest answers only. A
@@ -34,10 +37,18 @@
 	if t.Old.Answers < minOldAnswersForTotals {
 		return 0
 	}
-	good := min(0.2, max(minRareGoodRate, goodRateFactor*(t.Old.Bad+0.5)/(t.Old.Answers+10)))
-	return t.Target.likelihoodRatio(good, max(minRareBadRate, rareRateFactor*good))
+	good := t.goodRate()
+	return t.Target.likelihoodRatio(good, badRate(good))
+}
+
+// goodRate returns the share of bad answers up to which a new version counts as good.
+func (t Totals) goodRate() float64 {
+	return min(0.2, max(minRareGoodRate, goodRateFactor*(t.Old.Bad+0.5)/(t.Old.Answers+10)))
 }
 
+// badRate returns the share of bad answers of a bad version, by that of a good one.
+func badRate(good float64) float64 { return max(minRareBadRate, rareRateFactor*good) }
+
 // totalKey names one of the counts in CountsByKey.
 type totalKey string
 
@@ -65,7 +76,7 @@
 
 // Totals returns the answers of both versions at all instances.
 func (r *Rollout) Totals(service string, others CountsByKey) Totals {
-	if !r.Running() {
+	if r.order == nil {
 		return Totals{}
 	}
 	old, target := others[oldTotalKey.key(service, r.order.target)], others[targetTotalKey.key(service, r.order.target)]
@@ -75,3 +86,37 @@
 		Target: AnswerCounts{own.Target.Answers + target.Answers, own.Target.Bad + target.Bad},
 	}
 }
+
+// Summary is what an instance knows of a roll-out, for logs.
+type Summary struct {
+	Progress  float64 // elapsed share of the roll-out's duration
+	Share     float64 // share of the requests that go to the new version
+	Totals    Totals  // of all instances
+	GoodRate  float64 // share of bad answers up to which the new version counts as good
+	Ratio     float64 // log-likelihood ratio of a new version that fails rarely over a good one
+	Threshold float64 // of Ratio, from which on the version is rolled back
+	Paces     PaceSummary
+}
+
+// lastShare returns the share of requests for the new version that the last request met.
+func (r *Rollout) lastShare() float64 {
+	switch {
+	case r.state == routing.RolloutRolledBack:
+		return 0
+	case r.state == routing.RolloutCompleted || r.shifted:
+		return 1
+	}
+	return r.canaryShare
+}
+
+// Summary returns what is known of the roll-out; others are the counts of all other instances.
+func (r *Rollout) Summary(now time.Time, service string, others CountsByKey) Summary {
+	if r.order == nil {
+		return Summary{}
+	}
+	t := r.Totals(service, others)
+	return Summary{
+		Progress: r.progress(now), Share: r.lastShare(), Totals: t, GoodRate: t.goodRate(), Ratio: t.logLikelihoodRatio(),
+		Threshold: rareRollbackThreshold, Paces: r.PaceSummary(now, service),
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -301,7 +301,8 @@
 // logRolloutStop logs that a response stopped a roll-out, unless the reason is empty.
 func (a *attempt) logRolloutStop(reason string) {
 	if reason != "" {
-		a.exchange.handler.log.logRolloutStop(a.exchange.service, a.choice.Endpoint.Version, reason)
+		x := a.exchange
+		x.handler.log.logRolloutStop(x.service, a.choice.Endpoint.Version, reason, x.handler.balancer.describeRollout(time.Now(), x.service))
 	}
 }
 
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -183,7 +183,7 @@
 		r.SetPeerPaces(at, report.Paces)
 		if r.EvaluatePooled(at, s, report.Trials) || r.EvaluatePace(at, s) {
 			v, _, reason := r.Status()
-			logRolloutStop(b.options.Logger, s, v, reason)
+			logRolloutStop(b.options.Logger, s, v, reason, b.rolloutFields(at, s, r))
 		}
 		b.logPaces(at, s, r)
 	}
@@ -194,17 +194,37 @@
 
 // logPaces logs what all instances know of the paces of both versions while the new one gets requests.
 func (b *balancer) logPaces(now time.Time, service string, r *canary.Rollout) {
-	if now.Before(b.logPacesAt) {
+	if now.Before(b.logPacesAt) || !r.Running() {
 		return
 	}
 	if p := r.PaceSummary(now, service); p.Answers > 0 {
 		b.logPacesAt = now.Add(paceLogInterval)
 		target, _, _ := r.Status()
-		b.options.Logger.Info("roll-out: Paces.", zap.String("service", service), zap.String("version", target), zap.Stringer("paces", p),
-			zap.Stringer("answers", r.Totals(service, b.recentPeerCounts(now))))
+		b.options.Logger.Info("roll-out: Paces.", append(b.rolloutFields(now, service, r), zap.String("service", service), zap.String("version", target))...)
 	}
 }
 
+// rolloutFields returns what decides about a roll-out: sums over all instances, the age of the other instances' share of
+// them, the reference and the threshold. The caller holds the mutex.
+func (b *balancer) rolloutFields(now time.Time, service string, r *canary.Rollout) []zap.Field {
+	s := r.Summary(now, service, b.recentPeerCounts(now))
+	fields := []zap.Field{
+		zap.Float64("progress", s.Progress), zap.Float64("share", s.Share), zap.Stringer("answers", s.Totals), zap.Float64("good-rate", s.GoodRate),
+		zap.Float64("ratio", s.Ratio), zap.Float64("threshold", s.Threshold), zap.Stringer("paces", s.Paces),
+	}
+	if b.peerCountsAt.IsZero() {
+		return append(fields, zap.String("peer-counts", "none"))
+	}
+	return append(fields, zap.Duration("peer-counts-age", now.Sub(b.peerCountsAt)))
+}
+
+// describeRollout returns what decides about the roll-out of a service, for logs.
+func (b *balancer) describeRollout(now time.Time, service string) []zap.Field {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rolloutFields(now, service, b.rolloutOf(service))
+}
+
 // estimateCapacityWait estimates the time until a service can take a request that no endpoint can take now.
 func (b *balancer) estimateCapacityWait(now time.Time, service string) time.Duration {
 	b.mu.Lock()
@@ -337,6 +357,11 @@
 		return ""
 	}
 	r := b.rolloutOf(e.Service)
+	if g, regressed := r.RecordCompleted(now, e.Version, !ok); regressed {
+		b.options.Logger.Warn("roll-out: The version in use fails more often than the one before did.", zap.String("service", e.Service),
+			zap.String("version", e.Version), zap.String("endpoint", e.ID), zap.Stringer("answers", g))
+		b.options.MetricsScope.Tagged(map[string]string{"service": e.Service}).Counter("rollout_regressions").Inc(1)
+	}
 	if !r.RecordOutcome(now, e.Version, route, !ok) && !r.EvaluatePooled(now, e.Service, b.recentPeerCounts(now)) {
 		return ""
 	}
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -87,13 +87,13 @@
 }
 
 // logRolloutStop logs that this instance stopped a roll-out.
-func (l *requestLog) logRolloutStop(service, version, reason string) {
-	logRolloutStop(l.logger, service, version, reason)
+func (l *requestLog) logRolloutStop(service, version, reason string, evidence []zap.Field) {
+	logRolloutStop(l.logger, service, version, reason, evidence)
 }
 
 // logRolloutStop logs why a roll-out was stopped.
-func logRolloutStop(l *zap.Logger, service, version, reason string) {
-	l.Warn("roll-out: Stopped the new version.", zap.String("service", service), zap.String("version", version), zap.String("reason", reason))
+func logRolloutStop(l *zap.Logger, service, version, reason string, evidence []zap.Field) {
+	l.Warn("roll-out: Stopped the new version.", append(evidence, zap.String("service", service), zap.String("version", version), zap.String("reason", reason))...)
 }
 
 // logTrial logs that a request is sent although a part of its prompt is refused.
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -135,6 +135,6 @@
 		p.options.Logger.Warn("roll-out: Failed to publish a state.", zap.String("service", s.Service), zap.String("state", string(s.State)), zap.Error(err))
 		return
 	}
-	p.options.Logger.Info("roll-out: Published a state.", zap.String("service", s.Service), zap.String("version", s.Target),
-		zap.String("state", string(s.State)), zap.Int64("offset", at))
+	p.options.Logger.Info("roll-out: Published a state.", append(p.balancer.describeRollout(time.Now(), s.Service), zap.String("service", s.Service),
+		zap.String("version", s.Target), zap.String("state", string(s.State)), zap.Int64("offset", at))...)
 }
