--- a/internal/relay/confirm_test.go
+++ b/internal/relay/confirm_test.go
@@ -179,7 +179,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Hour
 			h, s, client := newTestFollower(t, &now)
-			s.policy.Timeout = timeout
+			s.topic.policy.Timeout = timeout
 			h.mergeBatch(&relaypb.Batch{Full: true, Next: 1, Records: []*relaypb.Record{{Key: []byte("k"), Value: []byte("v")}}})
 			if hanging {
 				client.hang()
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -25,7 +25,7 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		h := NewHub(Options{Logger: zap.NewNop()})
-		h.topics = append(h.topics, newTopic(h.notifier))
+		h.topics = append(h.topics, newTopic(h.notifier, ReadPolicy{}))
 		m := &relaypb.Batch{}
 		if proto.Unmarshal(b, m) == nil && int(m.GetTopic()) < len(h.topics) {
 			h.mergeBatch(m)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,11 +94,10 @@
 // AddTopic adds a topic and returns its source; the name stands in logs and metrics. All instances must add their topics in
 // the same order, as messages refer to a topic by its index.
 func (h *Hub) AddTopic(name string, store changefeed.Source, p ReadPolicy) *Source {
-	t := newTopic(h.notifier)
-	t.policy = p
+	t := newTopic(h.notifier, p)
 	h.topics = append(h.topics, t)
 	m := h.metrics.topicScope(name)
-	return &Source{hub: h, name: name, store: store, topic: t, policy: p, metrics: sourceMetrics{
+	return &Source{hub: h, name: name, store: store, topic: t, metrics: sourceMetrics{
 		reads: m.Counter("relay_store_reads"), age: m.Gauge("relay_record_age_seconds"),
 	}}
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -23,11 +23,10 @@
 
 // Source provides the records of a topic received from a seed while they are fresh, and reads the store otherwise.
 type Source struct {
-	hub    *Hub
-	name   string // of the topic, in logs and metrics
-	store  changefeed.Source
-	topic  *topic
-	policy ReadPolicy
+	hub   *Hub
+	name  string // of the topic, in logs and metrics
+	store changefeed.Source
+	topic *topic
 	// The fields below need no lock, as Snapshot and Read are called by one goroutine.
 
 	lastRead time.Time // start of the last read of the store
@@ -80,7 +79,7 @@
 	if s.hub.seed.Load() == nil || !s.topic.loaded {
 		return 0, false
 	}
-	d := s.topic.confirmedAsOf.add(s.policy.MaxAge).sub(s.hub.now())
+	d := s.topic.confirmedAsOf.add(s.topic.policy.MaxAge).sub(s.hub.now())
 	return d, d > 0 && s.topic.confirmedAsOf != unknown
 }
 
@@ -91,10 +90,10 @@
 		s.topic.mu.Lock()
 		if _, ok := s.recentFor(); ok {
 			defer s.topic.mu.Unlock()
-			return s.relayed(s.topic.snapshot()), nil
+			return s.withRelayedEvidence(s.topic.snapshot()), nil
 		}
 		s.topic.mu.Unlock()
-		timeLeft := s.hub.startupTimeLeft(s.policy.StartupWait)
+		timeLeft := s.hub.startupTimeLeft(s.topic.policy.StartupWait)
 		if timeLeft <= 0 {
 			break
 		}
@@ -109,7 +108,7 @@
 		return b, err
 	}
 	s.topic.setSnapshot(b, calledAt)
-	return s.read(b, calledAt), nil
+	return s.withReadEvidence(b, calledAt), nil
 }
 
 // Read returns the records from an offset on. If there are none, it waits for one until the wait is over.
@@ -124,7 +123,7 @@
 		}
 		if s.topic.next > from || !now.Before(end) {
 			defer s.topic.mu.Unlock()
-			return s.relayed(s.topic.recordsFrom(from)), nil
+			return s.withRelayedEvidence(s.topic.recordsFrom(from)), nil
 		}
 		s.topic.mu.Unlock()
 		if err := sleep(ctx, min(end.Sub(now), recentFor), changed); err != nil {
@@ -135,7 +134,7 @@
 
 // readStore reads the store, at most once per MinInterval, and adds the records to the topic.
 func (s *Source) readStore(ctx context.Context, from int64, wait time.Duration) (changefeed.Batch, error) {
-	if d := s.policy.MinInterval - time.Since(s.lastRead); d > 0 && !s.lastRead.IsZero() {
+	if d := s.topic.policy.MinInterval - time.Since(s.lastRead); d > 0 && !s.lastRead.IsZero() {
 		if err := sleep(ctx, d, nil); err != nil {
 			return changefeed.Batch{}, err
 		}
@@ -144,9 +143,9 @@
 	if s.recheck || !s.direct && !s.hub.IsSeed() {
 		wait = 0 // the response shows at once what the store has now
 	}
-	if s.policy.Timeout > 0 {
+	if s.topic.policy.Timeout > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+s.policy.Timeout)
+		ctx, cancel = context.WithTimeout(ctx, wait+s.topic.policy.Timeout)
 		defer cancel()
 	}
 	s.lastRead = time.Now()
@@ -165,18 +164,18 @@
 	}
 	s.recheck = len(b.Records) > 0 && s.hub.hasFollowers()
 	s.topic.addBatch(from, b, asOf)
-	return s.read(b, asOf), nil
+	return s.withReadEvidence(b, asOf), nil
 }
 
-// relayed adds the evidence to records that a seed has sent. The caller must hold the topic's lock.
-func (s *Source) relayed(b changefeed.Batch) changefeed.Batch {
+// withRelayedEvidence adds the evidence to records that a seed has sent. The caller must hold the topic's lock.
+func (s *Source) withRelayedEvidence(b changefeed.Batch) changefeed.Batch {
 	b.Evidence = s.relayedEvidence()
 	s.observe(false, b.Evidence, reasonRelayed)
 	return b
 }
 
-// read adds the evidence to records read from the store.
-func (s *Source) read(b changefeed.Batch, asOf instant) changefeed.Batch {
+// withReadEvidence adds the evidence to records read from the store.
+func (s *Source) withReadEvidence(b changefeed.Batch, asOf instant) changefeed.Batch {
 	b.Evidence = changefeed.Evidence{Origin: changefeed.OriginStore, Basis: changefeed.BasisRead, AsOf: s.hub.asTime(asOf)}
 	reason := reasonLate
 	if s.hub.seed.Load() == nil {
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -34,7 +34,9 @@
 	asOf instant
 }
 
-func newTopic(n *notifier) *topic { return &topic{newest: map[string]changefeed.Record{}, notifier: n} }
+func newTopic(n *notifier, p ReadPolicy) *topic {
+	return &topic{policy: p, newest: map[string]changefeed.Record{}, notifier: n}
+}
 
 // notifier wakes all goroutines that wait for a change of any topic.
 type notifier struct {
