--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -64,9 +64,11 @@
 
 // Options sets the timing of a follower's calls to the store.
 type Options struct {
-	Wait          time.Duration // how long the store waits for a record before it returns an empty result
-	Timeout       time.Duration // of a call, in addition to Wait
-	RetryInterval time.Duration // mean time from the start of a failed call to the next call; doubles with each failure, up to MaxRetryInterval
+	Wait    time.Duration // how long the store waits for a record before it returns an empty result
+	Timeout time.Duration // of a call, in addition to Wait
+	// SnapshotTimeout is the timeout of a snapshot, which may take several calls; Timeout if zero.
+	SnapshotTimeout time.Duration
+	RetryInterval   time.Duration // mean time from the start of a failed call to the next call; doubles with each failure, up to MaxRetryInterval
 	// MaxRetryInterval is the upper limit of RetryInterval. It limits the load that many instances put on a store that
 	// refuses their calls.
 	MaxRetryInterval time.Duration
@@ -138,7 +140,11 @@
 	if loaded && !failed {
 		wait = f.options.Wait
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+f.options.Timeout)
+	timeout := wait + f.options.Timeout
+	if !loaded {
+		timeout = max(timeout, f.options.SnapshotTimeout)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	u := Update{CalledAt: time.Now(), IsSnapshot: !loaded}
 	done := make(chan struct{})
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -178,3 +178,27 @@
 		}
 	}
 }
+
+// TestSnapshotTimeout guards against a snapshot of several calls that never succeeds, because it has the time of one call.
+func TestSnapshotTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(ctx context.Context) (Batch, error) {
+			select {
+			case <-time.After(3 * time.Second):
+				return Batch{NextOffset: 1}, nil
+			case <-ctx.Done():
+				return Batch{}, ctx.Err()
+			}
+		}
+		for name, c := range map[string]struct {
+			timeout time.Duration
+			ok      bool
+		}{"of its own": {10 * time.Second, true}, "of a call": {0, false}} {
+			s := &scriptedSource{responses: []func(context.Context) (Batch, error){slow}}
+			o := Options{Wait: time.Second, Timeout: 700 * time.Millisecond, SnapshotTimeout: c.timeout, RetryInterval: 500 * time.Millisecond}
+			if l := collectUpdates(t, s, o, 1, nil); (l[0].Err == nil) != c.ok {
+				t.Errorf("timeout %s: error %v", name, l[0].Err)
+			}
+		}
+	})
+}
--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -45,6 +45,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// storeTimeout limits a call to the store, which responds within 0.3 s when it is slow.
 	storeTimeout = 700 * time.Millisecond
+	// snapshotTimeout limits all calls for a snapshot. A registry of thousands of endpoints takes ten pages.
+	snapshotTimeout = 10 * time.Second
 	// readWaitShare is the share of a bound for which a read waits for new records. The store may not wake a waiting read
 	// when a record is added.
 	readWaitShare = 0.6
@@ -167,11 +169,11 @@
 	dialer := forward.Dialer{Timeout: dialTimeout}
 	store := platform.NewStore(s.Store, &http.Client{Transport: freshConnTransport{&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxStoreHeaderBytes,
-	}}})
+	}}}, storeTimeout)
 	b := s.Bounds
 	feedOptions := func(bound time.Duration) changefeed.Options {
 		return changefeed.Options{
-			Wait: min(b.StoreStability, time.Duration(readWaitShare*float64(bound))), Timeout: storeTimeout, RetryInterval: storeRetryInterval, MaxRetryInterval: maxRetryInterval(b.StoreStability),
+			Wait: min(b.StoreStability, time.Duration(readWaitShare*float64(bound))), Timeout: storeTimeout, SnapshotTimeout: snapshotTimeout, RetryInterval: storeRetryInterval, MaxRetryInterval: maxRetryInterval(b.StoreStability),
 		}
 	}
 	feeds := ingress.Feeds{Operators: feedOptions(b.ApplyDelay), Registry: feedOptions(b.DrainDelay), Shared: feedOptions(b.ApplyDelay)}
