--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -15,14 +15,12 @@
 // platform specifies about two seconds.
 const LapseGracePeriod = 2 * time.Second
 
-// Event is an update from the registry or its store; at most one field is set, besides AsOf. Without one, Apply only applies
-// timeouts.
+// Event is an update from the registry or its store; at most one field is set. Without one, Apply only applies timeouts.
 type Event struct {
 	Change       *routing.EndpointChange
 	Snapshot     []routing.EndpointChange // snapshot of all entries; entries that it lacks have been removed
 	StoreFailed  bool                     // a call to the store failed
 	StoreReached bool                     // a call to the store succeeded
-	AsOf         time.Time                // of StoreReached: the registry is complete up to this time
 }
 
 // Transition is a change of an endpoint's state.
@@ -40,7 +38,7 @@
 	Joined   Reason = "joined"
 	Leaving  Reason = "leaving"  // the endpoint announced its stop
 	Removed  Reason = "removed"  // the entry was removed, or did not return within LapseGracePeriod
-	Lapsed   Reason = "lapsed"   // the entry was removed just after an outage of the store; the endpoint gets requests for up to LapseGracePeriod
+	Lapsed   Reason = "lapsed"   // the entry was removed just after an outage of the store; the endpoint gets requests for LapseGracePeriod
 	Replaced Reason = "replaced" // another process, address, version or service under the same identifier
 	Returned Reason = "returned" // the entry was restored after a lapse
 )
@@ -54,17 +52,13 @@
 
 // Roster holds the registered endpoints.
 type Roster struct {
-	drainDelay time.Duration // for which an endpoint that has left may get requests
-	entries    map[string]*entry
-	storeDown  bool      // the last call to the store failed
-	completeAt time.Time // time up to which the registry is known to be complete
-	graceUntil time.Time // entries removed before then may have expired because of an outage
+	entries   map[string]*entry
+	storeDown bool      // the last call to the store failed
+	storeUpAt time.Time // end of the last outage
 }
 
-// New returns an empty roster. An endpoint may get requests for drainDelay after its removal.
-func New(drainDelay time.Duration) *Roster {
-	return &Roster{drainDelay: drainDelay, entries: map[string]*entry{}}
-}
+// New returns an empty roster.
+func New() *Roster { return &Roster{entries: map[string]*entry{}} }
 
 // Apply applies an event and the timeouts, and returns the resulting changes.
 func (r *Roster) Apply(now time.Time, e Event) []Transition {
@@ -74,10 +68,7 @@
 		r.storeDown = true
 	case e.StoreReached:
 		if r.storeDown {
-			r.storeDown, r.graceUntil = false, r.graceAfter(now)
-		}
-		if e.AsOf.After(r.completeAt) {
-			r.completeAt = e.AsOf
+			r.storeDown, r.storeUpAt = false, now
 		}
 	case e.Change != nil:
 		out = r.applyChange(now, *e.Change, out)
@@ -96,16 +87,6 @@
 	return r.expire(now, out)
 }
 
-// graceAfter returns the end of the grace period after failed calls to the store. If these lasted less than the drain delay,
-// the store may have been up all the time, and an endpoint may have left as early as the registry was last complete.
-func (r *Roster) graceAfter(now time.Time) time.Time {
-	end := now.Add(LapseGracePeriod)
-	if d := r.completeAt.Add(r.drainDelay); now.Before(d) && d.Before(end) {
-		return d
-	}
-	return end
-}
-
 // applyChange applies a registration or removal.
 func (r *Roster) applyChange(now time.Time, c routing.EndpointChange, out []Transition) []Transition {
 	if c.Endpoint == nil {
@@ -152,8 +133,8 @@
 	if o == nil || !o.removedAt.IsZero() || !o.lapsesAt.IsZero() {
 		return out
 	}
-	if !o.endpoint.Leaving && now.Before(r.graceUntil) {
-		o.lapsesAt = r.graceUntil
+	if !o.endpoint.Leaving && !r.storeUpAt.IsZero() && now.Before(r.storeUpAt.Add(LapseGracePeriod)) {
+		o.lapsesAt = r.storeUpAt.Add(LapseGracePeriod)
 		return append(out, Transition{id, o.endpoint, Lapsed})
 	}
 	o.removedAt = now
--- a/internal/ingress/controller.go
+++ b/internal/ingress/controller.go
@@ -42,7 +42,7 @@
 // newController returns a controller without a configuration or endpoints.
 func newController(o Options, b *balancer, v *atomic.Pointer[snapshot]) *controller {
 	return &controller{
-		options: o, balancer: b, snapshot: v, roster: roster.New(o.DrainDelay), updates: make(chan topicUpdate, 16),
+		options: o, balancer: b, snapshot: v, roster: roster.New(), updates: make(chan topicUpdate, 16),
 		reachable: map[string]bool{topicOperators: true, topicRegistry: true}, onStoreRecovered: func() {},
 		ready: make(chan struct{}),
 	}
@@ -152,7 +152,7 @@
 
 // applyRegistryRecords applies entries of the endpoint registry.
 func (c *controller) applyRegistryRecords(now time.Time, u topicUpdate) {
-	c.applyRosterEvent(now, roster.Event{StoreReached: true, AsOf: u.Evidence.AsOf})
+	c.applyRosterEvent(now, roster.Event{StoreReached: true})
 	changes := make([]routing.EndpointChange, 0, len(u.Records))
 	for _, r := range u.Records {
 		change, err := c.options.Codec.DecodeRegistration(r.Key, r.Value)
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -85,7 +85,6 @@
 	BadVersionShare float64 // largest share of a roll-out's requests that may reach a bad version
 	// BadVersionSlack is how many requests of this instance may reach a bad version beyond that share.
 	BadVersionSlack         float64
-	DrainDelay              time.Duration // for which an endpoint that has left may get requests
 	GracePeriod             time.Duration // from the stop signal until the platform kills the process
 	MaxIdleConnsPerEndpoint int           // maximum idle connections to each endpoint
 
