Log which limit or timeout closed the connection of a request under way

A connection that the instance itself closed while a request was under way ended as client-left, like one that its client closed, and an attempt that the stall timeout cancelled ended as deadline. So logs could not tell apart the hypotheses on a request that ends without an answer.

Such a request is now logged and counted as cut, with closed-by (head timeout, limit on connections, end of the grace period), and a cancelled attempt as stalled. What is closed when does not change.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -77,6 +77,7 @@
 	head       *memory.Reservation
 	pipelined  bool
 	closed     bool        // what it held is released
+	evicted    bool        // closed to make room for others
 	received   int         // of an opaque connection, until it is proven
 	unproven   *time.Timer // closes an opaque connection that sends next to nothing
 
@@ -102,6 +103,20 @@
 	return n
 }
 
+// Evicted reports whether the connection was closed to make room for others.
+func (c *Conn) Evicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
+// markEvicted records that the connection is closed to make room for others.
+func (c *Conn) markEvicted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+}
+
 // progress returns when to close the connection if there are too many, 0 for not at all, and for how long it has waited.
 func (c *Conn) progress(now time.Time) (rank int, wait time.Duration) {
 	c.mu.Lock()
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -132,6 +132,7 @@
 	all = all[:min(len(all), 1+int(evictionShare*float64(len(all))))]
 	for _, c := range all {
 		l.Count(ReasonHeadMemory, c.listener.options.Name, c.RemoteAddr().String())
+		c.markEvicted()
 		_ = c.Close()
 	}
 	return len(all) > 0
@@ -156,6 +157,7 @@
 		l.limiter.Count(ReasonConnections, l.options.Name, v.conn.RemoteAddr().String())
 		delete(l.conns, v.conn)
 		l.limiter.addConn(-1)
+		v.conn.markEvicted()
 		_ = v.conn.Conn.Close() // the server notices by itself
 	}
 }
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -195,6 +195,9 @@
 	if errors.Is(err, errInstanceStops) {
 		return x.giveUp("instance stops"), "instance stops"
 	}
+	if errors.Is(err, errStalled) {
+		return x.giveUp("stalled"), "stalled"
+	}
 	return x.giveUp("deadline"), sendDeadline
 }
 
--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -50,6 +50,7 @@
 	unused       bool        // no request has arrived yet
 	closing      bool        // the reader was woken to close the connection
 	resetOnClose bool        // Close resets the connection
+	timedOut     bool        // the timeout for the head of a request closed the connection
 }
 
 type clientConnKey struct{}
@@ -242,6 +243,30 @@
 	}
 }
 
+// Reasons for which the instance closes a connection while a request is under way, in logs.
+const (
+	closedHeadTimeout = "head timeout"
+	closedLimit       = "limit on connections"
+	closedStop        = "end of the grace period"
+)
+
+// closedByInstance returns why the instance has closed a request's connection, or "" if it has not.
+func closedByInstance(ctx context.Context) string {
+	c, ok := ctx.Value(clientConnKey{}).(*clientConn)
+	if !ok {
+		return ""
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timedOut {
+		return closedHeadTimeout
+	}
+	if e, ok := c.Conn.(interface{ Evicted() bool }); ok && e.Evicted() {
+		return closedLimit
+	}
+	return ""
+}
+
 // resetOnClose makes Close reset a request's connection.
 func resetOnClose(ctx context.Context) {
 	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok {
@@ -288,6 +313,7 @@
 func (c *clientConn) onTimeout() {
 	c.mu.Lock()
 	late := c.timerArmed && (!c.idle || c.headBegun)
+	c.timedOut = c.timedOut || late
 	c.mu.Unlock()
 	if late {
 		if n, ok := c.Conn.(interface{ NoteTimeout() }); ok {
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -185,6 +185,11 @@
 	if x.refusedMark != nil {
 		fields = append(fields, evidenceFields(now, *x.refusedMark)...)
 	}
+	if x.clientLeft {
+		if reason := x.closedByInstance(); reason != "" {
+			fields = append(fields, zap.String("closed-by", reason))
+		}
+	}
 	if x.noRetryReason != "" {
 		fields = append(fields, zap.String("no-further-send", x.noRetryReason))
 	}
@@ -194,6 +199,17 @@
 	h.log.logger.Info("request: Ended.", fields...)
 }
 
+// closedByInstance returns why the instance closed the connection while the request was under way, or "" if it did not.
+func (x *exchange) closedByInstance() string {
+	if reason := closedByInstance(x.r.Context()); reason != "" {
+		return reason
+	}
+	if x.handler.serverClosed.Load() {
+		return closedStop
+	}
+	return ""
+}
+
 // ageField returns the age of records; it is left out if nothing tells it.
 func ageField(key string, now time.Time, e changefeed.Evidence) zap.Field {
 	if e.AsOf.IsZero() {
@@ -221,7 +237,7 @@
 // outcome classifies the result of a request for logs and metrics.
 func (x *exchange) outcome() string {
 	switch {
-	case x.clientLeft && x.handler.serverClosed.Load():
+	case x.clientLeft && x.closedByInstance() != "":
 		return outcomeTruncated // a connection closed by the server looks like one closed by the client
 	case x.clientLeft:
 		return outcomeClientLeft
