Reproduce a request that is cut off as it crosses the idle timeout

The idle timer has fired and waits while the reader takes in the first bytes of a request; it then takes the connection for one whose head is too slow and closes it.

go test ./internal/ingress -run TestIdleTimeoutCrossesRequest: fails in 3 of 3 runs (unexpected EOF).

--- a/internal/ingress/clientconn_test.go
+++ b/internal/ingress/clientconn_test.go
@@ -238,3 +238,44 @@
 		})
 	}
 }
+
+// TestIdleTimeoutCrossesRequest guards against closing the connection of a request that arrives while the idle timeout of its
+// connection is being handled: the timeout of an idle connection was taken for that of a head that takes too long.
+func TestIdleTimeoutCrossesRequest(t *testing.T) {
+	l, s, a := newTestServer(t, echoPath)
+	accepted := make(chan net.Conn, 1)
+	go func() { _ = s.Serve(acceptHook{l, accepted}) }()
+	c, r := dialServer(t, a)
+	n := (<-accepted).(*clientConn)
+	sendGet(t, c, "/first")
+	expectBody(t, r, "/first")
+	const begin, rest = "GET /second HT", "TP/1.1\r\nHost: h\r\n\r\n"
+	if _, err := io.WriteString(c, begin); err != nil {
+		t.Fatal(err)
+	}
+	for begun := false; !begun; time.Sleep(time.Millisecond) {
+		n.mu.Lock()
+		begun = n.idle && n.headBegun
+		n.mu.Unlock()
+	}
+	n.onTimeout() // of the idle connection; the timer had expired when the bytes arrived
+	if _, err := io.WriteString(c, rest); err != nil {
+		t.Fatal(err)
+	}
+	expectBody(t, r, "/second")
+}
+
+// acceptHook is a listener that reports the connections that it accepts.
+type acceptHook struct {
+	net.Listener
+	accepted chan<- net.Conn
+}
+
+// Accept reports the next connection.
+func (h acceptHook) Accept() (net.Conn, error) {
+	c, err := h.Listener.Accept()
+	if err == nil {
+		h.accepted <- c
+	}
+	return c, err
+}
