Keep a response that arrives while its stall timeout is being handled

Cause: the timeout for the first byte looks for another endpoint, reserves a retry and then cancels the attempt. A response that arrived in between was taken by the request's goroutine and cancelled all the same. Its error said cancelled, for which no further attempt is made, and a stream whose first event the client had was cut.

The timeout and the response now settle by one atomic step which of them came first. If the response did, it is kept; if the timeout did, the request goes elsewhere with the retry that was reserved.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -73,7 +73,10 @@
 		func(h http.Header) bool {
 			return x.handler.options.Protocol.DecodeResponse(http.StatusOK, h).RequestID == x.request.ID
 		})
-	stopTimer()
+	if abandoned := stopTimer(); abandoned && err == nil {
+		response.Close(false)
+		err = &forward.Error{Op: "send", Kind: forward.ErrCancelled, Err: errStalled}
+	}
 	if err != nil {
 		return a.handleSendError(err)
 	}
@@ -195,9 +198,6 @@
 	if errors.Is(err, errInstanceStops) {
 		return x.giveUp("instance stops"), "instance stops"
 	}
-	if errors.Is(err, errStalled) {
-		return x.giveUp("stalled"), "stalled"
-	}
 	return x.giveUp("deadline"), sendDeadline
 }
 
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/stall"
@@ -22,13 +23,23 @@
 	responseStarted bool    // the head of the response has arrived
 	retryReserve    float64 // share of the retry budget that this request may not use
 
+	// result tells which came first, the end of the wait or the timeout. It is not protected by mu, so that a response that arrives
+	// while the timeout is being handled counts.
+	result atomic.Int32
+
 	mu           sync.Mutex // serialises the timer's goroutine and the request's
 	elapsedWaits int        // timeouts that have passed in a row
 	deadline     time.Time  // when the timer expires
 	timer        *time.Timer
-	stopped      bool
 }
 
+// Results of a wait for a response.
+const (
+	waitPending   int32 = iota
+	waitEnded           // the response has arrived or the attempt has failed
+	waitAbandoned       // the timeout has cancelled the attempt
+)
+
 // continueWait returns how much longer to wait, or 0 if the request is to be sent to another endpoint. TimerDelay is the
 // delay between the end of the wait and this call.
 func (s *stallTimer) continueWait(timerDelay time.Duration) time.Duration {
@@ -79,11 +90,11 @@
 }
 
 // watchFirstByte moves a repeatable request to another endpoint if this one does not begin to respond in time. The
-// returned function stops the timer.
-func (a *attempt) watchFirstByte() func() {
+// returned function stops the timer and reports whether the attempt was cancelled before.
+func (a *attempt) watchFirstByte() (stop func() (abandoned bool)) {
 	x := a.exchange
 	if !x.route.Repeatable() || x.attempts+1 >= x.route.MaxAttempts {
-		return func() {}
+		return func() bool { return false }
 	}
 	d := max(firstByteFactor*a.choice.TimeToFirstByte+firstByteMargin, time.Duration(firstByteObjectiveShare*float64(x.route.LatencyObjective)))
 	s := &stallTimer{attempt: a, timeout: d, retryReserve: stallRetryReserve, deadline: a.sentAt.Add(d)}
@@ -97,25 +108,28 @@
 func (s *stallTimer) onTimer() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped {
+	if s.result.Load() != waitPending {
 		return
 	}
 	now := time.Now()
 	d := s.continueWait(now.Sub(s.deadline))
 	if d == 0 {
-		s.attempt.cancel(errStalled)
+		if s.result.CompareAndSwap(waitPending, waitAbandoned) {
+			s.attempt.cancel(errStalled)
+		}
 		return
 	}
 	s.deadline = now.Add(d)
 	s.timer.Reset(d)
 }
 
-// stop stops the timer.
-func (s *stallTimer) stop() {
+// stop stops the timer and reports whether the attempt was cancelled before.
+func (s *stallTimer) stop() bool {
+	s.result.CompareAndSwap(waitPending, waitEnded)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopped = true
 	s.timer.Stop()
+	return s.result.Load() == waitAbandoned
 }
 
 // watchEvents resumes a resumable stream at another endpoint when no event arrives in time. The returned function
--- a/internal/ingress/stall_test.go
+++ b/internal/ingress/stall_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,8 +32,9 @@
 	lastTestEvent = 6
 )
 
-// headerProtocol is a Protocol whose attributes have header fields with their own names.
-type headerProtocol struct{}
+// headerProtocol is a Protocol whose attributes have header fields with their own names. It calls onResponse when the head of a
+// response has arrived.
+type headerProtocol struct{ onResponse func() }
 
 func (headerProtocol) DecodeRequest(h http.Header) (attributes.ClientRequest, error) {
 	return attributes.ClientRequest{ID: h.Get("Id"), Timeout: 10 * time.Second, LastEventID: h.Get("Last-Event-Id")}, nil
@@ -46,7 +48,8 @@
 	return out
 }
 
-func (headerProtocol) DecodeResponse(_ int, h http.Header) attributes.Response {
+func (p headerProtocol) DecodeResponse(_ int, h http.Header) attributes.Response {
+	p.onResponse()
 	return attributes.Response{RequestID: h.Get("Id"), Signed: true, Confidence: attributes.NoConfidence, WarmUpRemaining: attributes.UnknownWarmUp}
 }
 
@@ -58,11 +61,11 @@
 
 // newServingIngress returns an instance with two endpoints that h serves, and the address at which it serves a resumable stream
 // below /stream/ and a repeatable call below /call/.
-func newServingIngress(t *testing.T, h http.HandlerFunc) (*Ingress, string) {
+func newServingIngress(t *testing.T, p Protocol, h http.HandlerFunc) (*Ingress, string) {
 	t.Helper()
 	budget := func() *memory.Budget { return memory.NewBudget(1 << 20) }
 	i := New(Options{
-		Protocol: headerProtocol{}, Logger: zap.NewNop(), MetricsScope: tally.NoopScope, DroppedLogLines: func() int64 { return 0 },
+		Protocol: p, Logger: zap.NewNop(), MetricsScope: tally.NoopScope, DroppedLogLines: func() int64 { return 0 },
 		Dialer: forward.Dialer{Timeout: time.Second}, MaxIdleConnsPerEndpoint: 1, MaxRequestBytes: 1 << 10, MaxResponseBytes: 1 << 10,
 		RequestMemory: budget(), ResponseMemory: budget(), Placement: placement.DefaultSettings("zone"), Escalation: escalation.DefaultSettings(),
 		Admission: admission.DefaultSettings(), Stall: stall.DefaultSettings(), Retries: retry.Settings{Window: time.Minute, MinRetries: 10},
@@ -97,16 +100,30 @@
 // TestResponseCrossesStallTimeout guards against a response that is cut off because its first bytes arrive while the timeout for
 // them is being handled: the timeout cancelled the attempt that had just begun to deliver, and no other one was made.
 func TestResponseCrossesStallTimeout(t *testing.T) {
-	for name, path := range map[string]string{"stream": "/stream/x", "call": "/call/x"} {
+	for name, c := range map[string]struct {
+		path         string
+		timeoutFirst bool // the attempt is cancelled before the response is taken
+	}{
+		"stream":                {"/stream/x", false},
+		"call":                  {"/call/x", false},
+		"stream, timeout first": {"/stream/x", true},
+		"call, timeout first":   {"/call/x", true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			var delay sync.Once
+			protocol := headerProtocol{func() {
+				if c.timeoutFirst {
+					delay.Do(func() { time.Sleep(testObjective + firstByteMargin) })
+				}
+			}}
 			arrived, begin, end := make(chan struct{}, 10), make(chan struct{}), make(chan struct{})
-			i, url := newServingIngress(t, func(w http.ResponseWriter, r *http.Request) {
+			i, url := newServingIngress(t, protocol, func(w http.ResponseWriter, r *http.Request) {
 				arrived <- struct{}{}
 				<-begin
 				w.Header().Set("Id", r.Header.Get("Id"))
 				after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-				if strings.HasPrefix(path, "/stream/") {
+				if strings.HasPrefix(c.path, "/stream/") {
 					w.Header().Set("Content-Type", "text/event-stream")
 				}
 				for n := after + 1; n <= lastTestEvent; n++ {
@@ -115,7 +132,7 @@
 					<-end
 				}
 			})
-			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+path, nil)
+			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+c.path, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -138,13 +155,17 @@
 				done <- result{resp.StatusCode, string(b), err}
 			}()
 			<-arrived
-			// The timeout looks for another endpoint, for which it waits for the balancer.
-			i.balancer.mu.Lock()
-			time.Sleep(testObjective + firstByteMargin)
-			close(begin)
-			time.Sleep(firstByteMargin) // the first bytes arrive
-			i.balancer.mu.Unlock()
-			time.Sleep(firstByteMargin) // the timeout has been handled
+			if c.timeoutFirst {
+				close(begin)
+			} else {
+				// The timeout looks for another endpoint, for which it waits for the balancer.
+				i.balancer.mu.Lock()
+				time.Sleep(testObjective + firstByteMargin)
+				close(begin)
+				time.Sleep(firstByteMargin) // the first bytes arrive
+				i.balancer.mu.Unlock()
+			}
+			time.Sleep(testObjective + 2*firstByteMargin) // the timeout has been handled
 			close(end)
 			want := ""
 			for n := 1; n <= lastTestEvent; n++ {
