Ignore a timeout of a client's connection that another has replaced

Cause: the idle timer of a connection fires and its function waits for the connection's lock, while the reader takes in the first bytes of a request and starts the timeout for its head. The function then found a head under way and closed the connection as one whose head takes too long, on which the request may have been passed on already. A process that waits for the processor finds both the timer and the bytes when it runs again, so the window is as long as that wait.

The connection now keeps when the timeout in force ends, and a function that runs before it returns.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -44,6 +44,7 @@
 
 	mu           sync.Mutex
 	timer        *time.Timer // calls onTimeout
+	expires      time.Time   // when the timeout in force ends
 	timerArmed   bool        // the timer bounds the head of a request or the idle time
 	idle         bool        // no request is under way
 	headBegun    bool        // bytes of the next request have arrived
@@ -78,7 +79,8 @@
 			return nil, err
 		}
 		_, idle := l.timeouts()
-		conn := &clientConn{Conn: c, listener: l, acceptedAt: time.Now(), idle: true, unused: true, timerArmed: true}
+		now := time.Now()
+		conn := &clientConn{Conn: c, listener: l, acceptedAt: now, idle: true, unused: true, timerArmed: true, expires: now.Add(idle)}
 		conn.timer = time.AfterFunc(idle, conn.onTimeout)
 		l.mu.Lock()
 		l.conns[conn] = struct{}{}
@@ -203,7 +205,7 @@
 	defer c.mu.Unlock()
 	if c.idle && !c.headBegun {
 		header, _ := c.listener.timeouts()
-		c.timer.Reset(header)
+		c.resetTimer(header)
 	}
 	c.headBegun = true
 }
@@ -297,6 +299,12 @@
 	if c.idle = idle; idle {
 		c.headBegun = false
 	}
+	c.resetTimer(d)
+}
+
+// resetTimer sets the timeout in force. The caller holds the mutex.
+func (c *clientConn) resetTimer(d time.Duration) {
+	c.expires = time.Now().Add(d)
 	c.timer.Reset(d)
 }
 
@@ -312,6 +320,10 @@
 // have just arrived.
 func (c *clientConn) onTimeout() {
 	c.mu.Lock()
+	if time.Now().Before(c.expires) {
+		c.mu.Unlock()
+		return // another timeout is in force since the timer expired
+	}
 	late := c.timerArmed && (!c.idle || c.headBegun)
 	c.timedOut = c.timedOut || late
 	c.mu.Unlock()
