Accept as many header fields as the limits allow with Go 1.27

Built with Go 1.27, a server refuses a head of more than 500 fields with status 431, although the limits of the configuration allow more: the connection's own count of bytes and fields bounds heads. TestHeads/many_fields fails with Go 1.27.3.

The servers behind a limiter now lift the limit of net/http. The test's server does the same as those of the product.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -26,6 +26,7 @@
 		t.Fatal(err)
 	}
 	s := &http.Server{Handler: h, ConnState: ConnState, ReadHeaderTimeout: time.Minute}
+	AllowFields(s)
 	g := l.Listen(n, ListenerOptions{Name: "test", Share: share, HeadLimits: func() (int, int) { return testBytes, testFields }})
 	go func() { _ = s.Serve(g) }()
 	t.Cleanup(func() { _ = s.Close() })
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -113,6 +113,7 @@
 		},
 		ErrorLog: zap.NewStdLog(i.options.Logger.Named("http")),
 	}
+	connlimit.AllowFields(requests)
 	serveErrs := make(chan error, 3)
 	serve := func(s *http.Server, l net.Listener) {
 		go func() {
--- a/internal/instance/limits.go
+++ b/internal/instance/limits.go
@@ -31,13 +31,15 @@
 
 // newServer returns a server for the callers or the operators.
 func (i *Instance) newServer(h http.Handler) *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler: h, MaxHeaderBytes: i.options.MaxHeaderBytes, ReadHeaderTimeout: i.options.HeaderTimeout, IdleTimeout: i.options.IdleTimeout,
 		ReadTimeout: i.options.HeaderTimeout + bodyTimeout, ConnState: connlimit.ConnState, ErrorLog: zap.NewStdLog(i.options.Logger),
 		HTTP2: &http.HTTP2Config{
 			MaxConcurrentStreams: maxHTTP2Streams, MaxReceiveBufferPerConnection: http2ConnBufferBytes, MaxReceiveBufferPerStream: http2StreamWindowSize,
 		},
 	}
+	connlimit.AllowFields(s)
+	return s
 }
 
 // limitPeers makes connections of peers count towards the limits of the process.
