Keep a silent response until the next attempt is under way

Cause: a retry was reserved before the run was given up, and an endpoint looked for, but whether that endpoint takes the request was known only after the first connection was closed.

The request is now sent to the other endpoint first. The silent response is kept for 150 ms, within which an endpoint that is full refuses and a process that has ended refuses the connection; then the next endpoint is tried, and if none is left, the wait goes on. If it isn't refused, the first run is ended, before the 400 ms after which it would count as a second one.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -39,21 +39,64 @@
 	attributes   attributes.Response
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
+	stopOnStop   func() bool     // undoes the cancellation at the stop of the instance
+	sent         chan sendResult // receives the result of a send in the background; nil if it is not sent so
 }
 
-// sendAndRecord makes the attempt and records it in the metrics and in the request's history.
-func (a *attempt) sendAndRecord() nextStep {
-	x := a.exchange
+// sendResult is the result of sending a request: a response whose head has arrived, or an error.
+type sendResult struct {
+	response *forward.Response
+	err      error
+}
+
+// newAttempt returns an attempt at an endpoint for which the retry budget is charged.
+func (x *exchange) newAttempt(now time.Time, c placement.Choice, inFlight *placement.InFlightRequest) *attempt {
+	x.retryReserved = false
+	x.handler.balancer.recordWork(now, x.organisation, x.placementRequest(), c)
+	a := &attempt{exchange: x, choice: c, inFlight: inFlight, sentAt: now}
 	a.ctx, a.cancel = context.WithCancelCause(x.ctx)
-	defer a.cancel(nil)
-	defer context.AfterFunc(x.handler.stopDue, func() { a.cancel(errInstanceStops) })()
+	a.stopOnStop = context.AfterFunc(x.handler.stopDue, func() { a.cancel(errInstanceStops) })
+	x.handler.coordinator.prompts.watch(a)
+	return a
+}
+
+// release ends the attempt.
+func (a *attempt) release() {
+	a.exchange.handler.coordinator.prompts.unwatch(a)
+	a.stopOnStop()
+	a.cancel(nil)
+}
+
+// sendInBackground begins to send the request, for which complete waits.
+func (a *attempt) sendInBackground() {
+	send := a.prepareSend()
+	a.sent = make(chan sendResult, 1)
+	go func() { a.sent <- send() }()
+}
+
+// prepareSend returns a function that sends the request and waits for the head of the response. It doesn't use the exchange.
+func (a *attempt) prepareSend() func() sendResult {
+	x := a.exchange
+	// A retry may be the last attempt, so it does not risk a pooled connection that the endpoint may have closed.
+	newConn := !x.route.Repeatable() || x.attempts > 0
+	pool, protocol, address, q := x.handler.pool, x.handler.options.Protocol, a.choice.Endpoint.Address, x.outboundRequest(a.choice, a.sentAt)
+	return func() sendResult {
+		r, err := pool.Send(a.ctx, address, q, newConn, func(h http.Header) bool {
+			return protocol.DecodeResponse(http.StatusOK, h).RequestID == q.ID
+		})
+		return sendResult{r, err}
+	}
+}
+
+// complete makes the attempt, or goes on with one that is sent in the background, and records it in the metrics and in the request's
+// history.
+func (a *attempt) complete() nextStep {
+	x := a.exchange
+	defer a.release()
 	record := attemptRecord{
 		endpoint: a.choice.Endpoint.ID, model: x.effectiveModel(), version: a.choice.Endpoint.Version, expected: a.choice.TimeToFirstByte,
 	}
-	guard := x.handler.coordinator.prompts
-	guard.watch(a)
 	next, outcome := a.sendRequest() // may change the model for the next attempt
-	guard.unwatch(a)
 	if outcome == sendClientLeft || outcome == sendDeadline {
 		a.checkAbandoned()
 	}
@@ -67,12 +110,13 @@
 func (a *attempt) sendRequest() (nextStep, string) {
 	x, id := a.exchange, a.choice.Endpoint.ID
 	stopTimer := a.watchFirstByte()
-	// A retry may be the last attempt, so it does not risk a pooled connection that the endpoint may have closed.
-	newConn := !x.route.Repeatable() || x.attempts > 0
-	response, err := x.handler.pool.Send(a.ctx, a.choice.Endpoint.Address, x.outboundRequest(a.choice, a.sentAt), newConn,
-		func(h http.Header) bool {
-			return x.handler.options.Protocol.DecodeResponse(http.StatusOK, h).RequestID == x.request.ID
-		})
+	var result sendResult
+	if a.sent != nil {
+		result = <-a.sent
+	} else {
+		result = a.prepareSend()()
+	}
+	response, err := result.response, result.err
 	if abandoned := stopTimer(); abandoned && err == nil {
 		response.Close(false)
 		err = &forward.Error{Op: "send", Kind: forward.ErrCancelled, Err: errStalled}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -63,6 +63,7 @@
 	attempts          int                 // attempts that may have reached an endpoint
 	connectFailures   int                 // attempts that could not connect
 	retryReserved     bool                // the retry budget was already charged for the next attempt
+	begun             *attempt            // next attempt, which is under way already; nil if none is
 	mayHaveRun        bool                // an endpoint may have run the request
 	lastFailure       *bufferedResponse   // the endpoint's latest 5xx response
 	bodyMemory        *memory.Reservation // for the body of the request
@@ -116,6 +117,7 @@
 	defer cancel()
 	x.ctx = ctx
 	x.excludedEndpoints = map[string]bool{}
+	defer x.discardBegun()
 	x.service = x.route.PickService(rand.Float64())
 	x.handler.balancer.countRequest(time.Now(), x.service)
 	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
@@ -143,6 +145,10 @@
 
 // attemptOnce makes one attempt if the deadline, the route and the retry budget allow it.
 func (x *exchange) attemptOnce() (nextStep, *localError) {
+	if a := x.begun; a != nil {
+		x.begun = nil
+		return x.completeAttempt(a), nil
+	}
 	now := time.Now()
 	if x.checkClientLeft() {
 		return stepDone, nil
@@ -173,14 +179,16 @@
 		x.handler.balancer.recordEnd(now, inFlight, false)
 		return x.giveUp("retry budget"), nil
 	}
-	x.retryReserved = false
-	x.handler.balancer.recordWork(now, x.organisation, x.placementRequest(), c)
-	a := &attempt{exchange: x, choice: c, inFlight: inFlight, sentAt: now}
-	next := a.sendAndRecord()
+	return x.completeAttempt(x.newAttempt(now, c, inFlight)), nil
+}
+
+// completeAttempt makes an attempt and gives the reason if no other one may follow.
+func (x *exchange) completeAttempt(a *attempt) nextStep {
+	next := a.complete()
 	if next == stepGiveUp && x.noRetryReason == "" {
 		x.giveUp("may have run")
 	}
-	return next, nil
+	return next
 }
 
 // checkSuspicion returns an error if the content or a part of the prompt crashes endpoints. It waits if that is about to be
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -8,12 +8,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/stall"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
-// stallRetryReserve is the share of the retry budget that is kept for failed requests and not spent on stalled ones.
-const stallRetryReserve = 0.3
+const (
+	// stallRetryReserve is the share of the retry budget that is kept for failed requests and not spent on stalled ones.
+	stallRetryReserve = 0.3
+	// refusalWindow is how long a stalled response is kept after the request was sent to another endpoint. An endpoint that can't take
+	// a request refuses it at once. The first endpoint must have stopped 400 ms after the second one began.
+	refusalWindow = 150 * time.Millisecond
+)
 
 // stallTimer bounds the wait for the next bytes of a response. When it expires, it abandons the attempt only if another
 // attempt is certain to be made.
@@ -48,7 +55,7 @@
 	c := stall.Input{Timeout: s.timeout, Waits: s.elapsedWaits + 1, TimerDelay: timerDelay, Started: s.responseStarted}
 	c.EndpointActive, c.OtherEndpoints, c.SilentEndpoints = x.handler.pool.Activity(a.choice.Endpoint.Address, s.timeout)
 	d := x.handler.options.Stall.ExtendWait(c)
-	if d == 0 && !a.reserveRetry(s.retryReserve) {
+	if d == 0 && !s.moveOn() {
 		d = s.timeout
 	}
 	if d == s.timeout {
@@ -57,6 +64,82 @@
 	return d
 }
 
+// moveOn reports whether another attempt is to be made. A response that has started is kept until that attempt is under way, unless a
+// new configuration has to be applied first.
+func (s *stallTimer) moveOn() bool {
+	x := s.attempt.exchange
+	if s.responseStarted && (x.headSent || x.handler.snapshot.Load().configuration == x.snapshot.configuration) {
+		return s.attempt.beginNext(s.retryReserve)
+	}
+	return s.attempt.reserveRetry(s.retryReserve)
+}
+
+// beginNext begins attempts at other endpoints until one of them isn't refused at once, and reports whether there is one. It is called
+// by the request's goroutine.
+func (a *attempt) beginNext(reserve float64) bool {
+	x := a.exchange
+	for x.mayMove() && a.reserveRetry(reserve) {
+		now := time.Now()
+		c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, a.nextRequest())
+		if !ok {
+			return false
+		}
+		b := x.newAttempt(now, c, inFlight)
+		b.sendInBackground()
+		if !b.refusedAtOnce() {
+			x.begun = b
+			return true
+		}
+		if next := b.complete(); next != stepRetry {
+			x.noRetryReason = "" // the response that has stalled goes on
+			return false
+		}
+	}
+	return false
+}
+
+// refusedAtOnce reports whether the attempt has failed within refusalWindow.
+func (a *attempt) refusedAtOnce() bool {
+	t := time.NewTimer(refusalWindow)
+	defer t.Stop()
+	select {
+	case r := <-a.sent:
+		a.sent <- r
+		return r.err != nil || a.exchange.handler.options.Protocol.DecodeResponse(r.response.Status, r.response.Header).NotExecuted
+	case <-t.C:
+		return false
+	}
+}
+
+// discardBegun ends an attempt that is under way and whose response nobody waits for, as the client has left or the instance stops.
+func (x *exchange) discardBegun() {
+	b := x.begun
+	if b == nil {
+		return
+	}
+	x.begun = nil
+	b.release()
+	if r := <-b.sent; r.response != nil {
+		r.response.Close(false)
+	}
+	x.handler.balancer.recordEnd(time.Now(), b.inFlight, false)
+}
+
+// mayMove reports whether the request may be sent to another endpoint now.
+func (x *exchange) mayMove() bool {
+	now := time.Now()
+	verdict, _ := x.handler.coordinator.prompts.verdict(now, x.inputIDs)
+	return now.Before(x.deadline) && x.attemptsLeft() && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
+}
+
+// nextRequest returns the properties of the request for the choice of another endpoint.
+func (a *attempt) nextRequest() placement.Request {
+	q := a.exchange.placementRequest()
+	q.ExcludedEndpoints = maps.Clone(q.ExcludedEndpoints)
+	q.ExcludedEndpoints[a.choice.Endpoint.ID] = true
+	return q
+}
+
 // reserveRetry reports whether the newest configuration allows the request to be sent again and another endpoint can take it,
 // and charges the retry if so. It keeps the given share of the retry budget untouched.
 func (a *attempt) reserveRetry(reserve float64) bool {
@@ -64,10 +147,7 @@
 	if !a.nextAllowed() {
 		return false
 	}
-	q := x.placementRequest()
-	q.ExcludedEndpoints = maps.Clone(x.excludedEndpoints)
-	q.ExcludedEndpoints[a.choice.Endpoint.ID] = true
-	if _, ok := x.handler.balancer.findEndpoint(now, q); !ok || !x.handler.balancer.takeRetry(now, x.service, reserve) {
+	if _, ok := x.handler.balancer.findEndpoint(now, a.nextRequest()); !ok || !x.handler.balancer.takeRetry(now, x.service, reserve) {
 		return false
 	}
 	x.retryReserved = true
