Read on when a late event has arrived before its stall timeout is handled

The socket is now looked at before the timeout is handled, and again before another attempt begins.

TestEventBeforeStallTimeout and TestEventCrossesStallTimeout failed before (2 requests to endpoints instead of 1) and pass.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	readBufferSize  = 4 << 10  // bytes; a typical event or response head fits
-	maxHeadBytes    = 32 << 10 // of a response head with the interim responses before it; servers commonly send less than 8 KiB
-	maxConnRequests = 1 << 10  // on one connection; bounds the set of request identifiers that it keeps
+	readBufferSize  = 4 << 10                // bytes; a typical event or response head fits
+	maxHeadBytes    = 32 << 10               // of a response head with the interim responses before it; servers commonly send less than 8 KiB
+	maxConnRequests = 1 << 10                // on one connection; bounds the set of request identifiers that it keeps
+	arrivedTimeout  = 100 * time.Millisecond // to read bytes that have arrived
 )
 
 // conn is a connection to an endpoint that carries one request at a time.
@@ -71,6 +72,9 @@
 			return n, err
 		}
 		now := time.Now()
+		if !IsIdle(c.Conn) && c.waitUntil(now.Add(arrivedTimeout)) == nil {
+			continue // bytes have arrived while this process was busy
+		}
 		d := c.onTimeout(now.Sub(c.deadline))
 		if d <= 0 {
 			return n, err
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -78,7 +78,7 @@
 // by the request's goroutine.
 func (a *attempt) beginNext(reserve float64) bool {
 	x := a.exchange
-	for x.mayMove() && a.reserveRetry(reserve) {
+	for x.mayMove() && a.reserveRetry(reserve) && !a.response.HasUnread() {
 		now := time.Now()
 		c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, a.nextRequest())
 		if !ok {
