Charge a retry that was not made only once

A retry that was charged for a stalled attempt stays charged when the response arrives after all. The next stall of the request charged another one, so the budget that all requests share ran out earlier than it had to. Found by reading; the tests of internal/ingress pass.

--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -141,13 +141,13 @@
 }
 
 // reserveRetry reports whether the newest configuration allows the request to be sent again and another endpoint can take it,
-// and charges the retry if so. It keeps the given share of the retry budget untouched.
+// and charges the retry if so, unless one that was charged before has not been made. It keeps the given share of the retry budget untouched.
 func (a *attempt) reserveRetry(reserve float64) bool {
 	x, now := a.exchange, time.Now()
 	if !a.nextAllowed() {
 		return false
 	}
-	if _, ok := x.handler.balancer.findEndpoint(now, a.nextRequest()); !ok || !x.handler.balancer.takeRetry(now, x.service, reserve) {
+	if _, ok := x.handler.balancer.findEndpoint(now, a.nextRequest()); !ok || !x.retryReserved && !x.handler.balancer.takeRetry(now, x.service, reserve) {
 		return false
 	}
 	x.retryReserved = true
