Test that a cancelled attempt is not taken for a broken connection

Found by the review: without the branch for a timeout that comes first the test still passed, as the attempt went elsewhere as broken. It now also counts the connections to endpoints, of which a probe opens one more. Without the branch: 3 connections instead of 2 in both cases.

--- a/internal/ingress/stall_test.go
+++ b/internal/ingress/stall_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,6 +64,12 @@
 // newServingIngress returns an instance with two endpoints that h serves, and the address at which it serves a resumable stream
 // below /stream/ and a repeatable call below /call/.
 func newServingIngress(t *testing.T, p Protocol, h http.HandlerFunc) (*Ingress, string) {
+	t.Helper()
+	return newCountingIngress(t, p, h, func(net.Conn, http.ConnState) {})
+}
+
+// newCountingIngress is newServingIngress with a hook for the connections of the endpoints.
+func newCountingIngress(t *testing.T, p Protocol, h http.HandlerFunc, onState func(net.Conn, http.ConnState)) (*Ingress, string) {
 	t.Helper()
 	budget := func() *memory.Budget { return memory.NewBudget(1 << 20) }
 	i := New(Options{
@@ -73,7 +81,9 @@
 	t.Cleanup(i.pool.Close)
 	var endpoints []routing.Endpoint
 	for n := range 2 {
-		s := httptest.NewServer(h)
+		s := httptest.NewUnstartedServer(h)
+		s.Config.ConnState = onState
+		s.Start()
 		t.Cleanup(s.Close)
 		endpoints = append(endpoints, routing.Endpoint{
 			ID: fmt.Sprint("engine-", n), Service: testService, Address: netip.MustParseAddrPort(s.Listener.Addr().String()),
@@ -118,7 +128,13 @@
 				}
 			}}
 			arrived, begin, end := make(chan struct{}, 10), make(chan struct{}), make(chan struct{})
-			i, url := newServingIngress(t, protocol, func(w http.ResponseWriter, r *http.Request) {
+			var conns atomic.Int32
+			countConn := func(_ net.Conn, s http.ConnState) {
+				if s == http.StateNew {
+					conns.Add(1)
+				}
+			}
+			i, url := newCountingIngress(t, protocol, func(w http.ResponseWriter, r *http.Request) {
 				arrived <- struct{}{}
 				<-begin
 				w.Header().Set("Id", r.Header.Get("Id"))
@@ -131,7 +147,7 @@
 					_ = http.NewResponseController(w).Flush()
 					<-end
 				}
-			})
+			}, countConn)
 			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+c.path, nil)
 			if err != nil {
 				t.Fatal(err)
@@ -174,6 +190,10 @@
 			if got := <-done; got.err != nil || got.status != http.StatusOK || got.body != want {
 				t.Errorf("status %d, error %v, body %q, want %q", got.status, got.err, got.body, want)
 			}
+			// An attempt that was cancelled is no reason to connect to its endpoint again to see whether it lives.
+			if n := conns.Load(); c.timeoutFirst && n != 2 {
+				t.Errorf("%d connections to endpoints, want 2", n)
+			}
 		})
 	}
 }
