Pick a model anew when the configuration changes between two attempts

A request whose model the router chooses kept it when a configuration without a choice of models for its route came into force between two attempts, and the look for a larger model indexed an empty list.

The model is now picked anew with the route: it stays if the route has it.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -121,9 +122,7 @@
 	x.service = x.route.PickService(rand.Float64())
 	x.handler.balancer.countRequest(time.Now(), x.service)
 	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
-	if x.request.Model == attributes.AnyModel && len(x.route.Models) > 0 {
-		x.model = x.route.Models[0]
-	}
+	x.pickModel()
 	if localErr := x.admit(); localErr != nil {
 		x.finishUnserved(localErr)
 		return
@@ -143,6 +142,16 @@
 	}
 }
 
+// pickModel keeps the model that was picked for the request if the route has it, and picks the smallest one otherwise.
+func (x *exchange) pickModel() {
+	switch {
+	case x.request.Model != attributes.AnyModel || len(x.route.Models) == 0:
+		x.model = ""
+	case !slices.Contains(x.route.Models, x.model):
+		x.model = x.route.Models[0]
+	}
+}
+
 // attemptOnce makes one attempt if the deadline, the route and the retry budget allow it.
 func (x *exchange) attemptOnce() (nextStep, *localError) {
 	if a := x.begun; a != nil {
@@ -268,6 +277,7 @@
 	if t := x.route.Timeout; t > 0 {
 		x.deadline = minTime(oldDeadline, x.start.Add(t))
 	}
+	x.pickModel()
 	if !x.route.SendsTo(x.service) {
 		x.service = x.route.PickService(rand.Float64())
 		x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
