Break the connection of a request that is given up as its client seems to have left

Callers could see an empty 200, or a cut stream that looks complete: when the context of the connection had ended, the handler returned without an answer, and net/http ended the response as if it were whole. A client that has closed its sending side only still reads it, and so would any client whose connection could not be read for a reason of the instance's own.

--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -67,7 +67,8 @@
 		x.serve()
 	}
 	x.logOutcome()
-	if x.abortConn {
+	if x.abortConn || x.clientLeft {
+		// The client of a request that was given up may still read; it must not get what net/http makes of a handler that wrote nothing.
 		// Close the connection without terminating the body, so that a truncated response does not look complete.
 		if !r.ProtoAtLeast(1, 1) {
 			resetOnClose(r.Context()) // without chunks, only a reset is distinguishable from the end of the body
