Let endpoints read a long body as late as they like

A call with a long body to an endpoint that responds first and reads the body later, as the platform's pages allow, ended after 1.7 s: TCP_USER_TIMEOUT also counts while the endpoint's kernel confirms the probes but takes no more bytes. Streams were cut, and calls that may run once ended in 502.

A connection that carries more than 64 KiB of a request has no user timeout and is not reused. The deadline and the stall timeout of the request still bound it.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,7 @@
 	address    netip.AddrPort
 	reader     *bufio.Reader
 	activity   *activity
+	singleUse  bool                // the connection must not be reused
 	reused     bool                // an earlier request used the connection, so the endpoint may have closed it since
 	expires    time.Time           // the connection is not reused from this time on
 	requestIDs map[uint64]struct{} // hashes of the identifiers of its requests
@@ -91,5 +93,20 @@
 	return c.SetReadDeadline(deadline)
 }
 
+// clearUserTimeout lifts the limit on how long sent bytes may stay unacknowledged. The connection is not reused, so that later
+// requests have that limit.
+func (c *conn) clearUserTimeout() error {
+	c.singleUse = true
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, 0)
+}
+
 // discard closes the connection and ignores any error, as the connection is not used again.
 func (c *conn) discard() { _ = c.Close() }
--- a/internal/forward/dial.go
+++ b/internal/forward/dial.go
@@ -43,10 +43,13 @@
 
 // SetUserTimeout sets TCP_USER_TIMEOUT, which limits how long sent bytes may stay unacknowledged; it fits
 // net.Dialer.Control.
-func SetUserTimeout(_, _ string, c syscall.RawConn) error {
+func SetUserTimeout(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, userTimeout) }
+
+// setUserTimeout sets TCP_USER_TIMEOUT; 0 means the limits of the system.
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var err error
 	e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if e != nil {
 		return e
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -96,7 +96,7 @@
 	} else {
 		idleTimeout = min(maxIdleTime, idleTimeout-idleMargin)
 	}
-	if idleTimeout <= 0 || c.reader.Buffered() > 0 {
+	if idleTimeout <= 0 || c.singleUse || c.reader.Buffered() > 0 {
 		c.discard()
 		return
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -19,6 +19,7 @@
 const (
 	maxStrayResponses = 4        // responses to other requests that are skipped before the connection is closed
 	maxInlineWrite    = 8 << 10  // bytes of a request that is written before reading starts; they fit into any socket buffer
+	longRequest       = 64 << 10 // bytes of a request that an endpoint may be slow to read; shorter ones fit into its socket buffer
 	maxDrainBytes     = 64 << 10 // of a response body that is read only to reuse the connection
 )
 
@@ -93,6 +94,12 @@
 // exchange writes a request and reads the head of its response.
 func (c *conn) exchange(q Request, isOwn func(http.Header) bool, w *writeState) (*http.Response, error) {
 	b := q.encode()
+	if len(b) > longRequest {
+		// The user timeout also counts while the endpoint takes no more bytes, although its host confirms that it is there.
+		if err := c.clearUserTimeout(); err != nil {
+			return nil, &Error{Op: "write", Kind: c.failureKind(), Err: err}
+		}
+	}
 	if len(b) <= maxInlineWrite {
 		if _, err := c.Write(b); err != nil {
 			return nil, &Error{Op: "write", Kind: c.failureKind(), Err: err}
