Close no connection for room whose request has just been read

Cause: the limiter chose the connections that wait longest for a head or lie idle, and closed them later without a second look. Bytes that were read in between reached net/http, so that the request was served, and perhaps passed on, on a connection that was then closed.

A connection is now marked under its own lock, only if it still has the state for which it was chosen. Once it is marked, Read drops what arrives, in the form of a failed read, to which net/http writes no answer. So a request either keeps its connection or never begins. If a chosen connection has become busy, the next one is taken.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -44,6 +44,10 @@
 // errHead states that a head was refused.
 var errHead = errors.New("connlimit: head refused")
 
+// errEvicted states that a connection was closed to make room for others. It has the form of a failed read, which net/http does not
+// answer.
+var errEvicted = &net.OpError{Op: "read", Err: net.ErrClosed}
+
 // Refusals of heads. The request has not run.
 const (
 	refusalFields = "Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"
@@ -110,18 +114,29 @@
 	return c.evicted
 }
 
-// markEvicted records that the connection is closed to make room for others.
-func (c *Conn) markEvicted() {
+// progress returns when to close the connection if there are too many, 0 for not at all, and for how long it has waited.
+func (c *Conn) progress(now time.Time) (rank int, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.evicted = true
+	return c.progressLocked(now)
 }
 
-// progress returns when to close the connection if there are too many, 0 for not at all, and for how long it has waited.
-func (c *Conn) progress(now time.Time) (rank int, wait time.Duration) {
+// evict marks a connection that is to be closed, and reports whether it still has the rank for which it was chosen. From then on no
+// bytes are read from it, so that no request begins on it. The caller closes it.
+func (c *Conn) evict(now time.Time, rank int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if r, wait := c.progressLocked(now); r != rank || wait <= minAge {
+		return false
+	}
+	c.evicted = true
+	return true
+}
+
+// progressLocked is progress for a caller that holds the mutex.
+func (c *Conn) progressLocked(now time.Time) (rank int, wait time.Duration) {
 	switch {
+	case c.evicted:
 	case c.listener.options.Opaque && c.unproven != nil, c.phase == phaseHead, c.phase == phaseIdle && c.unused && !c.listener.options.Opaque:
 		return 1, now.Sub(c.since)
 	case c.phase == phaseIdle && (!c.listener.options.Opaque || !c.unused):
@@ -134,7 +149,23 @@
 func (c *Conn) holdsHead(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase == phaseHead && c.charged > 0 && now.Sub(c.since) > minAge
+	return c.holdsHeadLocked(now)
+}
+
+// evictHead is evict for a connection that was chosen because it holds a head.
+func (c *Conn) evictHead(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.holdsHeadLocked(now) {
+		return false
+	}
+	c.evicted = true
+	return true
+}
+
+// holdsHeadLocked is holdsHead for a caller that holds the mutex.
+func (c *Conn) holdsHeadLocked(now time.Time) bool {
+	return !c.evicted && c.phase == phaseHead && c.charged > 0 && now.Sub(c.since) > minAge
 }
 
 func (c *Conn) phaseStart() time.Time {
@@ -143,7 +174,7 @@
 	return c.since
 }
 
-// Read reads from the connection. It returns an error after a head that exceeds the limits.
+// Read reads from the connection. It returns an error after a head that exceeds the limits, and if the connection was evicted.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n <= 0 {
@@ -152,7 +183,10 @@
 		}
 		return n, err
 	}
-	reason := c.noteRead(b[:n], len(b))
+	reason, ok := c.noteRead(b[:n], len(b))
+	if !ok {
+		return 0, errEvicted
+	}
 	if reason == ReasonHeadMemory && c.listener.limiter.closeSlowestHeads(time.Now(), c) {
 		reason = c.retryHead()
 	}
@@ -187,16 +221,19 @@
 	return c.checkHead()
 }
 
-// noteRead follows the phases of a connection and returns why its head is to be refused, or "".
-func (c *Conn) noteRead(b []byte, size int) Reason {
+// noteRead follows the phases of a connection and returns why its head is to be refused, or "". It returns false if the bytes are to be
+// dropped, as the connection was evicted before they were read.
+func (c *Conn) noteRead(b []byte, size int) (Reason, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.evicted:
+		return "", false
 	case c.closed:
-		return "" // the server notices by its next read or write
+		return "", true // the server notices by its next read or write
 	case c.listener.options.Opaque:
 		c.noteOpaque(len(b))
-		return ""
+		return "", true
 	case c.phase == phaseActive:
 		// While a request is under way and its body is read, net/http reads a single byte to notice that the client leaves.
 		if size == 1 && !c.pipelined {
@@ -204,7 +241,7 @@
 			c.listener.limiter.Count(ReasonPipelined, c.listener.options.Name, c.RemoteAddr().String())
 			c.setReadBuffer(pipelinedBuffer)
 		}
-		return ""
+		return "", true
 	case c.phase == phaseIdle:
 		if c.pipelined && len(b) < size { // all that the client has sent was read
 			c.pipelined = false
@@ -213,7 +250,7 @@
 		c.phase, c.since = phaseHead, time.Now()
 	}
 	c.countHead(b)
-	return c.checkHead()
+	return c.checkHead(), true
 }
 
 // setReadBuffer sets the size of the kernel's buffer for bytes that are not read yet. On failure it stays as it is.
--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -129,13 +129,20 @@
 		n.mu.Unlock()
 	}
 	slices.SortFunc(all, func(a, b *Conn) int { return a.phaseStart().Compare(b.phaseStart()) })
-	all = all[:min(len(all), 1+int(evictionShare*float64(len(all))))]
+	wanted := min(len(all), 1+int(evictionShare*float64(len(all))))
+	evicted := 0
 	for _, c := range all {
+		if evicted == wanted {
+			break
+		}
+		if !c.evictHead(now) {
+			continue
+		}
+		evicted++
 		l.Count(ReasonHeadMemory, c.listener.options.Name, c.RemoteAddr().String())
-		c.markEvicted()
 		_ = c.Close()
 	}
-	return len(all) > 0
+	return evicted > 0
 }
 
 // closeSlowest closes some connections on which no request is under way: first those that have waited longest for the rest
@@ -153,11 +160,18 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.wait, a.wait)) })
-	for _, v := range all[:min(len(all), 1+int(evictionShare*float64(l.maxConns)))] {
+	wanted := min(len(all), 1+int(evictionShare*float64(l.maxConns)))
+	for _, v := range all {
+		if wanted == 0 {
+			break
+		}
+		if !v.conn.evict(now, v.rank) {
+			continue
+		}
+		wanted--
 		l.limiter.Count(ReasonConnections, l.options.Name, v.conn.RemoteAddr().String())
 		delete(l.conns, v.conn)
 		l.limiter.addConn(-1)
-		v.conn.markEvicted()
 		_ = v.conn.Conn.Close() // the server notices by itself
 	}
 }
