Close no connection for room whose next request the server has buffered

Cause: the limiter knows the phase of a connection from the bytes of a head and from the states that net/http reports. Bytes that came with the request before are in the buffer of net/http, so until it reports the next request as active, the connection counts as idle, or as one with a slow head if the end of that head was read alone. On TLS and HTTP/2, where heads can't be told from other bytes, the same holds for each request of an idle connection. A process that waits for the processor for 100 ms between its read and its report lost such a request when a new client took the last place.

A connection is now closed for room only while the server waits in Read. There it has no whole request that it has not begun: net/http reads on only when it lacks a part of a head, and its HTTP/2 server only when it has handled the frame before.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -41,12 +41,12 @@
 	refusalTimeout  = 100 * time.Millisecond // to write a refusal
 )
 
-// errHead states that a head was refused.
-var errHead = errors.New("connlimit: head refused")
-
-// errEvicted states that a connection was closed to make room for others. It has the form of a failed read, which net/http does not
-// answer.
-var errEvicted = &net.OpError{Op: "read", Err: net.ErrClosed}
+var (
+	// errHead states that a head was refused.
+	errHead = errors.New("connlimit: head refused")
+	// errEvicted states that a connection was closed to make room for others. Net/http writes no answer to a failed read.
+	errEvicted = &net.OpError{Op: "read", Err: net.ErrClosed}
+)
 
 // Refusals of heads. The request has not run.
 const (
@@ -82,6 +82,7 @@
 	pipelined  bool
 	closed     bool        // what it held is released
 	evicted    bool        // closed to make room for others
+	reading    bool        // the server waits for bytes, so it has no whole request that it has not begun
 	received   int         // of an opaque connection, until it is proven
 	unproven   *time.Timer // closes an opaque connection that sends next to nothing
 
@@ -107,77 +108,12 @@
 	return n
 }
 
-// Evicted reports whether the connection was closed to make room for others.
-func (c *Conn) Evicted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.evicted
-}
-
-// progress returns when to close the connection if there are too many, 0 for not at all, and for how long it has waited.
-func (c *Conn) progress(now time.Time) (rank int, wait time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.progressLocked(now)
-}
-
-// evict marks a connection that is to be closed, and reports whether it still has the rank for which it was chosen. From then on no
-// bytes are read from it, so that no request begins on it. The caller closes it.
-func (c *Conn) evict(now time.Time, rank int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if r, wait := c.progressLocked(now); r != rank || wait <= minAge {
-		return false
-	}
-	c.evicted = true
-	return true
-}
-
-// progressLocked is progress for a caller that holds the mutex.
-func (c *Conn) progressLocked(now time.Time) (rank int, wait time.Duration) {
-	switch {
-	case c.evicted:
-	case c.listener.options.Opaque && c.unproven != nil, c.phase == phaseHead, c.phase == phaseIdle && c.unused && !c.listener.options.Opaque:
-		return 1, now.Sub(c.since)
-	case c.phase == phaseIdle && (!c.listener.options.Opaque || !c.unused):
-		return 2, now.Sub(c.since)
-	}
-	return 0, 0
-}
-
-// holdsHead reports whether the connection has waited for some time for the rest of a head that has memory reserved.
-func (c *Conn) holdsHead(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.holdsHeadLocked(now)
-}
-
-// evictHead is evict for a connection that was chosen because it holds a head.
-func (c *Conn) evictHead(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.holdsHeadLocked(now) {
-		return false
-	}
-	c.evicted = true
-	return true
-}
-
-// holdsHeadLocked is holdsHead for a caller that holds the mutex.
-func (c *Conn) holdsHeadLocked(now time.Time) bool {
-	return !c.evicted && c.phase == phaseHead && c.charged > 0 && now.Sub(c.since) > minAge
-}
-
-func (c *Conn) phaseStart() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.since
-}
-
 // Read reads from the connection. It returns an error after a head that exceeds the limits, and if the connection was evicted.
 func (c *Conn) Read(b []byte) (int, error) {
+	c.setReading(true)
 	n, err := c.Conn.Read(b)
 	if n <= 0 {
+		c.setReading(false)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.NoteTimeout()
 		}
@@ -204,6 +140,13 @@
 	return 0, errHead
 }
 
+// setReading records whether the server waits for bytes.
+func (c *Conn) setReading(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = v
+}
+
 // NoteTimeout counts a timeout of the connection if a head has not ended.
 func (c *Conn) NoteTimeout() {
 	c.mu.Lock()
@@ -226,6 +169,7 @@
 func (c *Conn) noteRead(b []byte, size int) (Reason, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	switch {
 	case c.evicted:
 		return "", false
--- a/internal/connlimit/eviction_test.go
+++ b/internal/connlimit/eviction_test.go
@@ -87,7 +87,11 @@
 					t.Fatal(err)
 				}
 			}
-			time.Sleep(20 * time.Millisecond) // the reader waits again
+			for waiting := false; !waiting; time.Sleep(time.Millisecond) {
+				conn.mu.Lock()
+				waiting = conn.reading
+				conn.mu.Unlock()
+			}
 			c.evict(l, time.Now().Add(time.Minute))
 			_ = client.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 			_, err := client.Read(make([]byte, 1))
@@ -97,3 +101,54 @@
 		})
 	}
 }
+
+// TestEvictionSparesBufferedRequest guards against closing a connection as idle or as one with a slow head while the server has a whole
+// request of it in its buffer: a request that came with the one before it, or whose head was read in two parts that way.
+func TestEvictionSparesBufferedRequest(t *testing.T) {
+	const get = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, reads := range map[string][]string{
+		"two requests in one read":       {get + get},
+		"end of the second head follows": {get + get[:len(get)-2], get[len(get)-2:]},
+		"first byte read beside another": {get, get[:1], get[1:]},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newTestListener(New(Options{Memory: 64 << 20}), false)
+			s := &scriptedConn{reads: reads}
+			c := newConn(s, l)
+			l.conns[c] = struct{}{}
+			b := make([]byte, 4<<10)
+			_, _ = c.Read(b)
+			c.setState(http.StateActive)
+			if len(reads) == 3 {
+				_, _ = c.Read(b[:1]) // in the background, while the answer is written
+			}
+			c.setState(http.StateIdle)
+			for len(s.reads) > 0 {
+				_, _ = c.Read(b)
+			}
+			// The server has the request and is about to report the connection as active.
+			l.closeSlowest(time.Now().Add(time.Minute))
+			if c.Evicted() {
+				t.Error("closed under a request that was read")
+			}
+		})
+	}
+}
+
+// TestEvictionOfOpaqueCrossesRequest guards against closing an idle connection whose bytes can't be parsed, as those of TLS, when the
+// server has just read a request from it.
+func TestEvictionOfOpaqueCrossesRequest(t *testing.T) {
+	l := newTestListener(New(Options{Memory: 64 << 20}), true)
+	c := newConn(&scriptedConn{reads: []string{strings.Repeat("x", 2*provenBytes), "request"}}, l)
+	defer c.Close()
+	l.conns[c] = struct{}{}
+	b := make([]byte, 4<<10)
+	_, _ = c.Read(b)
+	c.setState(http.StateActive)
+	c.setState(http.StateIdle)
+	_, _ = c.Read(b)
+	l.closeSlowest(time.Now().Add(time.Minute))
+	if c.Evicted() {
+		t.Error("closed under a request that was read")
+	}
+}
