Close no opaque connection that was proven while its timeout was handled

Cause: the timeout for a TLS or HTTP/2 connection that sends next to nothing stops when enough bytes have come. A timer that has expired can't be stopped, and its function closed the connection without looking again.

The function now decides under the lock of the connection, and marks it, so that Read drops what arrives after the decision.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -44,7 +44,7 @@
 var (
 	// errHead states that a head was refused.
 	errHead = errors.New("connlimit: head refused")
-	// errEvicted states that a connection was closed to make room for others. Net/http writes no answer to a failed read.
+	// errEvicted states that a connection was evicted. Net/http writes no answer to a failed read.
 	errEvicted = &net.OpError{Op: "read", Err: net.ErrClosed}
 )
 
@@ -81,7 +81,7 @@
 	head       *memory.Reservation
 	pipelined  bool
 	closed     bool        // what it held is released
-	evicted    bool        // closed to make room for others
+	evicted    bool        // closed because of a limit; what it sends from then on is dropped
 	reading    bool        // the server waits for bytes, so it has no whole request that it has not begun
 	received   int         // of an opaque connection, until it is proven
 	unproven   *time.Timer // closes an opaque connection that sends next to nothing
@@ -100,10 +100,9 @@
 		}
 	}
 	if l.options.Opaque {
-		n.unproven = time.AfterFunc(unprovenTimeout, func() {
-			n.listener.limiter.Count(ReasonUnproven, n.listener.options.Name, n.RemoteAddr().String())
-			_ = n.Close()
-		})
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.unproven = time.AfterFunc(unprovenTimeout, n.closeUnproven)
 	}
 	return n
 }
@@ -215,6 +214,18 @@
 	}
 }
 
+// closeUnproven closes an opaque connection unless it has been proven.
+func (c *Conn) closeUnproven() {
+	c.mu.Lock()
+	due := c.unproven != nil && !c.closed && !c.evicted
+	c.evicted = c.evicted || due
+	c.mu.Unlock()
+	if due {
+		c.listener.limiter.Count(ReasonUnproven, c.listener.options.Name, c.RemoteAddr().String())
+		_ = c.Close()
+	}
+}
+
 // countHead counts the bytes and fields of a head, up to its end.
 func (c *Conn) countHead(b []byte) {
 	for i, x := range b {
--- a/internal/connlimit/eviction.go
+++ b/internal/connlimit/eviction.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Evicted reports whether the connection was closed to make room for others.
+// Evicted reports whether the connection was closed to make room for others, or because it had sent next to nothing.
 func (c *Conn) Evicted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/connlimit/eviction_test.go
+++ b/internal/connlimit/eviction_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -152,3 +153,22 @@
 		t.Error("closed under a request that was read")
 	}
 }
+
+// TestUnprovenCrossesBytes guards against closing an opaque connection that has sent enough while the timeout for that is being handled.
+func TestUnprovenCrossesBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestListener(New(Options{Memory: 64 << 20}), true)
+		c := newConn(&scriptedConn{reads: []string{strings.Repeat("x", 2*provenBytes)}}, l)
+		defer c.Close()
+		c.mu.Lock()
+		time.Sleep(unprovenTimeout) // the timer expires, and its function waits for the mutex
+		c.noteOpaque(2 * provenBytes)
+		c.mu.Unlock()
+		synctest.Wait()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.closed {
+			t.Error("a proven connection was closed")
+		}
+	})
+}
