Refuse a body that was found too slow when its end had just been read

Cause: when others need the memory of a body, its transfer is ended by a read deadline in the past. If the last bytes had been read just before, the body was taken as whole, but net/http already read in the background, failed at the deadline, took that for the client's leaving and cancelled the request. The handler then ended without writing, and net/http sent a 200 of its own. A process that waits for the processor between the two steps meets this.

The body now counts as too slow whenever its transfer was ended, and the client gets the same 408 as for one that is not whole: nothing has been sent to an endpoint. The other listeners' bodies were handled so already.

--- /dev/null
+++ b/internal/ingress/cancelled_test.go
@@ -0,0 +1,59 @@
+package ingress
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// hookedBody calls onEnd when the end of the body has been read, before the reader learns of it.
+type hookedBody struct {
+	io.ReadCloser
+	onEnd func()
+}
+
+func (b hookedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.onEnd()
+	}
+	return n, err
+}
+
+// TestSlowBodyCrossesItsEnd guards against an empty response with status 200: a body was found too slow when its end had just been
+// read, the read deadline then failed net/http's background read, which cancels the request, and its client was taken to have left.
+func TestSlowBodyCrossesItsEnd(t *testing.T) {
+	i, _ := newServingIngress(t, headerProtocol{func() {}}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		_, _ = io.WriteString(w, "answer")
+	})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = hookedBody{r.Body, func() {
+			time.Sleep(1100 * time.Millisecond) // longer than a transfer may pause while others need its memory
+			other := i.options.RequestMemory.NewReservation()
+			defer other.Release()
+			_ = other.Grow(i.options.RequestMemory.MaxBodySize() + 1) // more than is left
+			<-r.Context().Done()
+		}}
+		i.handler.ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	c, _ := dialServer(t, s.Listener.Addr().String())
+	const request = "POST /call/x HTTP/1.1\r\nHost: host\r\nId: slow\r\nContent-Length: 4\r\n\r\nbody"
+	if _, err := io.WriteString(c, request); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if b, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(b), "body too slow") {
+		t.Errorf("status %d, body %q; want a refusal", resp.StatusCode, b)
+	}
+}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -230,7 +230,7 @@
 		return &localError{
 			status: http.StatusServiceUnavailable, reason: "no memory for its body", retryAfter: jitterRetryAfter(minRetryAfter), err: err,
 		}
-	case err != nil:
+	case err != nil || slow.Load(): // the deadline has cancelled the request, too, if the body is complete
 		return x.bodyError(err, slow.Load())
 	}
 	x.body = b
