Send no complete response to a client that is taken to have left

Callers could get an empty response with status 200, or the regular end of a stream that was cut, where the instance had no answer for them.

Cause: a request whose context is cancelled while it is under way counts as one whose client has left, and its handler ends without writing. Net/http then sends status 200, or the end of a chunked body. But it cancels a request after any failed read, so the client may be there: one that has closed only its sending side, or one whose connection met a read deadline that was meant for an earlier state.

The handler now aborts the connection of such a request, as it does for a truncated response. A client that still reads sees that its answer is missing.

--- a/internal/ingress/cancelled_test.go
+++ b/internal/ingress/cancelled_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -57,3 +58,61 @@
 		t.Errorf("status %d, body %q; want a refusal", resp.StatusCode, b)
 	}
 }
+
+// TestCancelledRequestEndsIncomplete guards against a response that looks complete to a client that still reads when net/http has
+// cancelled its request: an empty response with status 200, or the regular end of a stream that was cut.
+func TestCancelledRequestEndsIncomplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		head string // of the request, with its protocol
+	}{
+		"call":             {"/call/x", "HTTP/1.1\r\nHost: host\r\nId: cancelled\r\n\r\n"},
+		"stream":           {"/stream/x", "HTTP/1.1\r\nHost: host\r\nId: cancelled\r\n\r\n"},
+		"stream, HTTP/1.0": {"/stream/x", "HTTP/1.0\r\nHost: host\r\nId: cancelled\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived := make(chan struct{}, 1)
+			i, _ := newServingIngress(t, headerProtocol{func() {}}, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Id", r.Header.Get("Id"))
+				if strings.HasPrefix(c.path, "/stream/") {
+					w.Header().Set("Content-Type", "text/event-stream")
+					_, _ = io.WriteString(w, testEvent(1))
+					_ = http.NewResponseController(w).Flush()
+				}
+				arrived <- struct{}{}
+				<-r.Context().Done()
+			})
+			l, s, a := newTestServer(t, i.handler)
+			go func() { _ = s.Serve(l) }()
+			conn, r := dialServer(t, a)
+			if _, err := io.WriteString(conn, "GET "+c.path+" "+c.head); err != nil {
+				t.Fatal(err)
+			}
+			<-arrived
+			var resp *http.Response
+			var err error
+			if strings.HasPrefix(c.path, "/stream/") {
+				if resp, err = http.ReadResponse(r, nil); err != nil {
+					t.Fatal(err)
+				}
+				defer resp.Body.Close()
+				if _, err := io.ReadFull(resp.Body, make([]byte, len(testEvent(1)))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			// The end of the client's sending side cancels the request as a failed read does.
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			if resp == nil {
+				if resp, err = http.ReadResponse(r, nil); err != nil {
+					return
+				}
+				defer resp.Body.Close()
+			}
+			if b, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("status %d and a complete body %q", resp.StatusCode, b)
+			}
+		})
+	}
+}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -67,8 +67,9 @@
 		x.serve()
 	}
 	x.logOutcome()
-	if x.abortConn {
-		// Close the connection without terminating the body, so that a truncated response does not look complete.
+	if x.abortConn || x.clientLeft {
+		// Close the connection without terminating the body, so that a truncated response does not look complete, and without the empty
+		// response that net/http sends if there is none. A client that is taken to have left may still read.
 		if !r.ProtoAtLeast(1, 1) {
 			resetOnClose(r.Context()) // without chunks, only a reset is distinguishable from the end of the body
 		}
