Answer a stream that was refused as its first event arrived

Cause: when a content or a part of a prompt is refused, the attempts to which no endpoint has begun a response are cancelled. An attempt leaves that group when its first event has been read. If the refusal held the lock just then, the attempt was cancelled first, and the event was written to the client all the same, of a stream that could not go on.

Leaving the group now tells whether the attempt was cancelled. If so, nothing is written of the event, and the request is answered as any other that was waiting at the refusal. If not, it is not cancelled any more.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -62,7 +62,7 @@
 
 // release ends the attempt.
 func (a *attempt) release() {
-	a.exchange.handler.coordinator.prompts.unwatch(a)
+	_ = a.exchange.handler.coordinator.prompts.unwatch(a) // the attempt has ended
 	a.stopOnStop()
 	a.cancel(nil)
 }
--- a/internal/ingress/prompt_parts.go
+++ b/internal/ingress/prompt_parts.go
@@ -48,7 +48,7 @@
 	earliest time.Time                       // when the next write is allowed
 	stored   map[suspect.PartHash]storedMark // marks with a record in the topic
 	sweepAt  time.Time
-	waiting  map[*attempt]bool // attempts to which no endpoint has begun a response
+	waiting  map[*attempt]error // attempts to which no endpoint has begun a response, with the reason if they were cancelled
 }
 
 // storedMark is a record of a mark in the topic.
@@ -61,7 +61,7 @@
 	s := suspect.DefaultPartSettings(o.Instance)
 	return &promptGuard{
 		logger: o.Logger, settings: s, registry: suspect.NewPartRegistry(s),
-		stored: map[suspect.PartHash]storedMark{}, waiting: map[*attempt]bool{},
+		stored: map[suspect.PartHash]storedMark{}, waiting: map[*attempt]error{},
 	}
 }
 
@@ -119,27 +119,31 @@
 func (g *promptGuard) watch(a *attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.waiting[a] = true
+	g.waiting[a] = nil
 }
 
-// unwatch ends the effect of watch.
-func (g *promptGuard) unwatch(a *attempt) {
+// unwatch ends the effect of watch. It returns the reason if the attempt was cancelled, which it never is afterwards.
+func (g *promptGuard) unwatch(a *attempt) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	reason := g.waiting[a]
 	delete(g.waiting, a)
+	return reason
 }
 
 // cancelRefused cancels the waiting attempts that would not be sent any more. The caller holds the mutex.
 func (g *promptGuard) cancelRefused(now time.Time) {
 	for a := range g.waiting {
 		v, m := g.registry.Verdict(now, a.exchange.inputIDs)
-		switch {
-		case v != suspect.PartsRefused || a.exchange.trial:
-		case m.Content:
-			a.cancel(errRefusedContent)
-		default:
-			a.cancel(errRefusedPart)
+		if v != suspect.PartsRefused || a.exchange.trial {
+			continue
+		}
+		reason := errRefusedPart
+		if m.Content {
+			reason = errRefusedContent
 		}
+		g.waiting[a] = reason
+		a.cancel(reason)
 	}
 }
 
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -52,7 +52,9 @@
 			a.dataEvents, idleBytes, a.lastEventAt = a.dataEvents+1, 0, time.Now()
 			if a.dataEvents == 1 {
 				a.firstEventAt = a.lastEventAt
-				x.handler.coordinator.prompts.unwatch(a)
+				if err := x.handler.coordinator.prompts.unwatch(a); err != nil {
+					return a.handleBrokenStream(&forward.Error{Op: "read event", Kind: forward.ErrCancelled, Err: err})
+				}
 			}
 			if a.dataEvents == gapSampleEvents {
 				a.recordMeanGap(a.dataEvents) // the end of a slow stream would come too late
