Wait for the last bytes of answers before connections are closed at a stop

Cause: requests that have not ended by the end of the grace period are answered then, and the stop waits until they have ended. A request counted as ended when its handler returned, but a short answer is written to the socket only after that. The stop closed all connections in between, if the process waited for the processor there.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -164,6 +164,26 @@
 	return len(l.conns)
 }
 
+// hasBusy reports whether a request is under way on any connection. Net/http writes the last bytes of an answer after the handler has
+// returned, and reports the end of the request after that.
+func (l *clientListener) hasBusy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.isBusy() {
+			return true
+		}
+	}
+	return false
+}
+
+// isBusy reports whether a request is under way.
+func (c *clientConn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle
+}
+
 // timeouts returns the timeouts for the head of a request and between requests.
 func (l *clientListener) timeouts() (header, idle time.Duration) {
 	header, idle = defaultHeaderTimeout, defaultIdleTimeout
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -197,7 +197,7 @@
 		openConns = l.closeIdle()
 	}
 	i.endRequests()
-	for end := time.Now().Add(lastAnswersTime); i.activeRequests.Load() > 0 && time.Now().Before(end); {
+	for end := time.Now().Add(lastAnswersTime); (i.activeRequests.Load() > 0 || l.hasBusy()) && time.Now().Before(end); {
 		time.Sleep(lastAnswersTime / 20)
 	}
 	i.serverClosed.Store(true)
