Count a connection that is being accepted before the process exits

Cause: the stop ends when no connection is open. The goroutine that accepts empties the accept queue meanwhile, and counts a connection only some steps after it has taken it from the queue. If it waited for the processor there, or had not run at all since the stop, the stop found no open connection, and the process exited under the ones to come.

The stop now also waits until the listener has been closed, which its goroutine does when the queue is empty and all that it accepted is counted. If the listener can't be interrupted, the stop does not wait for it, as before.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -30,6 +30,7 @@
 	net.Listener
 	snapshot *atomic.Pointer[snapshot]
 	stopping atomic.Bool
+	closed   atomic.Bool // no further connection will be accepted, and all that were are tracked
 
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
@@ -89,6 +90,12 @@
 	}
 }
 
+// Close closes the listener. Accept and http.Server call it when they accept no further connection.
+func (l *clientListener) Close() error {
+	l.closed.Store(true)
+	return l.Listener.Close()
+}
+
 const (
 	acceptTimeout   = 10 * time.Millisecond  // to accept a connection that is already queued
 	unusedConnGrace = 500 * time.Millisecond // for the first request on a new connection when the instance stops
@@ -106,7 +113,7 @@
 	if t, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		return t.SetDeadline(time.Now().Add(d))
 	}
-	return l.Close()
+	return l.Listener.Close()
 }
 
 // hasPending reports whether a connection waits in the accept queue.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -188,12 +188,14 @@
 	time.Sleep(time.Until(listenUntil) - signalReserve)
 	i.stopDeadline.Store(&deadline)
 	time.Sleep(time.Until(listenUntil))
-	if err := l.stopAccepting(); err != nil {
+	err := l.stopAccepting()
+	if err != nil {
 		i.options.Logger.Error("instance: The listener could not be closed.", zap.Error(err))
 	}
-	openConns := 1
-	for openConns > 0 && time.Now().Before(deadline) {
+	openConns, accepting := 1, err == nil
+	for (accepting || openConns > 0) && time.Now().Before(deadline) {
 		time.Sleep(closeIdleInterval)
+		accepting = accepting && !l.closed.Load() // before the count, which holds all that were accepted until then
 		openConns = l.closeIdle()
 	}
 	i.endRequests()
@@ -201,7 +203,7 @@
 		time.Sleep(lastAnswersTime / 20)
 	}
 	i.serverClosed.Store(true)
-	err := s.Close()
+	err = s.Close()
 	i.options.Logger.Info("instance: Stopped.", zap.Int64("requests", i.activeRequests.Load()), zap.Int("connections", openConns),
 		zap.Duration("took", time.Since(start)), zap.Error(err))
 }
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -87,3 +87,19 @@
 	stop()
 	expectStatus(t, r, http.StatusBadGateway)
 }
+
+// TestStopWaitsForAcceptedConn guards against a stop that finds no open connection while one has been accepted but not yet counted.
+func TestStopWaitsForAcceptedConn(t *testing.T) {
+	a, accepted, handOn, stop := startStopping(t, 0, func(http.ResponseWriter, *http.Request) {})
+	c, r := dialServer(t, a)
+	if _, err := c.Write([]byte(stopTestRequest)); err != nil {
+		t.Fatal(err)
+	}
+	<-accepted
+	go func() {
+		time.Sleep(time.Second + 2*closeIdleInterval) // the instance listens for half of the grace period
+		close(handOn)
+	}()
+	stop()
+	expectStatus(t, r, http.StatusServiceUnavailable) // its answer may outlast the grace period
+}
