--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,7 +13,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -325,42 +324,3 @@
 	}
 	return connected
 }
-
-// watchdog cancels a call that makes no progress in time.
-type watchdog struct {
-	timer   *time.Timer
-	cancel  context.CancelFunc
-	parent  context.Context
-	expired atomic.Bool
-}
-
-// startWatchdog returns a context that is cancelled once d has passed without a reset.
-func startWatchdog(ctx context.Context, d time.Duration) (context.Context, *watchdog) {
-	w := &watchdog{parent: ctx}
-	guarded, cancel := context.WithCancel(ctx)
-	w.cancel = cancel
-	w.timer = time.AfterFunc(d, func() {
-		w.expired.Store(true)
-		cancel()
-	})
-	return guarded, w
-}
-
-func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-	w.cancel()
-}
-
-// classify turns a transport error into an *Error: the caller cancelled, the timer expired or the connection failed.
-func (w *watchdog) classify(op string, err error) error {
-	switch {
-	case w.parent.Err() != nil:
-		return &Error{Op: op, Kind: ErrCancelled, Err: w.parent.Err()}
-	case w.expired.Load():
-		return &Error{Op: op, Kind: ErrTimeout, Err: err}
-	default:
-		return &Error{Op: op, Kind: transportErrorKind(err, ErrConnectionLost), Err: err}
-	}
-}
