Read what has arrived before a late timeout cancels a stream

Callers of the product's own interface waited for a stream to be continued at another endpoint although its events had arrived: they lay unread in the kernel while the process did not run, and when it ran again the expired timeout came before the reader.

The platform's ingress gives such a stream 200 ms more if its timer is over 100 ms late (core/stall). The watchdog of the engines' client now does the same by the same rule, each time it is late.

--- a/internal/engine/watchdog.go
+++ b/internal/engine/watchdog.go
@@ -4,12 +4,15 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/stall"
 )
 
 // watchdog cancels a call that makes no progress in time.
 type watchdog struct {
 	cancel context.CancelFunc
 	parent context.Context
+	stall  stall.Settings
 
 	mu       sync.Mutex
 	timer    *time.Timer // calls onTimer
@@ -20,18 +23,24 @@
 // startWatchdog returns a context that is cancelled once d has passed without a reset.
 func startWatchdog(ctx context.Context, d time.Duration) (context.Context, *watchdog) {
 	guarded, cancel := context.WithCancel(ctx)
-	w := &watchdog{parent: ctx, cancel: cancel, deadline: time.Now().Add(d)}
+	w := &watchdog{parent: ctx, cancel: cancel, stall: stall.DefaultSettings(), deadline: time.Now().Add(d)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(d, w.onTimer)
 	return guarded, w
 }
 
-// onTimer cancels the call, unless it was reset since the timer expired.
+// onTimer cancels the call, unless it was reset since the timer expired. If this process was not running, it waits for data that has
+// arrived meanwhile.
 func (w *watchdog) onTimer() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if time.Now().Before(w.deadline) {
+	late := time.Since(w.deadline)
+	if late < 0 {
+		return
+	}
+	if d := w.stall.ExtendWait(stall.Input{TimerDelay: late}); d > 0 {
+		w.resetLocked(d)
 		return
 	}
 	w.expired = true
