Forget a wake-up of a client's connection when a request has come

Cause: the reader of an idle connection is woken by a read deadline to close it. If the bytes of a request had just been read, or lay in net/http's buffer, the wake-up stayed noted. The next deadline to pass was that by which net/http ends its own background read after the response. The reader took it for the wake-up and read on for 10 s, while net/http waited for it and the connection counted as busy.

The bytes of a request, and the report that one has begun, now end the wake-up and its deadline.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// noteRead records that bytes have arrived. The first bytes of a request start the timeout for its head.
+// noteRead records that bytes have arrived. The first bytes of a request start the timeout for its head. If the reader was woken at the
+// same time to close the connection, it need not look any more.
 func (c *clientConn) noteRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,6 +236,10 @@
 		c.resetTimer(header)
 	}
 	c.headBegun = true
+	if c.closing {
+		c.closing = false
+		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed, which the next read finds
+	}
 }
 
 // resumeRead reports whether to read again after the reader was woken to close the connection. If bytes have arrived,
@@ -325,6 +330,8 @@
 	c.timerArmed, c.unused = true, false
 	if c.idle = idle; idle {
 		c.headBegun = false
+	} else {
+		c.closing = false // net/http had the request in its buffer, and sets the deadlines of its reads
 	}
 	c.resetTimer(d)
 }
