Close no connection for a slow head that has been read as a whole

Cause: the timeout for a head was decided under the connection's lock and carried out after it, and it ended only when the handler began. Bytes that were read between the decision and the close completed the head, and the request was served on a connection that was then closed. A process that did not run between the read of the last bytes and the handler lost the request in the same way.

The timeout now ends when net/http reports that it has read a head. Before that, a connection is closed for a slow head only while net/http waits for bytes, so that it has no whole head; otherwise the timeout looks again 100 ms later. Once the close is decided, Read drops what arrives, in the form of a failed read.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -52,7 +52,8 @@
 	unused       bool        // no request has arrived yet
 	closing      bool        // the reader was woken to close the connection
 	resetOnClose bool        // Close resets the connection
-	timedOut     bool        // the timeout for the head of a request closed the connection
+	timedOut     bool        // the timeout for the head of a request closed the connection; what it sends from then on is dropped
+	reading      bool        // net/http waits for bytes, so it has no whole head that it has not reported
 }
 
 type clientConnKey struct{}
@@ -98,6 +99,7 @@
 
 const (
 	acceptTimeout   = 10 * time.Millisecond  // to accept a connection that is already queued
+	headReadDelay   = 100 * time.Millisecond // until a slow head is looked at again of which bytes were just read
 	unusedConnGrace = 500 * time.Millisecond // for the first request on a new connection when the instance stops
 )
 
@@ -146,13 +148,13 @@
 	if !ok {
 		return
 	}
-	header, idle := l.timeouts()
 	switch s {
 	case http.StateNew:
 	case http.StateIdle:
-		conn.startTimer(idle, true)
+		_, idle := l.timeouts()
+		conn.startIdle(idle)
 	case http.StateActive:
-		conn.startTimer(header, false)
+		conn.startRequest()
 	default:
 		conn.stopTimer()
 		l.mu.Lock()
@@ -210,6 +212,8 @@
 
 // Read reads from the connection, and returns io.EOF when an idle connection is to be closed.
 func (c *clientConn) Read(b []byte) (int, error) {
+	c.setReading(true)
+	defer c.setReading(false)
 	for {
 		n, err := c.Conn.Read(b)
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -219,18 +223,31 @@
 				return 0, e
 			}
 		}
-		if n > 0 {
-			c.noteRead()
+		if n > 0 && !c.noteRead() {
+			return 0, errTimedOut
 		}
 		return n, err
 	}
 }
 
+// errTimedOut states that the head of a request took too long. Net/http writes no answer to a failed read.
+var errTimedOut = &net.OpError{Op: "read", Err: net.ErrClosed}
+
+// setReading records whether net/http waits for bytes.
+func (c *clientConn) setReading(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = v
+}
+
 // noteRead records that bytes have arrived. The first bytes of a request start the timeout for its head. If the reader was woken at the
-// same time to close the connection, it need not look any more.
-func (c *clientConn) noteRead() {
+// same time to close the connection, it need not look any more. It returns false if the timeout came before the bytes.
+func (c *clientConn) noteRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.reading = false; c.timedOut {
+		return false
+	}
 	if c.idle && !c.headBegun {
 		header, _ := c.listener.timeouts()
 		c.resetTimer(header)
@@ -240,6 +257,7 @@
 		c.closing = false
 		_ = c.SetReadDeadline(time.Time{}) // fails only if the connection is closed, which the next read finds
 	}
+	return true
 }
 
 // resumeRead reports whether to read again after the reader was woken to close the connection. If bytes have arrived,
@@ -323,19 +341,22 @@
 	return c.Conn.Close()
 }
 
-// startTimer restarts the timeout of the connection; idle tells whether it waits between requests.
-func (c *clientConn) startTimer(d time.Duration, idle bool) {
+// startIdle starts the timeout between requests.
+func (c *clientConn) startIdle(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.timerArmed, c.unused = true, false
-	if c.idle = idle; idle {
-		c.headBegun = false
-	} else {
-		c.closing = false // net/http had the request in its buffer, and sets the deadlines of its reads
-	}
+	c.timerArmed, c.idle, c.unused, c.headBegun = true, true, false, false
 	c.resetTimer(d)
 }
 
+// startRequest ends the timeout and a wake-up, as net/http has read a head. It sets the deadlines of its reads.
+func (c *clientConn) startRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timerArmed, c.idle, c.unused, c.closing = false, false, false, false
+	c.timer.Stop()
+}
+
 // resetTimer sets the timeout in force. The caller holds the mutex.
 func (c *clientConn) resetTimer(d time.Duration) {
 	c.expires = time.Now().Add(d)
@@ -350,15 +371,20 @@
 	c.timer.Stop()
 }
 
-// onTimeout closes a connection whose client took too long. An idle one is left to its reader, which checks for bytes that
-// have just arrived.
+// onTimeout closes a connection whose client took too long, but not while net/http may have read the rest of the head. An idle one is
+// left to its reader, which checks for bytes that have just arrived.
 func (c *clientConn) onTimeout() {
 	c.mu.Lock()
 	if time.Now().Before(c.expires) {
 		c.mu.Unlock()
 		return // another timeout is in force since the timer expired
 	}
-	late := c.timerArmed && (!c.idle || c.headBegun)
+	late := c.timerArmed && c.headBegun
+	if late && !c.reading {
+		c.resetTimer(headReadDelay)
+		c.mu.Unlock()
+		return
+	}
 	c.timedOut = c.timedOut || late
 	c.mu.Unlock()
 	if late {
--- a/internal/ingress/clientconn_crossing_test.go
+++ b/internal/ingress/clientconn_crossing_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -76,3 +77,106 @@
 		})
 	}
 }
+
+// notedListener is a listener whose connections call onTimeout when a timeout of theirs is about to be carried out.
+type notedListener struct {
+	net.Listener
+	onTimeout func()
+}
+
+// Accept returns the next connection.
+func (l notedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return notedConn{c, l.onTimeout}, err
+}
+
+type notedConn struct {
+	net.Conn
+	onTimeout func()
+}
+
+// NoteTimeout is called before the connection is closed.
+func (c notedConn) NoteTimeout() { c.onTimeout() }
+
+// TestHeadTimeoutCrossesRequest guards against closing the connection of a request whose head was read as a whole while the timeout for
+// it was being handled.
+func TestHeadTimeoutCrossesRequest(t *testing.T) {
+	const begin, rest = "GET /second HT", "TP/1.1\r\nHost: h\r\n\r\n"
+	for name, crossing := range map[string]string{"before it is reported": "report", "before its handler": "handler", "during its close": "close"} {
+		t.Run(name, func(t *testing.T) {
+			var n *clientConn
+			var conn net.Conn
+			begun := make(chan struct{}, 1)
+			expire := func() {
+				n.mu.Lock()
+				n.expires = time.Now().Add(-time.Second)
+				n.mu.Unlock()
+				n.onTimeout()
+			}
+			l, s, a := newTestServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/second" {
+					begun <- struct{}{}
+					time.Sleep(50 * time.Millisecond) // the close is carried out
+				}
+				echoPath(w, r)
+			}))
+			l.Listener = notedListener{l.Listener, func() {
+				if crossing != "close" {
+					return
+				}
+				if _, err := io.WriteString(conn, rest); err != nil {
+					t.Error(err)
+				}
+				select {
+				case <-begun:
+					begun <- struct{}{}
+				case <-time.After(200 * time.Millisecond):
+				}
+			}}
+			requests, inner := 0, s.Handler
+			s.ConnState = func(c net.Conn, state http.ConnState) {
+				if state == http.StateActive {
+					if requests++; requests == 2 && crossing == "report" {
+						expire()
+					}
+				}
+				l.connState(c, state)
+			}
+			s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/second" && crossing == "handler" {
+					expire()
+				}
+				inner.ServeHTTP(w, r)
+			})
+			accepted := make(chan net.Conn, 1)
+			go func() { _ = s.Serve(acceptHook{l, accepted}) }()
+			var r *bufio.Reader
+			conn, r = dialServer(t, a)
+			n = (<-accepted).(*clientConn)
+			sendGet(t, conn, "/first")
+			expectBody(t, r, "/first")
+			if _, err := io.WriteString(conn, begin); err != nil {
+				t.Fatal(err)
+			}
+			for read := false; !read; time.Sleep(time.Millisecond) {
+				n.mu.Lock()
+				read = n.idle && n.headBegun
+				n.mu.Unlock()
+			}
+			if crossing == "close" {
+				expire()
+			} else if _, err := io.WriteString(conn, rest); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			resp, err := http.ReadResponse(r, nil)
+			if err == nil {
+				_ = resp.Body.Close()
+				return
+			}
+			if crossing != "close" || len(begun) > 0 {
+				t.Errorf("no answer to a request that was read: %v", err)
+			}
+		})
+	}
+}
