Leave no read deadline on a connection whose head goes on

Callers whose head takes long, on a route whose configuration allows more than 10 s for it, saw the connection closed after 10 s if a stop or the idle timeout had looked at the connection as the head began.

Cause: a reader that is woken to close an idle connection, and finds bytes, reads on with a deadline of 10 s, that of a body. On the first request of a connection net/http sets no other until the head is complete.

The reader now reads on without a deadline. The connection's own timeout bounds the head, and net/http and the handler set the deadlines after it. No request whose head was complete met the old one: net/http ends it when it has read the head, and again before its background read.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -272,7 +272,7 @@
 	if c.idle && !c.headBegun && forward.IsIdle(c.Conn) {
 		return false, io.EOF
 	}
-	return true, c.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	return true, c.SetReadDeadline(time.Time{}) // the timer bounds the head
 }
 
 // closeIfIdle wakes the reader to close the connection if no request is under way or expected.
--- a/internal/ingress/clientconn_crossing_test.go
+++ b/internal/ingress/clientconn_crossing_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -180,3 +182,37 @@
 		})
 	}
 }
+
+// deadlineConn has bytes after a first read that ends at its deadline.
+type deadlineConn struct {
+	net.Conn
+	reads    int
+	deadline time.Time
+}
+
+func (c *deadlineConn) Read(b []byte) (int, error) {
+	if c.reads++; c.reads == 1 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return len(b), nil
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// TestWakeUpLeavesNoDeadline guards against a head that is cut off earlier than the configured timeout, by a read deadline that a wake-up
+// of its connection left behind.
+func TestWakeUpLeavesNoDeadline(t *testing.T) {
+	var v atomic.Pointer[snapshot]
+	v.Store(&snapshot{})
+	inner := &deadlineConn{}
+	c := &clientConn{Conn: inner, listener: newClientListener(nil, &v), idle: true, headBegun: true, closing: true}
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	if !inner.deadline.IsZero() {
+		t.Errorf("a deadline in %v is left", time.Until(inner.deadline))
+	}
+}
