--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -68,8 +68,8 @@
 	}
 	x.logOutcome()
 	if x.abortConn || x.clientLeft {
-		// The client of a request that was given up may still read; it must not get what net/http makes of a handler that wrote nothing.
-		// Close the connection without terminating the body, so that a truncated response does not look complete.
+		// Close the connection without terminating the body, so that a truncated response does not look complete, and without the empty
+		// response that net/http sends if there is none. A client that is taken to have left may still read.
 		if !r.ProtoAtLeast(1, 1) {
 			resetOnClose(r.Context()) // without chunks, only a reset is distinguishable from the end of the body
 		}
@@ -231,7 +231,7 @@
 		return &localError{
 			status: http.StatusServiceUnavailable, reason: "no memory for its body", retryAfter: jitterRetryAfter(minRetryAfter), err: err,
 		}
-	case err != nil:
+	case err != nil || slow.Load(): // the deadline has cancelled the request, too, if the body is complete
 		return x.bodyError(err, slow.Load())
 	}
 	x.body = b
