Read and log the request limits that endpoints name

Nothing read the header, so neither logs nor metrics told that there was a limit.

The header becomes attributes.Response.RequestLimit. No header, or a value above 100,000, is no limit; 0 and values below 0.1 count as 0.1, since an endpoint without any request could not say that its limit is over; negative values, text and NaN say nothing, and the limit before stays; of several values the lowest counts. As for an announced stop, a response without the endpoint's signature or its mark that it has not run the request doesn't count. Only a signed response below 500 without the header ends a limit, since endpoints may leave it out of errors; without any response a limit counts for 30 s, or for the time of 20 requests if that is longer.

Changes are logged with the request, at the rate of the other lines on endpoints, and counted; a gauge counts the endpoints with a limit. What is sent to them does not change.

go test -race ./platform -run 'RequestLimit|FuzzHeaders': passes.

--- a/internal/core/attributes/attributes.go
+++ b/internal/core/attributes/attributes.go
@@ -55,6 +55,9 @@
 	Leaving             bool // the endpoint is about to stop
 	// RetryAfter is how long an endpoint that refuses a request wants no further ones from this instance; 0 if not stated.
 	RetryAfter time.Duration
+	// RequestLimit is how many requests a second the endpoint takes from all instances together, 0 if it states no limit, or
+	// UnknownRequestLimit.
+	RequestLimit float64
 	// WarmUpRemaining is for how much longer the endpoint is cold; negative if not stated.
 	WarmUpRemaining time.Duration
 }
@@ -62,6 +65,9 @@
 // UnknownWarmUp is the WarmUpRemaining of a response that states none.
 const UnknownWarmUp = time.Duration(-1)
 
+// UnknownRequestLimit is the RequestLimit of a response that states a limit that can't be read.
+const UnknownRequestLimit = -1.0
+
 // NoConfidence is the confidence of an answer without a rating.
 const NoConfidence = -1
 
--- /dev/null
+++ b/internal/core/placement/limit.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/requestlimit"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
+)
+
+// RecordLimit records the limit that an endpoint states in a response, 0 if it states none, and returns how it has changed.
+func (t *Table) RecordLimit(now time.Time, e routing.Endpoint, perSecond float64) requestlimit.Change {
+	s := t.states[e.ID]
+	if s == nil || s.startedAtMS != e.StartedAtMS || s.address != e.Address || perSecond == attributes.UnknownRequestLimit {
+		return requestlimit.Change{}
+	}
+	c := s.limit.RecordResponse(now, perSecond)
+	if c.Changed() {
+		t.forgetUnwilling(now)
+		s.limitNoticed, s.askedAt = c.To, now
+	}
+	return c
+}
+
+// LimitChange is a change of an endpoint's limit that follows from no response to this instance.
+type LimitChange struct {
+	Endpoint string
+	requestlimit.Change
+}
+
+// LimitChanges returns the limits that have changed since the last call other than by RecordLimit, and the present number of limited
+// endpoints of each service.
+func (t *Table) LimitChanges(now time.Time) ([]LimitChange, map[string]int) {
+	var changes []LimitChange
+	counts := make(map[string]int, len(t.services))
+	for service, l := range t.services {
+		counts[service] = 0
+		for i, s := range t.serviceStates[service] {
+			limit := s.limit.PerSecond(now)
+			if limit > 0 {
+				counts[service]++
+			}
+			if limit != s.limitNoticed {
+				changes = append(changes, LimitChange{l[i].ID, requestlimit.Change{From: s.limitNoticed, To: limit}})
+				s.limitNoticed = limit
+			}
+		}
+	}
+	slices.SortFunc(changes, func(a, b LimitChange) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return changes, counts
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -120,7 +120,7 @@
 	for id, s := range t.states {
 		// An endpoint that has left keeps its state until its last request has ended. What it has asked for holds if its
 		// registration comes back.
-		if states[id] == nil && (s.localRequests > 0 || s.leaving || !s.pausedUntil.IsZero()) {
+		if states[id] == nil && (s.localRequests > 0 || s.leaving || !s.pausedUntil.IsZero() || s.limit.Stated()) {
 			states[id] = s
 		}
 	}
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/coldstart"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/requestlimit"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
@@ -47,7 +48,9 @@
 	askedAt            time.Time // when it last asked for one of the two
 	remotePausedUntil  time.Time // it has asked other instances for no requests before then
 	pauseNoticed       bool      // EndedPauses is to return the endpoint after its pause
-	evacuated          bool      // its availability zone is evacuated
+	limit              requestlimit.Endpoint
+	limitNoticed       float64 // limit of the last change that was returned
+	evacuated          bool    // its availability zone is evacuated
 
 	prefixes map[uint64]time.Time // time of the last use, by prefix hash
 
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -130,7 +130,8 @@
 	// Without a signature or a mark the response is no evidence of a stop, which would count until the endpoint starts again.
 	genuine := a.attributes.Signed || a.attributes.NotExecuted
 	if genuine {
-		x.handler.balancer.recordResponse(now, a.sentAt, a.choice.Endpoint, a.attributes.WarmUpRemaining)
+		c := x.handler.balancer.recordResponse(now, a.sentAt, a.choice.Endpoint, a.attributes.WarmUpRemaining, a.statedLimit())
+		x.handler.noteLimit(id, x.request.ID, limitFromResponse, c)
 	}
 	if genuine && a.attributes.Leaving && x.handler.balancer.markLeaving(now, id) {
 		x.handler.noteUnwilling(id, x.request.ID, unwillingLeaving, 0)
@@ -140,6 +141,15 @@
 	}
 }
 
+// statedLimit returns the limit that the response states. Only a success without one tells that a limit is over, since an endpoint may
+// leave the header out of errors.
+func (a *attempt) statedLimit() float64 {
+	if l := a.attributes.RequestLimit; l > 0 || a.attributes.Signed && a.response.Status < http.StatusInternalServerError {
+		return l
+	}
+	return attributes.UnknownRequestLimit
+}
+
 // impliesNotExecuted reports whether clients conclude from a status that the request has not run.
 func impliesNotExecuted(status int) bool {
 	switch status {
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/requestlimit"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
@@ -20,11 +21,13 @@
 	}
 }
 
-// recordResponse records that an endpoint responded to a request, and the cold time that the response states.
-func (b *balancer) recordResponse(now, sentAt time.Time, e routing.Endpoint, warmUp time.Duration) {
+// recordResponse records that an endpoint responded to a request, and the cold time and the limit that the response states. It
+// returns how the limit has changed.
+func (b *balancer) recordResponse(now, sentAt time.Time, e routing.Endpoint, warmUp time.Duration, limit float64) requestlimit.Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.RecordResponse(now, sentAt, e, warmUp)
+	return b.table.RecordLimit(now, e, limit)
 }
 
 // coldState is what the log and the metrics tell of cold endpoints.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -244,6 +244,7 @@
 				i.handler.notePauseEnded(id)
 			}
 			i.handler.noteColdState(i.balancer.coldState(now))
+			i.handler.noteLimitState(i.balancer.limitState(now))
 			engines.update(i.balancer.engineStatuses(now))
 			i.handler.metrics.updateEvacuationGauges(i.balancer.evacuationStatus())
 			i.handler.metrics.updateGauges(i.snapshot.Load(), i.activeRequests.Load(), i.balancer.endpointCounts(), i.coordinator.prompts.refusedCount(), i.handler.log, i.options.DroppedLogLines())
