Keep all instances together within the request limit of an endpoint

The limit is for all instances together, so keeping it at each instance alone would allow many times as much.

An endpoint with a limit is eligible only in a window of this instance. The windows are those of cold endpoints: coldstart.NewPace becomes Bound.Pace, which takes the period, the number of requests allowed in it and the length of the windows. A metric counts choices that left out an endpoint for its limit.

--- a/internal/core/coldstart/coldstart_test.go
+++ b/internal/core/coldstart/coldstart_test.go
@@ -148,7 +148,7 @@
 					continue
 				}
 				rate := float64(n) / p.Interval.Seconds()
-				if rate > 1.001*c.perSecond || n == 64 && rate < c.least*c.perSecond || excess(n, p, c.limit.bound(s)) > excessProbability || 2*p.Window > p.Interval {
+				if rate > 1.001*c.perSecond || n == 64 && rate < c.least*c.perSecond || c.limit.bound(s).excess(n, p) > excessProbability || 2*p.Window > p.Interval {
 					t.Errorf("%d instances: %+v, %.2f requests a second", n, p, rate)
 				}
 			}
--- a/internal/core/coldstart/endpoint.go
+++ b/internal/core/coldstart/endpoint.go
@@ -112,15 +112,7 @@
 // Allows reports whether a request may be sent to the endpoint while it is cold. The phase is a random number of the instance and the
 // endpoint that does not change.
 func (e *Endpoint) Allows(now time.Time, p Pace, phase uint64) bool {
-	if p.Interval == 0 {
-		return false
-	}
-	start := p.windowStart(now, phase)
-	if now.Sub(start) >= p.Window {
-		return false
-	}
-	// The second condition holds by itself unless the pace has changed since the last request.
-	return e.sentAt.IsZero() || e.sentAt.Before(start) && now.Sub(e.sentAt) >= p.Interval-p.Window
+	return p.Allows(now, e.sentAt, phase)
 }
 
 // RecordSend records a request that Allows permitted.
--- a/internal/core/placement/inflight.go
+++ b/internal/core/placement/inflight.go
@@ -35,6 +35,7 @@
 	}
 	s.localRequests++
 	t.recordColdSend(now, r.Service, s)
+	s.limit.RecordSend(now)
 	s.localPrefillMS += k.prefillMS
 	t.recordWork(now, r, c, k, s, m)
 	t.recordPrefixes(now, r, s, m)
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -51,3 +51,31 @@
 	slices.SortFunc(changes, func(a, b LimitChange) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
 	return changes, counts
 }
+
+// withinLimit reports whether an endpoint has no limit or this instance may send it a request in spite of it.
+func (t *Table) withinLimit(now time.Time, s *state) bool {
+	if s.limit.PerSecond(now) == 0 || s.limit.Allows(now, t.cold.fleet.Size(now), t.coldPhase(s)) {
+		return true
+	}
+	t.heldBack = true
+	return false
+}
+
+// countHeldBack counts the present choice if it leaves out an endpoint for its limit.
+func (t *Table) countHeldBack(service string) {
+	if !t.heldBack {
+		return
+	}
+	if t.heldBackCount == nil {
+		t.heldBackCount = map[string]int64{}
+	}
+	t.heldBackCount[service]++
+}
+
+// HeldBack returns the number of choices since the last call that left out an endpoint because it had got what its limit allows, by
+// service.
+func (t *Table) HeldBack() map[string]int64 {
+	out := t.heldBackCount
+	t.heldBackCount = nil
+	return out
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -89,6 +89,8 @@
 	cold          coldStarts
 	pools         map[string]*pool // by service; only those whose engines state their memory
 	instances     int              // that send requests to the endpoints, this one included
+	heldBack      bool             // the present choice leaves out an endpoint that has had what its limit allows
+	heldBackCount map[string]int64 // such choices since the last call of HeldBack, by service
 	loadsAt       time.Time        // when the loads of the other instances were collected
 
 	evacuatedZones  map[string]bool
@@ -140,6 +142,7 @@
 // Choose returns the endpoint with the lowest cost, or false if there is no suitable endpoint.
 func (t *Table) Choose(now time.Time, r Request) (Choice, bool) {
 	m := t.latencyModel(r.Service, r.Model)
+	t.heldBack = false
 	if r.memory = t.memoryNeed(now, r); r.memory.limit > 0 {
 		t.pools[r.Service].scarce++
 	}
@@ -151,6 +154,7 @@
 	if !found {
 		best, found = t.fallback(now, r, m)
 	}
+	t.countHeldBack(r.Service)
 	best.RelativeWork = t.pools[r.Service].relativeWork(m, best.UncachedTokens)
 	return best, found
 }
@@ -178,11 +182,11 @@
 }
 
 // eligible reports whether an endpoint may get the request. An ejected one may if there is no other; one that has asked for no
-// requests, is cold and has had its share, whose memory the request would exceed, or whose availability zone is evacuated, may
+// requests, is cold or has a limit and has had its share, whose memory the request would exceed, or whose availability zone is evacuated, may
 // not.
 func (t *Table) eligible(now time.Time, r *Request, e *routing.Endpoint, s *state) bool {
 	return !s.evacuated && s.acceptsWork(now) && !r.ExcludedEndpoints[e.ID] && (r.Version == "" || e.Version == r.Version) &&
-		!r.memory.excludes(s) && t.permits(now, r.Service, s)
+		!r.memory.excludes(s) && t.permits(now, r.Service, s) && t.withinLimit(now, s)
 }
 
 // avoid reports whether an eligible endpoint gets the request only if no other can take it.
--- a/internal/core/requestlimit/doc.go
+++ b/internal/core/requestlimit/doc.go
@@ -1,2 +1,3 @@
-// Package requestlimit keeps what an endpoint has said about the requests a second that it takes from all instances together.
+// Package requestlimit decides when an instance may send a request to an endpoint that has named a limit on the requests of all instances
+// together.
 package requestlimit
--- a/internal/core/requestlimit/endpoint.go
+++ b/internal/core/requestlimit/endpoint.go
@@ -1,10 +1,21 @@
 package requestlimit
 
-import "time"
+import (
+	"time"
 
-// Endpoint is what an instance knows of the limit of one process. The zero value is a process that has never named a limit.
+	"github.com/cassiaspoke/cassiaspoke/internal/core/coldstart"
+)
+
+// Endpoint is what an instance knows of the limit of one process, with its requests under that limit. The zero value is a process that has
+// never named a limit.
 type Endpoint struct {
-	own statement // what it has said to this instance
+	own    statement // what it has said to this instance
+	sentAt time.Time // latest request while it had a limit
+
+	suspected     bool // PerSecond has to look at the statement; false for nearly all endpoints, which keeps a choice cheap
+	pace          coldstart.Pace
+	paceInstances int     // instances for which pace was computed; 0 if it has not been
+	paceLimit     float64 // limit for which pace was computed
 }
 
 // statement is what an endpoint has said of its limit.
@@ -38,9 +49,17 @@
 // Changed reports whether the limit differs.
 func (c Change) Changed() bool { return c.From != c.To }
 
-// PerSecond returns the limit in force, or 0 if there is none.
+// PerSecond returns the limit in force, or 0 if there is none. Times must not decrease from call to call.
 func (e *Endpoint) PerSecond(now time.Time) float64 {
-	if !e.own.holds(now) {
+	if !e.suspected {
+		return 0
+	}
+	return e.check(now)
+}
+
+// check returns the limit in force, and lets later calls of PerSecond skip the statement if there is none.
+func (e *Endpoint) check(now time.Time) float64 {
+	if e.suspected = e.own.holds(now); !e.suspected {
 		return 0
 	}
 	return e.own.perSecond
@@ -52,9 +71,53 @@
 		return Change{}
 	}
 	c := Change{From: e.PerSecond(now), To: perSecond}
-	e.own = statement{perSecond, now}
+	e.own, e.suspected = statement{perSecond, now}, true
 	return c
 }
 
+// The bound on the requests of all instances: in any boundPeriod overshoot times what the limit allows, and slack.
+const (
+	boundPeriod = 4 * time.Second
+	overshoot   = 1.5
+	slack       = 5
+	maxWindow   = time.Second // long enough for an instance with few requests a second of which some rank the endpoint first
+)
+
+// NewPace returns the pace of one instance at an endpoint with a limit.
+func NewPace(instances int, perSecond float64) coldstart.Pace {
+	most := int(overshoot*perSecond*boundPeriod.Seconds() + slack)
+	return coldstart.Bound{PerSecond: perSecond, Most: most, Period: boundPeriod, Window: maxWindow}.Pace(instances)
+}
+
+// Allows reports whether a number of instances permits that this one sends a request now. The phase is a random number of the instance and
+// the endpoint that does not change.
+func (e *Endpoint) Allows(now time.Time, instances int, phase uint64) bool {
+	limit := e.PerSecond(now)
+	return limit == 0 || e.paceFor(instances, limit).Allows(now, e.sentAt, phase)
+}
+
+// Wait returns the time until this instance may send a request, 0 if it may now.
+func (e *Endpoint) Wait(now time.Time, instances int, phase uint64) time.Duration {
+	if e.Allows(now, instances, phase) {
+		return 0
+	}
+	return e.paceFor(instances, e.PerSecond(now)).Wait(now, phase)
+}
+
+// paceFor returns the pace for a number of instances and a limit.
+func (e *Endpoint) paceFor(instances int, limit float64) coldstart.Pace {
+	if e.paceInstances != instances || e.paceLimit != limit {
+		e.pace, e.paceInstances, e.paceLimit = NewPace(instances, limit), instances, limit
+	}
+	return e.pace
+}
+
+// RecordSend records a request that Allows permitted.
+func (e *Endpoint) RecordSend(now time.Time) {
+	if e.suspected {
+		e.sentAt = now
+	}
+}
+
 // Stated reports whether the endpoint has ever named a limit.
 func (e *Endpoint) Stated() bool { return !e.own.at.IsZero() }
--- /dev/null
+++ b/internal/core/requestlimit/endpoint_test.go
@@ -0,0 +1,180 @@
+package requestlimit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// allowed is the largest number of requests in any boundPeriod.
+func allowed(perSecond float64) int { return int(1.5*perSecond*4 + 5) }
+
+// mostWithin returns the largest number of times within a duration.
+func mostWithin(l []time.Time, d time.Duration) int {
+	slices.SortFunc(l, time.Time.Compare)
+	most, from := 0, 0
+	for i, t := range l {
+		for t.Sub(l[from]) >= d {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// TestSumOfInstances guards against more requests in four seconds than a limit allows, whatever the demand, and against an endpoint that gets
+// hardly any. The instances have a request for it at any time, or only in waves that come to all of them at once, and their counts of the
+// instances may differ.
+func TestSumOfInstances(t *testing.T) {
+	all := func(time.Duration) bool { return true }
+	wave := func(at time.Duration) bool { return at%(7*time.Second) > 4*time.Second }
+	exact := func(n int) func(int) int { return func(int) int { return n } }
+	type scenario struct {
+		instances int
+		limit     float64
+		size      func(instance int) int // number of instances that one of them assumes
+		demand    func(at time.Duration) bool
+		least     float64 // share of the limit that the endpoint gets while there is demand
+	}
+	cases := map[string]scenario{
+		"195, half of them assume 256": {195, 2.6, func(i int) int { return 195 + i%2*61 }, all, 0.3},
+		"78, counts from 78 to 86":     {78, 2.6, func(i int) int { return 78 + i%3*4 }, all, 0.3},
+	}
+	for _, n := range []int{1, 6, 9, 78, 195, 770} {
+		for _, limit := range []float64{0.1, 0.5, 2.6, 150} {
+			least := 0.3
+			if n <= 6 {
+				least = 0.9
+			}
+			if limit == 150 {
+				least = 0.5
+			}
+			cases[fmt.Sprint(n, " at ", limit)] = scenario{n, limit, exact(n), all, least}
+			cases[fmt.Sprint(n, " at ", limit, " in waves")] = scenario{n, limit, exact(n), wave, least}
+		}
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			step, length := 20*time.Millisecond, 40*time.Second
+			switch {
+			case c.limit > 10:
+				step, length = time.Millisecond, 6*time.Second
+			case c.limit < 1:
+				step, length = 100*time.Millisecond, 10*time.Minute
+			}
+			worst, total, rounds := 0, 0, max(5, 200/c.instances)
+			for round := range rounds {
+				rng := rand.New(rand.NewPCG(uint64(round), uint64(c.instances)))
+				var sent []time.Time
+				for i := range c.instances {
+					var e Endpoint
+					phase := rng.Uint64()
+					for at := time.Duration(0); at < length; at += step {
+						now := start.Add(at)
+						if at%time.Second == 0 {
+							e.RecordResponse(now, c.limit)
+						}
+						if c.demand(at) && e.Allows(now, c.size(i), phase) {
+							e.RecordSend(now)
+							sent = append(sent, now)
+						}
+					}
+				}
+				worst, total = max(worst, mostWithin(sent, boundPeriod)), total+len(sent)
+			}
+			seconds := 0.0
+			for at := time.Duration(0); at < length; at += step {
+				if c.demand(at) {
+					seconds += step.Seconds()
+				}
+			}
+			rate := float64(total) / float64(rounds) / seconds
+			t.Logf("at most %d in %v, %d allowed; %.2f a second on average", worst, boundPeriod, allowed(c.limit), rate)
+			if worst > allowed(c.limit) || rate < c.least*c.limit {
+				t.Errorf("at most %d in %v, %d allowed; %.2f a second on average, limit %v", worst, boundPeriod, allowed(c.limit), rate, c.limit)
+			}
+		})
+	}
+}
+
+// TestNewPace guards against a pace above the limit.
+func TestNewPace(t *testing.T) {
+	for _, limit := range []float64{0.1, 0.5, 1, 2.6, 3, 20, 150, 100_000} {
+		for _, n := range []int{1, 2, 6, 9, 20, 78, 195, 770} {
+			p := NewPace(n, limit)
+			if rate := float64(n) / p.Interval.Seconds(); p.Interval == 0 || rate > 1.001*limit || rate < 0.3*limit || p.Window > maxWindow || 2*p.Window > p.Interval {
+				t.Errorf("limit %v, %d instances: %+v, %.2f requests a second", limit, n, p, rate)
+			}
+		}
+	}
+}
+
+// TestStatements guards against a limit that holds for longer or shorter than the endpoint says.
+func TestStatements(t *testing.T) {
+	const s = time.Second
+	type said struct {
+		at    time.Duration
+		limit float64
+	}
+	for name, c := range map[string]struct {
+		said []said
+		at   time.Duration
+		want float64
+	}{
+		"never named":                 {[]said{{0, 0}, {s, 0}}, 2 * s, 0},
+		"named":                       {[]said{{0, 3}}, s, 3},
+		"changed":                     {[]said{{0, 3}, {s, 2}}, s, 2},
+		"over":                        {[]said{{0, 3}, {s, 0}}, s, 0},
+		"named again":                 {[]said{{0, 3}, {s, 0}, {2 * s, 4}}, 2 * s, 4},
+		"not confirmed":               {[]said{{0, 3}}, retention, 0},
+		"confirmed":                   {[]said{{0, 3}, {20 * s, 3}}, retention, 3},
+		"low, confirmed rarely":       {[]said{{0, 0.1}}, 199 * s, 0.1},
+		"low, not confirmed for long": {[]said{{0, 0.1}}, 200 * s, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var e Endpoint
+			for _, x := range c.said {
+				e.RecordResponse(start.Add(x.at), x.limit)
+			}
+			if got := e.PerSecond(start.Add(c.at)); got != c.want {
+				t.Errorf("limit %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestChangingLimit guards against more requests than the higher of two limits allows when the limit or the count of instances changes
+// again and again.
+func TestChangingLimit(t *testing.T) {
+	const instances, low, high = 30, 2.0, 3.0
+	for round := range 20 {
+		rng := rand.New(rand.NewPCG(uint64(round), 9))
+		var sent []time.Time
+		for range instances {
+			var e Endpoint
+			phase := rng.Uint64()
+			for at := time.Duration(0); at < 60*time.Second; at += 20 * time.Millisecond {
+				now, limit, n := start.Add(at), low, instances
+				if at/(3*time.Second)%2 == 0 {
+					limit = high
+				}
+				if at/(5*time.Second)%2 == 0 {
+					n++
+				}
+				e.RecordResponse(now, limit)
+				if e.Allows(now, n, phase) {
+					e.RecordSend(now)
+					sent = append(sent, now)
+				}
+			}
+		}
+		if n := mostWithin(sent, boundPeriod); n > allowed(high) {
+			t.Errorf("round %d: %d requests in %v, %d allowed", round, n, boundPeriod, allowed(high))
+		}
+	}
+}
--- a/internal/ingress/request_limits.go
+++ b/internal/ingress/request_limits.go
@@ -18,14 +18,15 @@
 // limitState is what the log and the metrics tell of endpoints with a limit.
 type limitState struct {
 	changes   []placement.LimitChange
-	endpoints map[string]int // limited endpoints by service
+	endpoints map[string]int   // limited endpoints by service
+	heldBack  map[string]int64 // choices since the last call that left out an endpoint for its limit, by service
 }
 
 // limitState returns the limited endpoints and what has changed since the last call without a response to this instance.
 func (b *balancer) limitState(now time.Time) limitState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var s limitState
+	s := limitState{heldBack: b.table.HeldBack()}
 	s.changes, s.endpoints = b.table.LimitChanges(now)
 	return s
 }
@@ -38,6 +39,9 @@
 	for service, n := range s.endpoints {
 		h.metrics.scope.Tagged(map[string]string{"service": service}).Gauge("limited_endpoints").Update(float64(n))
 	}
+	for service, n := range s.heldBack {
+		h.metrics.scope.Tagged(map[string]string{"service": service}).Counter("limited_choices").Inc(n)
+	}
 }
 
 // noteLimit logs and counts that the limit of an endpoint has changed; request is the one whose response told it, if any.
