Tell other instances what endpoints say of their request limits

Each instance learned of a limit by requests of its own, at first without any pace: at 195 instances an endpoint in need would get at least 195 requests before all know. Likewise an instance that hardly sends there learned late that a limit is over.

Load reports carry what endpoints have said to the sender itself, with its age from the response on, and for 40 s the end of a limit; a report costs about 14 bytes for each such endpoint and is sent early only if a limit itself changes. What others have said is not passed on, as it would grow younger with each instance. Statements belong to the process.

TestLimitsOfOthers and TestStatementsOfOthers cover ages, order and odd messages.

--- a/internal/core/attributes/attributes.go
+++ b/internal/core/attributes/attributes.go
@@ -65,6 +65,13 @@
 // UnknownWarmUp is the WarmUpRemaining of a response that states none.
 const UnknownWarmUp = time.Duration(-1)
 
+// Limits below MinRequestLimit count as MinRequestLimit, as an endpoint without any request could not say that its limit is over. A limit
+// above MaxRequestLimit has no effect.
+const (
+	MinRequestLimit = 0.1
+	MaxRequestLimit = 100_000
+)
+
 // UnknownRequestLimit is the RequestLimit of a response that states a limit that can't be read.
 const UnknownRequestLimit = -1.0
 
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/requestlimit"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
@@ -27,6 +31,7 @@
 // LimitChange is a change of an endpoint's limit that follows from no response to this instance.
 type LimitChange struct {
 	Endpoint string
+	Told     bool // other instances have told it; otherwise no response has confirmed the limit
 	requestlimit.Change
 }
 
@@ -43,7 +48,7 @@
 				counts[service]++
 			}
 			if limit != s.limitNoticed {
-				changes = append(changes, LimitChange{l[i].ID, requestlimit.Change{From: s.limitNoticed, To: limit}})
+				changes = append(changes, LimitChange{l[i].ID, !s.limit.Expired(now), requestlimit.Change{From: s.limitNoticed, To: limit}})
 				s.limitNoticed = limit
 			}
 		}
@@ -79,3 +84,53 @@
 	t.heldBackCount = nil
 	return out
 }
+
+// Limits holds what endpoints have lately said of their limits, by a hash of the process.
+type Limits map[uint32]requestlimit.Statement
+
+// Add adds statements that were known some time ago; of two on the same process the newer one counts.
+func (l Limits) Add(o Limits, elapsed time.Duration) {
+	for k, s := range o {
+		s.Age += elapsed
+		if old, ok := l[k]; !ok || s.Newer(old) {
+			l[k] = s
+		}
+	}
+}
+
+// SameLimits reports whether two sets state the same limits, whatever their ages.
+func (l Limits) SameLimits(o Limits) bool {
+	return maps.EqualFunc(l, o, func(a, b requestlimit.Statement) bool { return a.PerSecond == b.PerSecond })
+}
+
+// processHash returns the key of an endpoint's process in Limits.
+func processHash(e routing.Endpoint) uint32 {
+	return uint32(xxhash.Sum64String(e.ID + " " + strconv.FormatInt(e.StartedAtMS, 10) + " " + e.Address.String()))
+}
+
+// LocalLimits returns what endpoints have said to this instance.
+func (t *Table) LocalLimits(now time.Time) Limits {
+	out := Limits{}
+	for _, s := range t.states {
+		if !s.limit.Stated() {
+			continue
+		}
+		if l, ok := s.limit.Own(now); ok {
+			out[s.process] = l
+		}
+	}
+	return out
+}
+
+// SetRemoteLimits records what endpoints have said to other instances.
+func (t *Table) SetRemoteLimits(now time.Time, l Limits) {
+	if len(l) == 0 {
+		return
+	}
+	for _, s := range t.states {
+		if r, ok := l[s.process]; ok {
+			s.limit.RecordOthers(now, r)
+			s.askedAt = now
+		}
+	}
+}
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -24,6 +24,7 @@
 	startedAtMS int64 // start of the process in Unix time
 	address     netip.AddrPort
 	hash        uint64 // hash of the endpoint's identifier
+	process     uint32 // see processHash
 
 	localRequests  int            // requests that this instance has in progress
 	localTokens    int            // tokens of these requests in the engine's memory
@@ -60,7 +61,7 @@
 }
 
 func newState(e routing.Endpoint) *state {
-	return &state{startedAtMS: e.StartedAtMS, address: e.Address, hash: xxhash.Sum64String(e.ID), latencyFactor: 1, prefixes: map[uint64]time.Time{}, heldParts: map[uint64]int{}}
+	return &state{startedAtMS: e.StartedAtMS, address: e.Address, hash: xxhash.Sum64String(e.ID), process: processHash(e), latencyFactor: 1, prefixes: map[uint64]time.Time{}, heldParts: map[uint64]int{}}
 }
 
 // succeed returns the state of a new process in place of one with state s, which may be nil.
--- a/internal/core/requestlimit/endpoint.go
+++ b/internal/core/requestlimit/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/coldstart"
 )
 
@@ -10,9 +11,11 @@
 // never named a limit.
 type Endpoint struct {
 	own    statement // what it has said to this instance
+	others statement // what it has said to other instances
+	endAt  time.Time // when it first said to this instance that the latest limit is over
 	sentAt time.Time // latest request while it had a limit
 
-	suspected     bool // PerSecond has to look at the statement; false for nearly all endpoints, which keeps a choice cheap
+	suspected     bool // PerSecond has to look at the statements; false for nearly all endpoints, which keeps a choice cheap
 	pace          coldstart.Pace
 	paceInstances int     // instances for which pace was computed; 0 if it has not been
 	paceLimit     float64 // limit for which pace was computed
@@ -24,8 +27,10 @@
 	at        time.Time
 }
 
-// retention is how long a statement counts that no later response confirms.
-const retention = 30 * time.Second
+const (
+	retention    = 30 * time.Second // how long a limit counts that no later response confirms
+	endRetention = 40 * time.Second // how long other instances are told that a limit is over
+)
 
 // retentionOf returns how long a limit counts. An endpoint with a low limit gets requests at longer intervals, and its responses are
 // what confirms the limit.
@@ -57,24 +62,69 @@
 	return e.check(now)
 }
 
-// check returns the limit in force, and lets later calls of PerSecond skip the statement if there is none.
+// check returns the limit in force, and lets later calls of PerSecond skip the statements if there is none.
 func (e *Endpoint) check(now time.Time) float64 {
-	if e.suspected = e.own.holds(now); !e.suspected {
+	s := e.latest()
+	if e.suspected = s.holds(now); !e.suspected {
 		return 0
 	}
-	return e.own.perSecond
+	return s.perSecond
+}
+
+// Expired reports whether the latest statement is a limit that no response has confirmed for too long.
+func (e *Endpoint) Expired(now time.Time) bool {
+	s := e.latest()
+	return s.perSecond > 0 && !s.holds(now)
+}
+
+// latest returns the newer of the two statements.
+func (e *Endpoint) latest() statement {
+	if e.others.at.After(e.own.at) {
+		return e.others
+	}
+	return e.own
 }
 
 // RecordResponse records that a response received now states a limit, or none if it is 0.
 func (e *Endpoint) RecordResponse(now time.Time, perSecond float64) Change {
-	if perSecond == 0 && e.own.at.IsZero() {
+	if perSecond == 0 && !e.Stated() {
 		return Change{}
 	}
 	c := Change{From: e.PerSecond(now), To: perSecond}
+	if perSecond == 0 && (c.From > 0 || e.endAt.IsZero()) {
+		e.endAt = now
+	}
 	e.own, e.suspected = statement{perSecond, now}, true
 	return c
 }
 
+// Statement is what an endpoint has said to one instance, as that tells others. Ages instead of times keep clocks out of it.
+type Statement struct {
+	PerSecond float64       // 0 if the limit is over
+	Age       time.Duration // since the endpoint said so
+}
+
+// Newer reports whether the statement is newer than another.
+func (s Statement) Newer(o Statement) bool { return s.Age < o.Age }
+
+// Own returns what the endpoint has said to this instance, and false if that is not worth telling. What others have said is left out, or it
+// would become younger by the time on the way whenever an instance passes it on.
+func (e *Endpoint) Own(now time.Time) (Statement, bool) {
+	told := e.own.holds(now) || !e.endAt.IsZero() && e.own.perSecond == 0 && now.Sub(e.endAt) < endRetention
+	return Statement{e.own.perSecond, now.Sub(e.own.at)}, told
+}
+
+// RecordOthers records what other instances told at a time. It counts unless a newer statement is known.
+func (e *Endpoint) RecordOthers(now time.Time, s Statement) {
+	n := statement{s.PerSecond, now.Add(-s.Age)}
+	if s.PerSecond > 0 {
+		n.perSecond = max(s.PerSecond, attributes.MinRequestLimit)
+	}
+	if n.at.After(e.others.at) {
+		e.others, e.suspected = n, true
+	}
+}
+
 // The bound on the requests of all instances: in any boundPeriod overshoot times what the limit allows, and slack.
 const (
 	boundPeriod = 4 * time.Second
@@ -120,4 +170,4 @@
 }
 
 // Stated reports whether the endpoint has ever named a limit.
-func (e *Endpoint) Stated() bool { return !e.own.at.IsZero() }
+func (e *Endpoint) Stated() bool { return !e.own.at.IsZero() || !e.others.at.IsZero() }
--- a/internal/core/requestlimit/endpoint_test.go
+++ b/internal/core/requestlimit/endpoint_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -178,3 +180,52 @@
 		}
 	}
 }
+
+// TestStatementsOfOthers guards against an older statement that replaces a newer one, against a limit that never ends because instances
+// tell each other of it, and against an end that other instances are not told.
+func TestStatementsOfOthers(t *testing.T) {
+	const s = time.Second
+	own := func(at time.Duration, limit float64) func(*Endpoint) {
+		return func(e *Endpoint) { e.RecordResponse(start.Add(at), limit) }
+	}
+	told := func(at time.Duration, limit float64, age time.Duration) func(*Endpoint) {
+		return func(e *Endpoint) { e.RecordOthers(start.Add(at), Statement{limit, age}) }
+	}
+	for name, c := range map[string]struct {
+		events []func(*Endpoint)
+		at     time.Duration
+		want   float64
+		tells  bool // it has something to tell others
+	}{
+		"told":                             {[]func(*Endpoint){told(s, 3, s)}, 2 * s, 3, false},
+		"told too little":                  {[]func(*Endpoint){told(s, 1e-9, s)}, 2 * s, attributes.MinRequestLimit, false},
+		"told late":                        {[]func(*Endpoint){told(s, 3, retention)}, s, 0, false},
+		"told again, but not confirmed":    {[]func(*Endpoint){told(s, 3, s), told(29*s, 3, 29*s)}, 30 * s, 0, false},
+		"confirmed to others":              {[]func(*Endpoint){told(s, 3, s), told(29*s, 3, s)}, 30 * s, 3, false},
+		"own statement is newer":           {[]func(*Endpoint){own(2*s, 2), told(3*s, 3, 2*s)}, 3 * s, 2, true},
+		"own statement is older":           {[]func(*Endpoint){own(2*s, 2), told(4*s, 3, s)}, 4 * s, 3, true},
+		"over by others":                   {[]func(*Endpoint){own(2*s, 2), told(4*s, 0, s)}, 4 * s, 0, true},
+		"over, told of the limit":          {[]func(*Endpoint){told(s, 3, 0), own(2*s, 0), told(3*s, 3, 2*s)}, 3 * s, 0, true},
+		"over long ago":                    {[]func(*Endpoint){own(0, 2), own(s, 0), own(s+endRetention, 0)}, s + endRetention, 0, false},
+		"over again":                       {[]func(*Endpoint){own(0, 2), own(s, 0), told(100*s, 3, 0), own(101*s, 0)}, 102 * s, 0, true},
+		"never named, others neither":      {[]func(*Endpoint){own(0, 0)}, s, 0, false},
+		"others replace by an older one":   {[]func(*Endpoint){told(2*s, 0, 0), told(3*s, 3, 2*s)}, 3 * s, 0, false},
+		"others replace by a newer one":    {[]func(*Endpoint){told(2*s, 2, 0), told(3*s, 3, 0)}, 3 * s, 3, false},
+		"named to this instance again":     {[]func(*Endpoint){own(0, 2), own(s, 0), own(2*s, 4)}, 3 * s, 4, true},
+		"not confirmed, nothing to tell":   {[]func(*Endpoint){own(0, 2)}, retention, 0, false},
+		"told of an end, and then a limit": {[]func(*Endpoint){told(s, 0, 0), told(2*s, 3, 0)}, 3 * s, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var e Endpoint
+			for _, f := range c.events {
+				f(&e)
+			}
+			if got := e.PerSecond(start.Add(c.at)); got != c.want {
+				t.Errorf("limit %v, want %v", got, c.want)
+			}
+			if _, ok := e.Own(start.Add(c.at)); ok != c.tells {
+				t.Errorf("tells others: %v, want %v", ok, c.tells)
+			}
+		})
+	}
+}
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -202,7 +202,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	report := relay.Report{Loads: b.table.LocalLoads(), Pauses: b.table.LocalPauses(now), Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}, Instances: 1}
+	report := relay.Report{Loads: b.table.LocalLoads(), Pauses: b.table.LocalPauses(now), Limits: b.table.LocalLimits(now), Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}, Instances: 1}
 	report.Usages = b.admission.LocalUsages(now)
 	for s, r := range b.rollouts {
 		report.Trials.Merge(r.LocalCounts(now, s))
@@ -218,6 +218,7 @@
 	if report.Loads != nil {
 		b.table.SetRemoteLoads(at, report.Loads)
 		b.table.SetRemotePauses(at, report.Pauses)
+		b.table.SetRemoteLimits(at, report.Limits)
 	}
 	b.table.SetOtherInstances(at, report.Instances)
 	b.admission.SetRemote(at, report.Usages, report.Instances)
--- a/internal/ingress/request_limits.go
+++ b/internal/ingress/request_limits.go
@@ -11,8 +11,9 @@
 
 // Sources of what an instance knows of an endpoint's limit, in logs and metrics.
 const (
-	limitFromResponse = "response"
-	limitExpired      = "expiry" // no response has confirmed it
+	limitFromResponse  = "response"
+	limitFromInstances = "instances" // other instances have told it
+	limitExpired       = "expiry"    // no response has confirmed it
 )
 
 // limitState is what the log and the metrics tell of endpoints with a limit.
@@ -34,7 +35,11 @@
 // noteLimitState logs changes of limits that follow from no response, and updates the metrics.
 func (h *handler) noteLimitState(s limitState) {
 	for _, c := range s.changes {
-		h.noteLimit(c.Endpoint, "", limitExpired, c.Change)
+		source := limitExpired
+		if c.Told {
+			source = limitFromInstances
+		}
+		h.noteLimit(c.Endpoint, "", source, c.Change)
 	}
 	for service, n := range s.endpoints {
 		h.metrics.scope.Tagged(map[string]string{"service": service}).Gauge("limited_endpoints").Update(float64(n))
--- a/internal/relay/fuzz_test.go
+++ b/internal/relay/fuzz_test.go
@@ -16,6 +16,7 @@
 		&relaypb.Batch{From: 9, Next: 3, AgeMicroseconds: -5},
 		&relaypb.ConfirmReply{Topics: []*relaypb.TopicAge{{Next: 3, AgeMicroseconds: 5}, {Topic: 9, AgeMicroseconds: -1}}},
 		&relaypb.Loads{Endpoints: []uint32{1, 2}, Requests: []uint32{3}, PrefillMilliseconds: []uint32{4, 5}},
+		&relaypb.Loads{LimitedProcesses: []uint32{1, 2}, Limits: []float64{2.6, -1}, LimitAges: []uint32{4}},
 	} {
 		b, err := proto.Marshal(m)
 		if err != nil {
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -12,8 +12,10 @@
 	"google.golang.org/grpc"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/admission"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/canary"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/requestlimit"
 	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
 )
 
@@ -33,28 +35,30 @@
 	Trials canary.CountsByKey // results of new versions of services
 	Paces  canary.PacesByKey  // times of answers during roll-outs
 	Pauses placement.Pauses   // endpoints that want no requests
+	Limits placement.Limits   // what endpoints have said of their request limits
 	Usages admission.Usages   // recent work of organisations at services that are short of room
 	// Instances is the number of instances that the report covers.
 	Instances int
 }
 
 func newReport() Report {
-	return Report{Loads: placement.Loads{}, Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}, Pauses: placement.Pauses{}, Usages: admission.Usages{}}
+	return Report{Loads: placement.Loads{}, Trials: canary.CountsByKey{}, Paces: canary.PacesByKey{}, Pauses: placement.Pauses{}, Limits: placement.Limits{}, Usages: admission.Usages{}}
 }
 
-// equal reports whether two reports are the same. During a roll-out they differ each time, as the answer counts
+// equal reports whether two reports are the same, apart from the ages of limits. During a roll-out they differ each time, as the answer counts
 // decay continuously.
 func (r Report) equal(o Report) bool {
-	return maps.Equal(r.Loads, o.Loads) && maps.Equal(r.Pauses, o.Pauses) && maps.Equal(r.Trials, o.Trials) && maps.Equal(r.Paces, o.Paces) &&
+	return maps.Equal(r.Loads, o.Loads) && maps.Equal(r.Pauses, o.Pauses) && r.Limits.SameLimits(o.Limits) && maps.Equal(r.Trials, o.Trials) && maps.Equal(r.Paces, o.Paces) &&
 		maps.Equal(r.Usages, o.Usages) && r.Instances == o.Instances
 }
 
-// add adds another report to this one.
-func (r *Report) add(o Report) {
+// add adds another report, which was received some time ago, to this one.
+func (r *Report) add(o Report, elapsed time.Duration) {
 	addLoads(r.Loads, o.Loads)
 	for e, d := range o.Pauses {
 		r.Pauses[e] = max(r.Pauses[e], d)
 	}
+	r.Limits.Add(o.Limits, elapsed)
 	r.Trials.Merge(o.Trials)
 	r.Paces.Merge(o.Paces)
 	r.Usages.Merge(o.Usages)
@@ -65,8 +69,8 @@
 type Reporter interface {
 	// LocalReport returns the report of this instance.
 	LocalReport() Report
-	// SetRemoteReport sets the sum of the reports of all other instances, received at the time given. Its loads and
-	// pauses are nil if they are too old to be used.
+	// SetRemoteReport sets the sum of the reports of all other instances, received at the time given. Its loads,
+	// pauses and limits are nil if they are too old to be used.
 	SetRemoteReport(at time.Time, r Report)
 }
 
@@ -118,7 +122,7 @@
 		case now.Sub(r.receivedAt) >= reportLifetime:
 			delete(t.byStream, k)
 		case k != except && (includeSeeds || !r.fromSeed):
-			out.add(r.report)
+			out.add(r.report, now.Sub(r.receivedAt))
 		}
 	}
 	return out
@@ -160,6 +164,11 @@
 		m.PausedEndpoints = append(m.PausedEndpoints, e)
 		m.PauseMilliseconds = append(m.PauseMilliseconds, uint32(max(0, d.Milliseconds())))
 	}
+	for p, s := range r.Limits {
+		m.LimitedProcesses = append(m.LimitedProcesses, p)
+		m.Limits = append(m.Limits, s.PerSecond)
+		m.LimitAges = append(m.LimitAges, uint32(max(0, s.Age.Milliseconds())))
+	}
 	for e, o := range r.Loads {
 		m.Endpoints = append(m.Endpoints, e)
 		m.Requests = append(m.Requests, uint32(max(0, o.Requests)))
@@ -172,12 +181,12 @@
 	return m
 }
 
-// decodeRecent returns the report in a message received on a stream. It leaves out loads and pauses that may be too old; results of new
+// decodeRecent returns the report in a message received on a stream. It leaves out loads, pauses and limits that may be too old; results of new
 // versions remain true.
 func (h *Hub) decodeRecent(m *relaypb.Loads, c *streamClock) Report {
 	r := decodeReport(m)
 	if c.maxAge(m, h.now()) >= maxReportAge {
-		r.Loads, r.Pauses, r.Usages = nil, nil, nil
+		r.Loads, r.Pauses, r.Limits, r.Usages = nil, nil, nil, nil
 		h.metrics.lateReports.Inc(1)
 	}
 	return r
@@ -185,7 +194,7 @@
 
 // decodeReport returns the report in a message, without invalid counts and sums.
 func decodeReport(m *relaypb.Loads) Report {
-	r := Report{Loads: decodeLoads(m), Pauses: decodePauses(m), Trials: make(canary.CountsByKey, len(m.GetTrials())), Paces: make(canary.PacesByKey, len(m.GetPaces())), Usages: make(admission.Usages, len(m.GetUsages())), Instances: max(1, int(m.GetInstances()))}
+	r := Report{Loads: decodeLoads(m), Pauses: decodePauses(m), Limits: decodeLimits(m), Trials: make(canary.CountsByKey, len(m.GetTrials())), Paces: make(canary.PacesByKey, len(m.GetPaces())), Usages: make(admission.Usages, len(m.GetUsages())), Instances: max(1, int(m.GetInstances()))}
 	for _, u := range m.GetUsages() {
 		if w := float64(u.GetWork()); w >= 0 && !math.IsInf(w, 0) { // also false for NaN
 			r.Usages[u.GetKey()] = w
@@ -216,6 +225,18 @@
 	return out
 }
 
+// decodeLimits returns the limits of a message, without entries that lack a field or have no sensible limit.
+func decodeLimits(m *relaypb.Loads) placement.Limits {
+	l, a := m.GetLimits(), m.GetLimitAges()
+	out := make(placement.Limits, len(m.GetLimitedProcesses()))
+	for i, p := range m.GetLimitedProcesses() {
+		if i < len(l) && i < len(a) && l[i] >= 0 && l[i] <= attributes.MaxRequestLimit { // also false for NaN
+			out[p] = requestlimit.Statement{PerSecond: l[i], Age: time.Duration(a[i]) * time.Millisecond}
+		}
+	}
+	return out
+}
+
 // decodeLoads returns the loads of a message, without entries that lack a field.
 func decodeLoads(m *relaypb.Loads) placement.Loads {
 	r, p := m.GetRequests(), m.GetPrefillMilliseconds()
@@ -263,13 +284,13 @@
 	}()
 	for {
 		sum := h.reports.sum(time.Now(), key, !seed)
-		sum.add(h.reporter.LocalReport())
+		sum.add(h.reporter.LocalReport(), 0)
 		m := encodeReport(sum)
 		clock.stamp(m, h.now())
 		if err := s.Send(m); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
-		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+len(sum.Pauses)+2*(len(sum.Trials)+len(sum.Paces)+len(sum.Usages))), nil); err != nil {
+		if err := sleep(ctx, h.reports.interval(len(sum.Loads)+len(sum.Pauses)+2*len(sum.Limits)+2*(len(sum.Trials)+len(sum.Paces)+len(sum.Usages))), nil); err != nil {
 			return &Error{Op: "share", Kind: ErrStream, Err: err}
 		}
 	}
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,6 +17,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/admission"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/canary"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
 )
 
 // fakeReporter reports one request at an endpoint and records the loads of the other instances.
@@ -25,6 +28,9 @@
 
 const (
 	endpointKey uint32 = 7
+	processKey  uint32 = 8 // with a request limit
+	endedKey    uint32 = 9 // whose limit is over
+	limitAge           = 5 * time.Second
 	trialKey    uint64 = 9 // of a new version
 	paceKey     uint64 = 11
 	usageKey    uint64 = 13 // of an organisation at a service
@@ -36,6 +42,7 @@
 		Trials: canary.CountsByKey{trialKey: {Answers: 3, Bad: 1}},
 		Paces:  canary.PacesByKey{paceKey: {Answers: 2, LogSum: 5}},
 		Pauses: placement.Pauses{endpointKey: time.Second},
+		Limits: placement.Limits{processKey: {PerSecond: 2.6, Age: limitAge}, endedKey: {Age: limitAge}},
 		Usages: admission.Usages{usageKey: 7}, Instances: 1,
 	}
 }
@@ -62,6 +69,10 @@
 	if o.Requests > 0 && r.others.Pauses[endpointKey] != time.Second {
 		return placement.EndpointLoad{}
 	}
+	limited, ended := r.others.Limits[processKey], r.others.Limits[endedKey]
+	if o.Requests > 0 && (limited.PerSecond != 2.6 || limited.Age < limitAge || limited.Age > limitAge+maxReportAge || ended.Age < limitAge || ended.PerSecond != 0) {
+		return placement.EndpointLoad{}
+	}
 	return o
 }
 
@@ -135,3 +146,22 @@
 	stops[6]()
 	waitFor(t, "the loads of the five others at the remaining six instances", haveLoads(5))
 }
+
+// TestLimitsOfOthers guards against a limit that counts as newer than the endpoint's statement because it waited at a seed, against an older
+// statement in place of a newer one, and against limits that are none.
+func TestLimitsOfOthers(t *testing.T) {
+	now := time.Now()
+	table := newReportTable()
+	table.set("a", receivedReport{report: Report{Limits: placement.Limits{1: {PerSecond: 3, Age: time.Second}, 2: {PerSecond: 3, Age: time.Second}}}, receivedAt: now.Add(-500 * time.Millisecond)})
+	table.set("b", receivedReport{report: Report{Limits: placement.Limits{1: {Age: 1200 * time.Millisecond}}}, receivedAt: now})
+	got := table.sum(now, "", true).Limits
+	if want := (placement.Limits{1: {Age: 1200 * time.Millisecond}, 2: {PerSecond: 3, Age: 1500 * time.Millisecond}}); !maps.Equal(got, want) {
+		t.Errorf("limits %v, want %v", got, want)
+	}
+	odd := &relaypb.Loads{
+		LimitedProcesses: []uint32{1, 2, 3, 4, 5}, Limits: []float64{math.NaN(), -1, math.Inf(1), 2, 3}, LimitAges: []uint32{1, 1, 1, 1},
+	}
+	if got, want := decodeReport(odd).Limits, (placement.Limits{4: {PerSecond: 2, Age: time.Millisecond}}); !maps.Equal(got, want) {
+		t.Errorf("limits %v, want %v", got, want)
+	}
+}
