Use the windows of a limited endpoint at instances with few requests

Windows are up to 2 s long; an endpoint whose window is open is compared for every prompt, and half of its cost counts.

--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -21,6 +21,7 @@
 		return requestlimit.Change{}
 	}
 	c := s.limit.RecordResponse(now, perSecond)
+	t.hasLimits = t.hasLimits || perSecond > 0
 	if c.Changed() {
 		t.forgetUnwilling(now)
 		s.limitNoticed, s.askedAt = c.To, now
@@ -40,6 +41,10 @@
 func (t *Table) LimitChanges(now time.Time) ([]LimitChange, map[string]int) {
 	var changes []LimitChange
 	counts := make(map[string]int, len(t.services))
+	t.hasLimits = false
+	for _, s := range t.states {
+		t.hasLimits = t.hasLimits || s.limit.PerSecond(now) > 0
+	}
 	for service, l := range t.services {
 		counts[service] = 0
 		for i, s := range t.serviceStates[service] {
@@ -57,9 +62,14 @@
 	return changes, counts
 }
 
+// limited reports whether an endpoint has a limit.
+func (t *Table) limited(now time.Time, s *state) bool {
+	return t.hasLimits && s.limit.PerSecond(now) > 0
+}
+
 // withinLimit reports whether an endpoint has no limit or this instance may send it a request in spite of it.
 func (t *Table) withinLimit(now time.Time, s *state) bool {
-	if s.limit.PerSecond(now) == 0 || s.limit.Allows(now, t.cold.fleet.Size(now), t.coldPhase(s)) {
+	if !t.limited(now, s) || s.limit.Allows(now, t.cold.fleet.Size(now), t.coldPhase(s)) {
 		return true
 	}
 	t.heldBack = true
@@ -130,7 +140,7 @@
 	for _, s := range t.states {
 		if r, ok := l[s.process]; ok {
 			s.limit.RecordOthers(now, r)
-			s.askedAt = now
+			s.askedAt, t.hasLimits = now, true
 		}
 	}
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -89,6 +89,7 @@
 	cold          coldStarts
 	pools         map[string]*pool // by service; only those whose engines state their memory
 	instances     int              // that send requests to the endpoints, this one included
+	hasLimits     bool             // an endpoint may have a limit; false spares choices a look at each endpoint
 	heldBack      bool             // the present choice leaves out an endpoint that has had what its limit allows
 	heldBackCount map[string]int64 // such choices since the last call of HeldBack, by service
 	loadsAt       time.Time        // when the loads of the other instances were collected
@@ -169,11 +170,15 @@
 	l := t.services[r.Service]
 	for i := range l {
 		e, s := &l[i], states[i]
-		if !cache.isCandidate(i) || t.avoid(now, s, &r.memory) || !t.eligible(now, &r, e, s) {
+		limited := t.limited(now, s)
+		if !limited && !cache.isCandidate(i) || t.avoid(now, s, &r.memory) || !t.eligible(now, &r, e, s) {
 			continue
 		}
 		c := t.estimate(now, e, s, m, cache.uncached(i))
 		v := t.cost(now, &r, m, s, &c)
+		if limited {
+			v *= limitedCostShare
+		}
 		if v < lowest {
 			best, lowest, found = c, v, true
 		}
@@ -181,6 +186,10 @@
 	return best, found
 }
 
+// limitedCostShare is the share of its cost that counts for an endpoint whose limit permits a request now. What is not used of a limit is
+// lost, and only responses tell that a limit is over.
+const limitedCostShare = 0.5
+
 // eligible reports whether an endpoint may get the request. An ejected one may if there is no other; one that has asked for no
 // requests, is cold or has a limit and has had its share, whose memory the request would exceed, or whose availability zone is evacuated, may
 // not.
--- a/internal/core/requestlimit/endpoint.go
+++ b/internal/core/requestlimit/endpoint.go
@@ -130,7 +130,7 @@
 	boundPeriod = 4 * time.Second
 	overshoot   = 1.5
 	slack       = 5
-	maxWindow   = time.Second // long enough for an instance with few requests a second of which some rank the endpoint first
+	maxWindow   = 2 * time.Second // long enough for an instance with half a request a second to use most of its windows
 )
 
 // NewPace returns the pace of one instance at an endpoint with a limit.
