State that all endpoints have reached their request limits

A request that found only limited endpoints was refused at once, but with the reason "no endpoint can take it", counts in which these endpoints were missing, and a time to come back that did not know of limits, so its client came back at once in vain.

Availability counts such endpoints, the refusal and its log line name them, and Retry-After is the time until the next window of this instance, at most 4 s, since other instances or the end of the limit may come first.

TestAllLimited: at each refusal a request is permitted after the time stated.

--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -76,6 +76,15 @@
 	return false
 }
 
+// limitWait returns the time until an endpoint may get a request under its limit. It is bounded, because other instances may send earlier
+// and the limit may end.
+func (t *Table) limitWait(now time.Time, s *state) time.Duration {
+	if t.withinLimit(now, s) {
+		return 0
+	}
+	return min(s.limit.Wait(now, t.cold.fleet.Size(now), t.coldPhase(s)), t.settings.EjectMax)
+}
+
 // countHeldBack counts the present choice if it leaves out an endpoint for its limit.
 func (t *Table) countHeldBack(service string) {
 	if !t.heldBack {
--- a/internal/core/placement/limit_test.go
+++ b/internal/core/placement/limit_test.go
@@ -76,3 +76,33 @@
 		t.Errorf("changes again: %v", c)
 	}
 }
+
+// TestAllLimited guards against requests that are refused for their limits without that reason or a time to come back in which a request is
+// permitted.
+func TestAllLimited(t *testing.T) {
+	table, l := newLimitedTable(0.5, 3)
+	for _, e := range l {
+		table.RecordLimit(start, e, 0.5)
+	}
+	refused, served := 0, 0
+	for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
+		now, q := start.Add(at), promptRequest(1)
+		c, ok := table.Choose(now, q)
+		if ok {
+			served++
+			table.RecordEnd(now, table.RecordSend(now, q, c), true)
+			continue
+		}
+		refused++
+		a, d := table.Availability(now, service), table.TimeToCapacity(now, service)
+		if !a.AllLimited() || a.Limited != 3 || d <= 0 || d > 2*time.Second {
+			t.Fatalf("at %v: %+v, time to capacity %v", at, a, d)
+		}
+		if _, ok := table.Choose(now.Add(d), q); !ok {
+			t.Fatalf("at %v: no request is permitted after the time to capacity, %v", at, d)
+		}
+	}
+	if served < 27 || served > 33 || refused == 0 {
+		t.Errorf("%d served, %d refused", served, refused)
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -309,6 +309,8 @@
 			localErr.reason = "all endpoints have asked for no requests"
 		case a.AllCold():
 			localErr.reason = "all endpoints are cold"
+		case a.AllLimited():
+			localErr.reason = "all endpoints have got what their request limits allow"
 		case a.AllFull():
 			localErr.reason = "the memory of the engines is full"
 		}
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -179,7 +179,7 @@
 	}
 	if v := x.availability; v != nil {
 		fields = append(fields, zap.Int("endpoints", v.Endpoints), zap.Int("evacuated", v.Evacuated), zap.Int("leaving", v.Leaving), zap.Int("paused", v.Paused),
-			zap.Int("ejected", v.Ejected), zap.Int("cold", v.Cold), zap.Int("full", v.Full))
+			zap.Int("ejected", v.Ejected), zap.Int("cold", v.Cold), zap.Int("limited", v.Limited), zap.Int("full", v.Full))
 	}
 	fields = append(fields, x.admissionFields()...)
 	if x.refusedMark != nil {
