Let endpoints of the fault soak name request limits

The soak met the other announcements of endpoints, but no limits, whose bound is on the sum over all instances and depends on reports between them while instances restart, freeze or are cut off.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -26,6 +26,7 @@
 	flagPeerDelay  = "peer-delay"
 	flagSeedFaults = "seed-faults"
 	flagAnnounce   = "announcements"
+	flagLimits     = "limits"
 	flagCrowds     = "crowds"
 	flagLogs       = "logs"
 )
@@ -44,6 +45,7 @@
 			&cli.DurationFlag{Name: flagPeerDelay, Usage: "delay of all that an instance sends to the instances that follow it"},
 			&cli.BoolFlag{Name: flagSeedFaults, Usage: "also disturb the instances that read the store for others"},
 			&cli.BoolFlag{Name: flagAnnounce, Usage: "let endpoints announce stops and pauses in their responses"},
+			&cli.BoolFlag{Name: flagLimits, Usage: "let endpoints name limits on their requests in their responses"},
 			&cli.BoolFlag{Name: flagCrowds, Usage: "also open crowds of clients that misbehave"},
 			&cli.StringFlag{Name: flagLogs, Usage: "`DIRECTORY` in which the settings and the logs of failed seeds are kept"},
 		},
@@ -76,7 +78,7 @@
 		o := soak.Options{
 			Executable: executable, Dir: filepath.Join(dir, fmt.Sprint("seed-", first+i)), Seed: first + i, FaultDuration: c.Duration(flagLength),
 			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay), SeedFaults: c.Bool(flagSeedFaults), Announcements: c.Bool(flagAnnounce),
-			Crowds: c.Bool(flagCrowds),
+			Limits: c.Bool(flagLimits), Crowds: c.Bool(flagCrowds),
 		}
 		slots <- struct{}{}
 		wg.Go(func() {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -70,6 +70,7 @@
 	}
 	c.checkNoRollback()
 	c.checkAnnouncements()
+	c.checkLimits()
 	if quiet == 0 || served*100 < quiet*minServedPercent {
 		c.addViolation(nil, "after the last fault %d of %d requests were served", served, quiet)
 	}
@@ -262,11 +263,7 @@
 	}
 	for s, l := range bySender {
 		slices.SortFunc(l, func(a, b arrival) int { return a.ReceivedAt.Compare(b.ReceivedAt) })
-		excused := func(from, to time.Time) bool {
-			s.instance.mu.Lock()
-			defer s.instance.mu.Unlock()
-			return anyOverlaps(s.instance.disturbances, from, to) || anyOverlaps(s.endpoint.linkDisturbances, from, to)
-		}
+		excused := func(from, to time.Time) bool { return c.excused(s.instance, s.endpoint, from, to) }
 		leavingAt, pausedFrom, pausedUntil, late := time.Time{}, time.Time{}, time.Time{}, 0
 		for _, a := range l {
 			q := known[a.ID]
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,6 +48,7 @@
 	leaving           bool      // it announces its shutdown in its responses only; guarded by fleet.mu
 	removed           bool
 	linkDisturbances  []*disturbance // guarded by fleet.mu
+	limits            []limitSpan    // guarded by fleet.mu
 }
 
 // fleet holds the instances under test, their endpoints and store, and the requests and events of the run.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,7 @@
 	PeerDelay     time.Duration // of all that an instance sends to the instances that follow it
 	SeedFaults    bool          // also disturb the instances that read the store for others
 	Announcements bool          // let endpoints announce stops and pauses in their responses
+	Limits        bool          // let endpoints name limits on their requests
 	Crowds        bool          // open crowds of clients that misbehave
 }
 
@@ -63,6 +64,11 @@
 	if o.Announcements {
 		extra.Go(func() { f.announceInResponses(ctx, time.Now().Add(o.FaultDuration)) })
 	}
+	if o.Limits {
+		for i := range uint64(limitedAtOnce) {
+			extra.Go(func() { f.nameLimits(ctx, i, time.Now().Add(o.FaultDuration)) })
+		}
+	}
 	if o.Crowds {
 		extra.Go(func() { f.openCrowds(ctx, time.Now().Add(o.FaultDuration)) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,11 @@
 	runSeeds(t, map[string]Options{"crowds": {Seed: 4000, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4, Crowds: true}})
 }
 
+// Guards against endpoints that get more requests than the limits that they name allow, and against refusals without need after the limits.
+func TestSoakLimits(t *testing.T) {
+	runSeeds(t, map[string]Options{"limits": {Seed: 5000, FaultDuration: 16 * time.Second, Instances: 3, Engines: 4, Limits: true}})
+}
+
 // runSeeds builds the program and runs seeds at the same time.
 func runSeeds(t *testing.T, seeds map[string]Options) {
 	t.Helper()
