Keep the windows of a limited endpoint while its limit varies a little

An endpoint may compute its limit anew for each response. Each other limit gave another interval and moved the windows, so that an instance met new windows all the time: with a limit that varies between 2.3 and 2.6 from response to response 195 instances sent 20 requests in 4 s (18 allowed at 2.3) at a mean of 2.4 a second, although the pace is meant for 1.0.

A pace is kept until the limit falls below that of the pace or rises to 1.25 times that; after a fall the pace is that of 0.9 of the limit.

--- a/internal/core/requestlimit/endpoint.go
+++ b/internal/core/requestlimit/endpoint.go
@@ -18,7 +18,7 @@
 	suspected     bool // PerSecond has to look at the statements; false for nearly all endpoints, which keeps a choice cheap
 	pace          coldstart.Pace
 	paceInstances int     // instances for which pace was computed; 0 if it has not been
-	paceLimit     float64 // limit for which pace was computed
+	paceLimit     float64 // limit for which pace was computed, at most that in force
 }
 
 // statement is what an endpoint has said of its limit.
@@ -154,11 +154,24 @@
 	return e.paceFor(instances, e.PerSecond(now)).Wait(now, phase)
 }
 
+// A pace is kept until the limit falls below that of the pace or rises to paceRise times that, and a lower pace leaves room for further falls.
+// With each new pace the windows move, so that more instances than usual meet one.
+const (
+	paceRise = 1.25
+	paceRoom = 0.9
+)
+
 // paceFor returns the pace for a number of instances and a limit.
 func (e *Endpoint) paceFor(instances int, limit float64) coldstart.Pace {
-	if e.paceInstances != instances || e.paceLimit != limit {
-		e.pace, e.paceInstances, e.paceLimit = NewPace(instances, limit), instances, limit
+	switch {
+	case e.paceInstances == 0 || limit >= paceRise*e.paceLimit:
+		e.paceLimit = limit
+	case limit < e.paceLimit:
+		e.paceLimit = max(paceRoom*limit, attributes.MinRequestLimit)
+	case e.paceInstances == instances:
+		return e.pace
 	}
+	e.pace, e.paceInstances = NewPace(instances, e.paceLimit), instances
 	return e.pace
 }
 
--- a/internal/core/requestlimit/endpoint_test.go
+++ b/internal/core/requestlimit/endpoint_test.go
@@ -229,3 +229,44 @@
 		})
 	}
 }
+
+// TestUnsteadyLimit guards against an instance that gets a new window with each small change of a limit, as of an endpoint that computes its
+// limit anew for each response.
+func TestUnsteadyLimit(t *testing.T) {
+	const instances = 195
+	for name, limit := range map[string]func(at time.Duration, rng *rand.Rand) float64{
+		"jitter":  func(_ time.Duration, rng *rand.Rand) float64 { return 2.3 + 0.3*rng.Float64() },
+		"falling": func(at time.Duration, _ *rand.Rand) float64 { return 2.6 - 0.02*at.Seconds() },
+		"rising":  func(at time.Duration, _ *rand.Rand) float64 { return 1.8 + 0.02*at.Seconds() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			worst, total, rounds, seconds := 0, 0, 10, 40
+			for round := range rounds {
+				rng := rand.New(rand.NewPCG(uint64(round), 5))
+				var sent []time.Time
+				for range instances {
+					var e Endpoint
+					phase := rng.Uint64()
+					for at := time.Duration(0); at < time.Duration(seconds)*time.Second; at += 50 * time.Millisecond {
+						now := start.Add(at)
+						if at%(200*time.Millisecond) == 0 {
+							e.RecordResponse(now, limit(at, rng))
+						}
+						if e.Allows(now, instances, phase) {
+							e.RecordSend(now)
+							sent = append(sent, now)
+						}
+					}
+				}
+				worst, total = max(worst, mostWithin(sent, boundPeriod)), total+len(sent)
+			}
+			rate := float64(total) / float64(rounds*seconds)
+			t.Logf("at most %d in %v; %.2f a second on average", worst, boundPeriod, rate)
+			// 1.8 is the lowest limit.
+			if worst > allowed(1.8) || rate < 0.5 {
+				t.Errorf("at most %d in %v; %.2f a second on average", worst, boundPeriod, rate)
+			}
+		})
+	}
+}
