Close the connection of a body that was found too slow

Cause: the deadline that ends a slow transfer may fail net/http's background read, if the end of the body has been read just before. Net/http then cancels the context of the connection, from which it derives those of all later requests on it, but keeps the connection.

The refusal now says that the connection closes, at the ingress and for the bodies of the product's own interface.

--- a/internal/connlimit/body.go
+++ b/internal/connlimit/body.go
@@ -55,7 +55,11 @@
 	stop()
 	switch {
 	case slow.Load():
-		// The deadline has ended the connection for the handler, too, if the body is complete.
+		// If the body is complete, the deadline has failed net/http's background read, after which it cancels this request and all later
+		// ones of the connection. HTTP/2 has a deadline for each request.
+		if r.ProtoMajor == 1 {
+			w.Header().Set("Connection", "close")
+		}
 		out.count(ReasonSlowBody)
 		err = &memory.Error{Op: "read", Kind: memory.ErrBudgetExceeded, Err: errors.Join(errSlow, err)}
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/connlimit/reuse_test.go
+++ b/internal/connlimit/reuse_test.go
@@ -200,3 +200,47 @@
 		}
 	}
 }
+
+// hookedBody calls onEnd when the end of the body has been read, before the reader learns of it.
+type hookedBody struct {
+	io.ReadCloser
+	onEnd func()
+}
+
+func (b hookedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.onEnd()
+	}
+	return n, err
+}
+
+// TestSlowBodyClosesConn guards against a connection on which net/http cancels all further requests: its background read has met the
+// deadline of a body that was found too slow when its end had just been read.
+func TestSlowBodyClosesConn(t *testing.T) {
+	budget := memory.NewBudget(64 << 10)
+	a := startServer(t, New(Options{Memory: 64 << 20}), 1, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = hookedBody{r.Body, func() {
+			time.Sleep(1100 * time.Millisecond) // longer than a transfer may pause while others need its memory
+			other := budget.NewReservation()
+			defer other.Release()
+			_ = other.Grow(60 << 10) // more than is left
+			<-r.Context().Done()
+		}}
+		b, err := BodyReader{Budget: budget}.Read(w, r, 20<<10)
+		b.Release()
+		if err != nil {
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
+	c := dial(t, a)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusTooManyRequests || !resp.Close {
+		t.Errorf("status %d, connection closed: %v; want a refusal and a closed connection", resp.StatusCode, resp.Close)
+	}
+}
--- a/internal/ingress/cancelled_test.go
+++ b/internal/ingress/cancelled_test.go
@@ -57,6 +57,9 @@
 	if b, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusRequestTimeout || !strings.Contains(string(b), "body too slow") {
 		t.Errorf("status %d, body %q; want a refusal", resp.StatusCode, b)
 	}
+	if !resp.Close {
+		t.Error("the connection is kept, though net/http cancels all further requests on it")
+	}
 }
 
 // TestCancelledRequestEndsIncomplete guards against a response that looks complete to a client that still reads when net/http has
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -100,6 +100,8 @@
 func (x *exchange) bodyError(err error, slow bool) *localError {
 	switch {
 	case slow:
+		// The deadline may have failed net/http's background read, after which it cancels all requests of the connection.
+		x.w.Header().Set("Connection", "close")
 		x.countLimit(connlimit.ReasonSlowBody)
 		return newLocalError(http.StatusRequestTimeout, "body too slow", err)
 	case errors.Is(err, os.ErrDeadlineExceeded):
