Connect the slow reader of a test with its small buffer

The test shrank the client's buffer after it had connected; the kernel had offered the server 64 KiB by then, and a client that reads 5 KB/s shows no progress for 13 s until these are read, which is beyond what the limit allows on the loopback interface (8 KB/s with a large buffer).

The buffer now is small from the start.

--- a/internal/connlimit/slowreader_test.go
+++ b/internal/connlimit/slowreader_test.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // TestSlowReader guards against closing a client that reads a long answer steadily at 5 KB/s: the kernel takes more bytes of the answer
@@ -27,10 +30,17 @@
 					}
 				}
 			})
-			c := dial(t, a)
-			if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			// The buffer has to be small from the start: the kernel can't take back the room that it has offered to the server.
+			d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+				var err error
+				e := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+				return errors.Join(e, err)
+			}}
+			c, err := d.DialContext(t.Context(), "tcp", a)
+			if err != nil {
 				t.Fatal(err)
 			}
+			defer c.Close()
 			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 			b := make([]byte, 500)
 			for begin := time.Now(); time.Since(begin) < 15*time.Second; time.Sleep(100 * time.Millisecond) {
