Bound the replies of services that are held together

Cause: a reply of a service was read whole with a limit of 8 MiB for each call and none for all calls. 100 calls at once of a service whose body does not end, or stops a little before 8 MiB, took 325 MiB of a process with 184 MiB (TestEndlessServe, bodies/service), and 400 to 821 MiB of heap (TestEndlessReplies without a budget). Change: replies reserve their memory from the budget of whole answers, an eighth of the memory, before their buffer grows, wait up to 250 ms for room and fail otherwise; the memory is released when the caller has the reply. A reply that states a length above the limit is not read. A service whose reply is too large counts as failed, as decision 0073 has it for the platform's interface.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -260,6 +260,7 @@
 	o.SessionLifetime = s.Sessions.Lifetime
 	bodyMemory := int64(serveMemoryShare * float64(s.Limits.Memory))
 	o.BodyMemory, o.AnswerMemory = memory.NewBudget(bodyMemory), memory.NewBudget(bodyMemory)
+	o.Engine.ReplyMemory = o.AnswerMemory
 	l := s.Callers.Limits
 	o.MaxHeaderBytes, o.HeaderTimeout, o.IdleTimeout = int(l.HeaderBytes), l.HeaderTimeout, l.IdleTimeout
 	o.Gateway.MaxBodyBytes, o.Gateway.MaxAnswerBytes, o.Gateway.RequestTimeout = int64(l.BodyBytes), int64(l.StreamBytes), l.RequestTimeout
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
 const (
@@ -31,6 +33,9 @@
 	ProgressTimeout   time.Duration // timeout between two events of a stream
 	MaxReplyBytes     int64         // maximum size of a plain service's reply body, in bytes
 	Propagator        Propagator    // propagates timeline stamps; nil for none
+
+	// ReplyMemory is the budget of the replies that are held; nil for no limit.
+	ReplyMemory *memory.Budget
 }
 
 // Propagator carries the stamps of the event timeline in the headers of requests and replies.
--- /dev/null
+++ b/internal/engine/endless_test.go
@@ -0,0 +1,152 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+)
+
+const (
+	endlessCalls  = 100      // at once
+	endlessMemory = 16 << 20 // bytes; the budget of replies
+	endlessTime   = 1500 * time.Millisecond
+)
+
+// startEndless runs an endpoint that sends one form until the test ends.
+func startEndless(t *testing.T, f standin.EndlessForm) (*standin.EndlessEndpoint, netip.AddrPort) {
+	t.Helper()
+	e := standin.NewEndlessEndpoint("m@1", f)
+	l, a := listen(t)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Serve(l)
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	return e, a
+}
+
+// peakHeap returns the largest size of the live objects of the heap while run runs, beyond those before.
+func peakHeap(run func()) int64 {
+	live := func() int64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+	before, peak := live(), int64(0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run()
+	}()
+	for {
+		select {
+		case <-done:
+			return peak
+		case <-time.After(50 * time.Millisecond):
+			peak = max(peak, live()-before)
+		}
+	}
+}
+
+// kindOf returns the kind of an error of the package, or "".
+func kindOf(err error) engine.ErrorKind {
+	var e *engine.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// newBoundedClient returns a client with a budget and the limits of the serve command's defaults.
+func newBoundedClient(t *testing.T) (*engine.Client, *memory.Budget) {
+	b := memory.NewBudget(endlessMemory)
+	c := engine.NewClient(engine.Settings{
+		DialTimeout: time.Second, FirstTokenTimeout: 10 * time.Second, ProgressTimeout: 5 * time.Second, MaxReplyBytes: 8 << 20, ReplyMemory: b,
+	})
+	t.Cleanup(c.Close)
+	return c, b
+}
+
+// TestEndlessReplies guards against replies of services without end, or that stop before their end, that are held without a limit
+// on all of them together.
+func TestEndlessReplies(t *testing.T) {
+	for _, f := range append(standin.EndlessHeads, standin.EndlessBodies...) {
+		t.Run(string(f), func(t *testing.T) {
+			e, a := startEndless(t, f)
+			c, b := newBoundedClient(t)
+			peak := peakHeap(func() {
+				var w sync.WaitGroup
+				for range endlessCalls {
+					w.Go(func() {
+						r, err := c.CallService(t.Context(), a, engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, endlessTime)
+						if err == nil {
+							t.Errorf("reply with status %d and %d bytes", r.Status, len(r.Body))
+						}
+					})
+				}
+				w.Wait()
+			})
+			t.Logf("peak %d KiB, %d KiB sent", peak>>10, e.Sent()[f]>>10)
+			// The budget, as much again for buffers that have grown or were released since the last collection, and 200 KiB for each call.
+			if most := int64(2*endlessMemory + endlessCalls*200<<10); peak > most {
+				t.Errorf("peak %d KiB, more than %d KiB", peak>>10, most>>10)
+			}
+			if err := b.NewReservation().Grow(b.MaxBodySize()); err != nil {
+				t.Errorf("memory of the calls was not released: %v", err)
+			}
+		})
+	}
+}
+
+// TestReplyMemory guards against memory that a reply keeps after its release, or gives back before, and against a reply that waits
+// for memory until its timeout.
+func TestReplyMemory(t *testing.T) {
+	const size = 1 << 20
+	a := serveText(t, "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n"+strings.Repeat("x", size))
+	b := memory.NewBudget(5 << 19)
+	c := engine.NewClient(engine.Settings{DialTimeout: time.Second, MaxReplyBytes: 8 << 20, ReplyMemory: b})
+	defer c.Close()
+	call := func() (engine.ServiceReply, error) {
+		return c.CallService(context.Background(), a, engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, 10*time.Second)
+	}
+	first, err := call()
+	if err != nil || len(first.Body) != size {
+		t.Fatalf("%d bytes, %v", len(first.Body), err)
+	}
+	begin := time.Now()
+	if _, err := call(); kindOf(err) != engine.ErrNoMemory || time.Since(begin) > 2*time.Second {
+		t.Errorf("a second reply beside the first: %v after %v", err, time.Since(begin))
+	}
+	first.Release()
+	second, err := call()
+	if err != nil || len(second.Body) != size {
+		t.Errorf("after the release: %d bytes, %v", len(second.Body), err)
+	}
+	second.Release()
+}
+
+// TestHeadOfLargeReply guards against refusing the reply to a HEAD request because of a length that is not sent.
+func TestHeadOfLargeReply(t *testing.T) {
+	a := serveText(t, "HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n")
+	c, _ := newBoundedClient(t)
+	r, err := c.CallService(t.Context(), a, engine.ServiceCall{Method: http.MethodHead, Path: "/", ID: "call"}, 5*time.Second)
+	if err != nil || r.Status != http.StatusOK || len(r.Body) != 0 {
+		t.Errorf("status %d, %d bytes, %v", r.Status, len(r.Body), err)
+	}
+	r.Release()
+}
--- a/internal/engine/error.go
+++ b/internal/engine/error.go
@@ -16,6 +16,7 @@
 	ErrWrongReply     ErrorKind = "wrong-reply"   // the reply belongs to another request
 	ErrCancelled      ErrorKind = "cancelled"     // the caller cancelled the call
 	ErrTooLarge       ErrorKind = "too-large"     // the reply exceeds the size limit
+	ErrNoMemory       ErrorKind = "no-memory"     // other replies take the memory that this one needs
 )
 
 // Error is the error type of this package. Status is the HTTP status of the reply if Kind is ErrStatus.
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -4,13 +4,18 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
+// maxMemoryWait is how long a reply waits for memory that others hold, as long as the body of a caller does.
+const maxMemoryWait = 250 * time.Millisecond
+
 // ServiceCall is a request to a plain service.
 type ServiceCall struct {
 	Method       string
@@ -22,12 +27,21 @@
 	FencingToken string // fencing token; empty for none
 }
 
-// ServiceReply is a plain service's reply.
+// ServiceReply is a plain service's reply. It must be released when its body is not used any more.
 type ServiceReply struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	Report Report
+
+	reservation *memory.Reservation
+}
+
+// Release releases the memory of the reply.
+func (r ServiceReply) Release() {
+	if r.reservation != nil {
+		r.reservation.Release()
+	}
 }
 
 // CallService makes a call that may be repeated. ErrRefused means that nothing was sent.
@@ -99,17 +113,40 @@
 		return ServiceReply{}, err
 	}
 	c.s.Propagator.ExtractHeader(res.Header)
-	b, err := io.ReadAll(io.LimitReader(res.Body, c.s.MaxReplyBytes+1))
-	if err != nil {
+	out := ServiceReply{Status: res.StatusCode, Header: res.Header, Report: parseReport(res.Header)}
+	if err := c.readBody(callCtx, &out, res); err != nil {
+		out.Release()
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
 	}
-	if int64(len(b)) > c.s.MaxReplyBytes {
-		return ServiceReply{}, &Error{Op: "service", Kind: ErrTooLarge, Err: errors.New("reply exceeds the limit")}
+	return out, nil
+}
+
+// readBody reads the body of a reply. A body that states a length above the limit is not read.
+func (c *Client) readBody(ctx context.Context, r *ServiceReply, res *http.Response) error {
+	if res.ContentLength > c.s.MaxReplyBytes && res.Body != http.NoBody { // a reply to HEAD has none
+		return &Error{Op: "service", Kind: ErrTooLarge, Err: fmt.Errorf("reply of %d bytes, the limit is %d", res.ContentLength, c.s.MaxReplyBytes)}
 	}
-	if len(b) == 0 && endsWithConnection(res) {
-		return ServiceReply{}, &Error{Op: "service", Kind: ErrConnectionLost, Err: errors.New("the connection ended before the first byte of a body without a length")}
+	reserve := func(int64) error { return nil }
+	if c.s.ReplyMemory != nil {
+		r.reservation = c.s.ReplyMemory.NewReservation()
+		reserve = func(n int64) error {
+			ctx, cancel := context.WithTimeout(ctx, maxMemoryWait)
+			defer cancel()
+			return r.reservation.GrowWait(ctx, n)
+		}
 	}
-	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: b, Report: parseReport(res.Header)}, nil
+	var err error
+	r.Body, err = memory.ReadAll(res.Body, c.s.MaxReplyBytes, reserve)
+	var m *memory.Error
+	switch {
+	case errors.As(err, &m) && m.Kind == memory.ErrTooLarge:
+		return &Error{Op: "service", Kind: ErrTooLarge, Err: err}
+	case errors.As(err, &m):
+		return &Error{Op: "service", Kind: ErrNoMemory, Err: err}
+	case err == nil && len(r.Body) == 0 && endsWithConnection(res):
+		return &Error{Op: "service", Kind: ErrConnectionLost, Err: errors.New("the connection ended before the first byte of a body without a length")}
+	}
+	return err
 }
 
 // endsWithConnection reports whether only the end of the connection marks the end of a reply's body.
@@ -141,6 +178,10 @@
 
 // classifyServiceError returns the error of a call that was cancelled, timed out or lost its connection.
 func classifyServiceError(callerCtx, callCtx context.Context, err error) error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
 	kind := transportErrorKind(err, ErrConnectionLost)
 	switch {
 	case kind == ErrRefused:
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -55,6 +55,7 @@
 		}
 		return err
 	}
+	defer reply.Release()
 	if reply.Status < http.StatusMultipleChoices {
 		// A replayed reply is billed again under the same ID, because the instance that ran the order may have stopped
 		// before it billed. Readers of the bills keep the first one.
--- a/internal/servicecall/dispatcher.go
+++ b/internal/servicecall/dispatcher.go
@@ -33,6 +33,15 @@
 	ContentType string
 	Body        []byte
 	Replayed    bool // this is the stored reply of an earlier order with the same key
+
+	release func() // releases the memory of the body; nil if it has none of its own
+}
+
+// Release releases the memory of the reply, which must not be used any more.
+func (r Reply) Release() {
+	if r.release != nil {
+		r.release()
+	}
 }
 
 // Ticket is the right to run an order once.
@@ -305,6 +314,7 @@
 	engine.ErrRefused:        endpoint.FailRefused,
 	engine.ErrConnectionLost: endpoint.FailConnectionLost,
 	engine.ErrTimeout:        endpoint.FailStalled,
+	engine.ErrTooLarge:       endpoint.FailErrorStatus,
 }
 
 // reportResult reports the result of a call to the endpoint pool. It also writes a failure to the timeline.
@@ -339,5 +349,5 @@
 
 // newReply converts the reply of an endpoint.
 func newReply(r engine.ServiceReply) Reply {
-	return Reply{Status: r.Status, ContentType: r.Header.Get("Content-Type"), Body: r.Body}
+	return Reply{Status: r.Status, ContentType: r.Header.Get("Content-Type"), Body: r.Body, release: r.Release}
 }
--- a/internal/servicecall/hedge.go
+++ b/internal/servicecall/hedge.go
@@ -67,8 +67,17 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the attempt that is still running
-	results := make(chan lookupResult, 2)
-	go func() { results <- d.lookupOnce(ctx, c, e) }()
+	results, done := make(chan lookupResult), make(chan struct{})
+	defer close(done)
+	lookUp := func(e endpoint.Choice) {
+		r := d.lookupOnce(ctx, c, e)
+		select {
+		case results <- r:
+		case <-done:
+			r.reply.Release()
+		}
+	}
+	go lookUp(e)
 	delay := time.NewTimer(wait)
 	defer delay.Stop()
 	for running := 1; ; {
@@ -80,7 +89,7 @@
 		case <-delay.C:
 			if second, ok := d.secondEndpoint(c, tried, copies); ok {
 				running++
-				go func() { results <- d.lookupOnce(ctx, c, second) }()
+				go lookUp(second)
 			}
 		}
 	}
@@ -113,6 +122,7 @@
 	d.reportResult(e, c, started, r, err)
 	switch {
 	case err == nil && r.Status >= http.StatusInternalServerError:
+		r.Release()
 		err = fmt.Errorf("status %d", r.Status)
 	case err == nil:
 		d.hedger.observe(c.Service, time.Since(started))
