Don't take a head without end for the crash of an engine

Cause: net/http ends a head above 32 KiB with an error that looks like a lost connection, so the contents that ran on the engine were counted as suspects of a crash. Change: the connection counts the bytes of a head itself and remembers an error of its own, which counts as an invalid reply. Services whose reply is invalid count as failed.

--- a/cmd/cassiaspoke/endless_serve_test.go
+++ b/cmd/cassiaspoke/endless_serve_test.go
@@ -216,6 +216,9 @@
 			cancel()
 			w.Wait()
 			t.Logf("replies by status: %v", statuses)
+			if n := statuses[http.StatusUnprocessableEntity]; n > 0 {
+				t.Errorf("%d requests were refused because their content crashes endpoints", n)
+			}
 			for _, f := range c.forms {
 				if e.Requests()[f] == 0 {
 					t.Errorf("no request met the form %q", f)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,7 +23,6 @@
 	maxEventBytes      = 1 << 20 // of one event of a stream
 	maxErrorBodyBytes  = 4 << 10 // read from an error reply
 	maxProbeReplyBytes = 64 << 10
-	maxHeaderBytes     = 32 << 10 // of a reply
 )
 
 // Settings holds the timeouts and size limits of calls to endpoints.
@@ -68,8 +67,15 @@
 		s.Propagator = noopPropagator{}
 	}
 	d := &net.Dialer{Timeout: s.DialTimeout}
-	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
-	fresh := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: conn}, nil
+	}
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes}
+	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes}
 	return &Client{s: s, pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
 }
 
@@ -106,7 +112,8 @@
 	}
 	ctx, w := startWatchdog(ctx, c.s.FirstTokenTimeout)
 	defer w.stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+"/v1/chat/completions", bytes.NewReader(b))
+	var head headLimit
+	req, err := http.NewRequestWithContext(head.context(ctx), http.MethodPost, "http://"+a.String()+"/v1/chat/completions", bytes.NewReader(b))
 	if err != nil {
 		return Result{}, &Error{Op: "stream", Kind: ErrRefused, Err: err}
 	}
@@ -116,7 +123,7 @@
 	start := time.Now()
 	res, err := c.pooled.Do(req)
 	if err != nil {
-		return Result{}, w.classify("stream", err)
+		return Result{}, w.classify("stream", head.explain(err))
 	}
 	defer func() { _ = res.Body.Close() }()
 	if err := checkOwner("stream", res, id); err != nil {
@@ -134,13 +141,14 @@
 
 // Probe asks an endpoint for its load on a new connection.
 func (c *Client) Probe(ctx context.Context, a netip.AddrPort) (ProbeReply, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/v1/load", nil)
+	var head headLimit
+	req, err := http.NewRequestWithContext(head.context(ctx), http.MethodGet, "http://"+a.String()+"/v1/load", nil)
 	if err != nil {
 		return ProbeReply{}, &Error{Op: "probe", Kind: ErrRefused, Err: err}
 	}
 	res, err := c.fresh.Do(req)
 	if err != nil {
-		return ProbeReply{}, &Error{Op: "probe", Kind: transportErrorKind(err, ErrTimeout), Err: err}
+		return ProbeReply{}, &Error{Op: "probe", Kind: transportErrorKind(head.explain(err), ErrTimeout), Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
@@ -159,13 +167,14 @@
 	if err != nil {
 		return &Error{Op: "order", Kind: ErrStatus, Err: err}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+"/v1/orders", bytes.NewReader(b))
+	var head headLimit
+	req, err := http.NewRequestWithContext(head.context(ctx), http.MethodPost, "http://"+a.String()+"/v1/orders", bytes.NewReader(b))
 	if err != nil {
 		return &Error{Op: "order", Kind: ErrRefused, Err: err}
 	}
 	res, err := c.fresh.Do(req)
 	if err != nil {
-		return &Error{Op: "order", Kind: transportErrorKind(err, ErrConnectionLost), Err: err}
+		return &Error{Op: "order", Kind: transportErrorKind(head.explain(err), ErrConnectionLost), Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
@@ -322,8 +331,13 @@
 	return r
 }
 
-// transportErrorKind returns ErrRefused if no connection was established, and connected if bytes may have been sent.
+// transportErrorKind returns ErrRefused if no connection was established, and connected if bytes may have been sent. An error of
+// the package keeps its kind.
 func transportErrorKind(err error, connected ErrorKind) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return ErrRefused
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"strings"
@@ -150,3 +154,51 @@
 	}
 	r.Release()
 }
+
+// TestEndlessHeadIsNoCrash guards against taking a head without end for the crash of the endpoint, which would count against the
+// content of its requests.
+func TestEndlessHeadIsNoCrash(t *testing.T) {
+	for _, f := range []standin.EndlessForm{standin.EndlessStatusLine, standin.EndlessField, standin.EndlessFields, standin.EndlessInterim} {
+		t.Run(string(f), func(t *testing.T) {
+			_, a := startEndless(t, f)
+			c, _ := newBoundedClient(t)
+			q := engine.ChatRequest{Model: "m@1", Messages: []engine.Message{{Role: "user", Content: prompt}}}
+			if _, err := c.Stream(t.Context(), a, "chat", q, func(string) error { return nil }); kindOf(err) != engine.ErrTruncated {
+				t.Errorf("stream: %v", err)
+			}
+			call := engine.ServiceCall{Method: http.MethodPost, Path: "/", ID: "call", Key: "key"}
+			if _, err := c.CallService(t.Context(), a, call, 5*time.Second); kindOf(err) != engine.ErrTruncated {
+				t.Errorf("call: %v", err)
+			}
+			s, err := c.Connect(t.Context(), a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := s.Call(t.Context(), call, 5*time.Second); kindOf(err) != engine.ErrTruncated {
+				t.Errorf("call that must not be repeated: %v", err)
+			}
+		})
+	}
+}
+
+// TestLargestHead guards against refusing a head within the limits, counting the lines of a body as fields, and applying what is left
+// of one head to the next one on the same connection.
+func TestLargestHead(t *testing.T) {
+	lines := strings.Repeat("line\n", 10_000)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusEarlyHints)
+		for i := range 240 {
+			w.Header().Set(fmt.Sprint("X-Field-", i), strings.Repeat("x", 100))
+		}
+		_, _ = io.WriteString(w, lines)
+	}))
+	defer s.Close()
+	c, _ := newBoundedClient(t)
+	for i := range 5 {
+		r, err := c.CallService(t.Context(), s.Listener.Addr().(*net.TCPAddr).AddrPort(), engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, 5*time.Second)
+		if err != nil || string(r.Body) != lines || len(r.Header) < 240 {
+			t.Fatalf("reply %d: %d bytes, %d fields, %v", i, len(r.Body), len(r.Header), err)
+		}
+		r.Release()
+	}
+}
--- /dev/null
+++ b/internal/engine/headconn.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	maxHeaderBytes = 32 << 10 // of the head of a reply with the interim replies before it
+	// statusDigit is the position of the first digit of the status in a status line.
+	statusDigit = len("HTTP/1.1 ")
+)
+
+// headConn is a connection that fails when the head of a reply is too large. The error of net/http does not tell such a head from a
+// connection that was lost.
+type headConn struct {
+	net.Conn
+
+	mu        sync.Mutex
+	inHead    bool
+	firstLine bool  // the current line is a status line
+	interim   bool  // the current head is that of an interim reply, after which another one follows
+	column    int   // position in the current line
+	bytes     int   // of the head so far
+	err       error // set once a head was too large
+}
+
+// headLimit limits the head of the reply to one request.
+type headLimit struct {
+	conn atomic.Pointer[headConn]
+}
+
+// context returns a context for the request, whose connection must be a headConn.
+func (l *headLimit) context(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*headConn); ok {
+			c.beginHead()
+			l.conn.Store(c)
+		}
+	}})
+}
+
+// explain returns the error of a head that is too large, or else err. net/http may report a line that was cut off there instead.
+func (l *headLimit) explain(err error) error {
+	if c := l.conn.Load(); c != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.err != nil {
+			return c.err
+		}
+	}
+	return err
+}
+
+// beginHead prepares for the head of the next reply.
+func (c *headConn) beginHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHead, c.firstLine, c.interim, c.column, c.bytes = true, true, false, 0, 0
+}
+
+// Read reads bytes of a reply, and fails if its head is too large.
+func (c *headConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := 0; i < n && c.inHead; i++ {
+		c.scan(b[i])
+	}
+	if c.bytes > maxHeaderBytes {
+		c.inHead = false
+		c.err = &Error{Op: "read head", Kind: ErrTruncated, Err: fmt.Errorf("the head of the reply exceeds %d bytes", maxHeaderBytes)}
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	return n, err
+}
+
+// scan handles one byte of a head. The caller must hold the lock.
+func (c *headConn) scan(b byte) {
+	c.bytes++
+	switch {
+	case b == '\n' && c.column == 0 && !c.firstLine:
+		c.inHead, c.firstLine = c.interim, c.interim
+	case b == '\n':
+		c.column, c.firstLine = 0, false
+	case b != '\r':
+		if c.firstLine && c.column == statusDigit {
+			c.interim = b == '1'
+		}
+		c.column++
+	}
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, &Error{Op: "connect", Kind: ErrRefused, Err: err}
 	}
-	return &SingleUseConn{c: c, address: a, conn: conn}, nil
+	return &SingleUseConn{c: c, address: a, conn: &headConn{Conn: conn}}, nil
 }
 
 // Close closes a connection that was not used for a call.
@@ -75,7 +75,7 @@
 	conns <- s.conn
 	// If a connection fails, net/http repeats a request with an Idempotency-Key on another one.
 	// The transport has a single connection, so that it can't.
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes, DialContext: func(context.Context, string, string) (net.Conn, error) {
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		select {
 		case conn := <-conns:
 			return conn, nil
@@ -98,7 +98,8 @@
 func (c *Client) callService(ctx context.Context, t http.RoundTripper, a netip.AddrPort, call ServiceCall, timeout time.Duration) (ServiceReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := newServiceRequest(callCtx, a, call)
+	var head headLimit
+	req, err := newServiceRequest(head.context(callCtx), a, call)
 	if err != nil {
 		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
 	}
@@ -106,7 +107,7 @@
 	hc := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	res, err := hc.Do(req)
 	if err != nil {
-		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
+		return ServiceReply{}, classifyServiceError(ctx, callCtx, head.explain(err))
 	}
 	defer func() { _ = res.Body.Close() }()
 	if err := checkOwner("service", res, call.ID); err != nil {
--- a/internal/servicecall/dispatcher.go
+++ b/internal/servicecall/dispatcher.go
@@ -315,6 +315,7 @@
 	engine.ErrConnectionLost: endpoint.FailConnectionLost,
 	engine.ErrTimeout:        endpoint.FailStalled,
 	engine.ErrTooLarge:       endpoint.FailErrorStatus,
+	engine.ErrTruncated:      endpoint.FailErrorStatus,
 }
 
 // reportResult reports the result of a call to the endpoint pool. It also writes a failure to the timeline.
