End streams of engines that go on beyond any answer

Cause: a stream of an engine was read as long as something came: events without text until the deadline of the request, comments until the timeout of the next event, text up to the limit of a stream in bytes. On the code before an answer of at most 4,096 tokens grew to 192 MB in 2 s (TestEndlessAnswer), a request waited 30 s for its deadline although another engine was sound (TestEndlessElsewhere), and TestEndlessStream was ended after 100 s. Change: as on the platform's interface, a stream ends after as many events as the answer may have tokens and some more (16 here, as engines send the role, the finish reason and the usage by themselves), and after 64 KiB of comments between two events. It counts as failed. The request goes elsewhere unless the answer already has all its tokens.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -36,6 +36,7 @@
 	engine.ErrStatus:         endpoint.FailErrorStatus,
 	engine.ErrTruncated:      endpoint.FailErrorStatus,
 	engine.ErrWrongReply:     endpoint.FailErrorStatus,
+	engine.ErrEndless:        endpoint.FailErrorStatus,
 }
 
 // runUntilComplete tries endpoints until the answer is complete, the retry budget is exhausted or an error occurs that is
@@ -48,6 +49,10 @@
 		if err == nil || !errors.As(err, &e) || e.Kind == engine.ErrCancelled {
 			return err
 		}
+		// Nothing is missing of an answer that has as many tokens as it may have, but its end is unknown.
+		if e.Kind == engine.ErrEndless && a.bufferedTokens+a.r.deliveredTokens >= a.r.maxOutputTokens {
+			return &Error{Op: "run", Kind: ErrCapacity, Err: err}
+		}
 		// An answer of which text has arrived is continued rather than repeated, so it uses nothing of the retry budget.
 		if a.bufferedTokens+a.r.deliveredTokens > tokensBefore {
 			continue
--- /dev/null
+++ b/internal/answer/endless_test.go
@@ -0,0 +1,79 @@
+package answer_test
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/answer"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
+	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
+)
+
+// addEndless starts an engine that sends bytes without end and adds it to the endpoint table.
+func (f *fixture) addEndless(version string, form standin.EndlessForm) *standin.EndlessEndpoint {
+	f.t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(f.t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	e := standin.NewEndlessEndpoint(version, form)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Serve(l)
+	}()
+	f.t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	f.list = append(f.list, platform.Instance{
+		ID: "endless", Role: platform.RoleEngine, AvailabilityZone: "a", Address: netip.MustParseAddrPort(l.Addr().String()), Versions: []string{version},
+	})
+	f.Record(endpoint.InstancesListed{Instances: f.list})
+	return e
+}
+
+// TestEndlessAnswer guards against reading an answer far beyond the tokens that it may have, here 4,096 of 1 KiB each, and against sending
+// the request again after that.
+func TestEndlessAnswer(t *testing.T) {
+	f := newFixture(t, time.Second)
+	f.changeVersion(record.VersionAdd, "m@1")
+	f.changeVersion(record.VersionRollOut, "m@1")
+	e := f.addEndless("m@1", standin.EndlessText)
+	begin := time.Now()
+	sink, _, err := f.runRequest()
+	var failure *answer.Error
+	if !errors.As(err, &failure) || failure.Kind != answer.ErrIncomplete || time.Since(begin) > 10*time.Second {
+		t.Errorf("%v after %v", err, time.Since(begin))
+	}
+	if n := e.Requests()[standin.EndlessText]; n != 1 || sink.Len() > 5<<20 {
+		t.Errorf("%d requests after %d bytes of text", n, sink.Len())
+	}
+}
+
+// TestEndlessElsewhere guards against a request that fails although another engine is sound.
+func TestEndlessElsewhere(t *testing.T) {
+	for _, form := range []standin.EndlessForm{standin.EndlessComments, standin.EndlessTiny, standin.EndlessFields} {
+		t.Run(string(form), func(t *testing.T) {
+			f := newFixture(t, 5*time.Second)
+			f.changeVersion(record.VersionAdd, "m@1")
+			f.changeVersion(record.VersionRollOut, "m@1")
+			e := f.addEndless("m@1", form)
+			f.addEngine("sound", standin.EngineFaults{}, "m@1")
+			for i := 0; i < 50 && e.Requests()[form] == 0; i++ {
+				sink, _, err := f.runRequest()
+				if want := standin.AnswerText("m@1", prompt, 20); err != nil || sink.String() != want {
+					t.Errorf("request %d: %d of %d bytes, %v", i, sink.Len(), len(want), err)
+				}
+			}
+			if e.Requests()[form] == 0 {
+				t.Error("no request met the fault")
+			}
+		})
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -20,8 +20,12 @@
 )
 
 const (
-	maxEventBytes      = 1 << 20 // of one event of a stream
-	maxErrorBodyBytes  = 4 << 10 // read from an error reply
+	maxEventBytes     = 1 << 20 // of one event of a stream
+	maxErrorBodyBytes = 4 << 10 // read from an error reply
+	// maxExtraEvents are allowed beyond one for each token: the role, the finish reason and the usage have events of their own.
+	maxExtraEvents = 16
+	// maxIdleBytes is how much of a stream may bring no event. A keep-alive comment every second takes 3 bytes.
+	maxIdleBytes       = 64 << 10
 	maxProbeReplyBytes = 64 << 10
 )
 
@@ -129,7 +133,7 @@
 	if err := checkOwner("stream", res, id); err != nil {
 		return Result{}, err
 	}
-	s := streamReader{version: q.Model, onText: onText, watchdog: w, progress: c.s.ProgressTimeout, start: start}
+	s := streamReader{version: q.Model, maxTokens: q.MaxTokens, onText: onText, watchdog: w, progress: c.s.ProgressTimeout, start: start}
 	s.result.Report = parseReport(res.Header)
 	c.s.Propagator.ExtractHeader(res.Header)
 	if res.StatusCode != http.StatusOK {
@@ -185,12 +189,15 @@
 
 // streamReader reads the events of one streamed answer.
 type streamReader struct {
-	version  string
-	onText   func(string) error
-	watchdog *watchdog
-	progress time.Duration // timeout between two events
-	start    time.Time     // of the request
-	result   Result
+	version   string
+	maxTokens int // of the answer; 0 for no limit
+	onText    func(string) error
+	watchdog  *watchdog
+	progress  time.Duration // timeout between two events
+	start     time.Time     // of the request
+	events    int
+	idleBytes int // since the last event
+	result    Result
 }
 
 func (s *streamReader) read(r *bufio.Reader) error {
@@ -203,8 +210,12 @@
 		}
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
+			if s.idleBytes += len(line) + 1; s.idleBytes > maxIdleBytes {
+				return &Error{Op: "stream", Kind: ErrEndless, Err: fmt.Errorf("%d bytes without an event", s.idleBytes)}
+			}
 			continue
 		}
+		s.idleBytes = 0
 		if string(data) == DataDone {
 			return s.endError(io.EOF)
 		}
@@ -239,6 +250,9 @@
 	if s.result.TimeToFirstToken == 0 {
 		s.result.TimeToFirstToken = time.Since(s.start)
 	}
+	if s.events++; s.maxTokens > 0 && s.events > s.maxTokens+maxExtraEvents {
+		return &Error{Op: "stream", Kind: ErrEndless, Err: fmt.Errorf("%d events, the answer may have %d tokens", s.events, s.maxTokens)}
+	}
 	s.watchdog.reset(s.progress)
 	if c.Usage != nil {
 		s.result.Usage = *c.Usage
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -207,3 +207,41 @@
 		r.Release()
 	}
 }
+
+// TestEndlessStream guards against a stream without end that is read until the deadline of its request.
+func TestEndlessStream(t *testing.T) {
+	for _, f := range []standin.EndlessForm{standin.EndlessText, standin.EndlessTiny, standin.EndlessComments} {
+		t.Run(string(f), func(t *testing.T) {
+			e, a := startEndless(t, f)
+			c, _ := newBoundedClient(t)
+			q := engine.ChatRequest{Model: "m@1", MaxTokens: 1000, Messages: []engine.Message{{Role: "user", Content: prompt}}}
+			begin := time.Now()
+			r, err := c.Stream(t.Context(), a, "chat", q, func(string) error { return nil })
+			if kindOf(err) != engine.ErrEndless || r.Tokens > 1100 || time.Since(begin) > 3*time.Second {
+				t.Errorf("%d tokens, %v after %v, %d KiB sent", r.Tokens, err, time.Since(begin), e.Sent()[f]>>10)
+			}
+		})
+	}
+}
+
+// TestLongestStream guards against cutting off an answer with as many tokens as it may have, with keep-alive comments between them.
+func TestLongestStream(t *testing.T) {
+	const tokens = 2000
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+	event := func(choice string) { fmt.Fprintf(&b, "data: {\"model\":\"m@1\",\"choices\":[%s]}\n\n", choice) }
+	event(`{"delta":{"role":"assistant","content":""}}`)
+	for range tokens {
+		b.WriteString(strings.Repeat(": keep-alive\n\n", 20))
+		event(`{"delta":{"content":"x"}}`)
+	}
+	event(`{"delta":{},"finish_reason":"length"}`)
+	event("")
+	b.WriteString("data: [DONE]\n\n")
+	c, _ := newBoundedClient(t)
+	q := engine.ChatRequest{Model: "m@1", MaxTokens: tokens, Messages: []engine.Message{{Role: "user", Content: prompt}}}
+	r, err := c.Stream(t.Context(), serveText(t, b.String()), "chat", q, func(string) error { return nil })
+	if err != nil || r.Tokens != tokens || r.Finish != engine.FinishLength {
+		t.Errorf("%d tokens, finish %q, %v", r.Tokens, r.Finish, err)
+	}
+}
--- a/internal/engine/error.go
+++ b/internal/engine/error.go
@@ -16,6 +16,7 @@
 	ErrWrongReply     ErrorKind = "wrong-reply"   // the reply belongs to another request
 	ErrCancelled      ErrorKind = "cancelled"     // the caller cancelled the call
 	ErrTooLarge       ErrorKind = "too-large"     // the reply exceeds the size limit
+	ErrEndless        ErrorKind = "endless"       // the stream goes on beyond the end of any answer to the request
 	ErrNoMemory       ErrorKind = "no-memory"     // other replies take the memory that this one needs
 )
 
