--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -219,9 +219,7 @@
 		if string(data) == DataDone {
 			return s.endError(io.EOF)
 		}
-		// Decoding leaves fields alone that the chunk lacks, so reused elements would keep the text of the previous chunk.
-		clear(c.Choices)
-		c = chunk{Choices: c.Choices[:0]}
+		c = chunk{} // decoding leaves fields alone that the chunk lacks
 		if err := d.decode(data, &c); err != nil {
 			return &Error{Op: "stream", Kind: ErrTruncated, Err: err}
 		}
@@ -231,10 +229,11 @@
 	}
 }
 
-// chunk holds the fields of a streamed Completion that the client uses. Decoding the others would cost an allocation each.
+// chunk holds the fields of a streamed Completion that the client uses. Decoding the others would cost an allocation each. Requests
+// ask for one choice; more of them are ignored, as empty ones take eight times the memory of their text.
 type chunk struct {
 	Model   string `json:"model"`
-	Choices []struct {
+	Choices [1]struct {
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
@@ -257,19 +256,15 @@
 	if c.Usage != nil {
 		s.result.Usage = *c.Usage
 	}
-	for _, choice := range c.Choices {
-		if choice.Finish != nil {
-			s.result.Finish = *choice.Finish
-		}
-		if choice.Delta.Content == "" {
-			continue
-		}
-		s.result.Tokens++
-		if err := s.onText(choice.Delta.Content); err != nil {
-			return err
-		}
+	choice := &c.Choices[0]
+	if choice.Finish != nil {
+		s.result.Finish = *choice.Finish
 	}
-	return nil
+	if choice.Delta.Content == "" {
+		return nil
+	}
+	s.result.Tokens++
+	return s.onText(choice.Delta.Content)
 }
 
 // endError returns the error for a body that ended with err, or nil if a finish reason has shown that the answer is complete.
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -59,6 +60,22 @@
 	}
 }
 
+// TestManyChoices guards against an event whose choices, of which only one was asked for, take many times the memory of its text.
+func TestManyChoices(t *testing.T) {
+	text := []byte(`data: {"model":"m@1","choices":[{"delta":{"content":"text"},"finish_reason":"stop"}` + strings.Repeat(",{}", 300_000) + "]}\n\n")
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	got := ""
+	r, err := readAll(text, func(s string) error { got += s; return nil })
+	runtime.ReadMemStats(&after)
+	if err != nil || got != "text" || r.Finish != FinishStop {
+		t.Errorf("got %q, %+v, %v", got, r, err)
+	}
+	if n := after.TotalAlloc - before.TotalAlloc; n > 10<<20 {
+		t.Errorf("%d bytes allocated for an event of %d", n, len(text))
+	}
+}
+
 // BenchmarkRead reads one chunk of a stream per iteration.
 func BenchmarkRead(b *testing.B) {
 	data := streamBody(b.N)
