Bound the events of engines that are held together

A line above 1 MiB counted as a lost connection, so as a crash of the engine. Change: lines longer than the reader's buffer (4 KiB) reserve five times their buffer from the budget of answers, which covers the decoder's copy and the text. TestLargestEvent: events of 1,000 KiB pass.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -139,7 +139,9 @@
 		a.executor.deps.Suspects.EndpointCrashed(c.ID)
 	}
 	a.executor.recordEvent("attempt-failed", a.r, a.step.Version, c.ID, err)
-	a.executor.deps.Pool.Record(endpoint.RequestFailed{Endpoint: c.Endpoint, Started: started, Kind: endpointFailKinds[e.Kind], Version: a.step.Version})
+	if k, ok := endpointFailKinds[e.Kind]; ok {
+		a.executor.deps.Pool.Record(endpoint.RequestFailed{Endpoint: c.Endpoint, Started: started, Kind: k, Version: a.step.Version})
+	}
 	a.exclude[a.failures%len(a.exclude)] = c.Endpoint
 	a.failures++
 	return err
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,7 +25,10 @@
 	// maxExtraEvents are allowed beyond one for each token: the role, the finish reason and the usage have events of their own.
 	maxExtraEvents = 16
 	// maxIdleBytes is how much of a stream may bring no event. A keep-alive comment every second takes 3 bytes.
-	maxIdleBytes       = 64 << 10
+	maxIdleBytes = 64 << 10
+	// lineCost is what a byte of the buffer for long lines takes: the decoder's buffer is up to twice as large as the line, its text is
+	// decoded once and encoded once for the caller.
+	lineCost           = 5
 	maxProbeReplyBytes = 64 << 10
 )
 
@@ -134,12 +137,16 @@
 		return Result{}, err
 	}
 	s := streamReader{version: q.Model, maxTokens: q.MaxTokens, onText: onText, watchdog: w, progress: c.s.ProgressTimeout, start: start}
+	if c.s.ReplyMemory != nil {
+		s.reservation = c.s.ReplyMemory.NewReservation()
+		defer s.reservation.Release()
+	}
 	s.result.Report = parseReport(res.Header)
 	c.s.Propagator.ExtractHeader(res.Header)
 	if res.StatusCode != http.StatusOK {
 		return s.result, statusError("stream", res)
 	}
-	err = s.read(bufio.NewReaderSize(res.Body, 4096))
+	err = s.read(ctx, bufio.NewReaderSize(res.Body, 4096))
 	return s.result, err
 }
 
@@ -198,13 +205,16 @@
 	events    int
 	idleBytes int // since the last event
 	result    Result
+
+	long        []byte              // the current line if it is longer than the buffer of the reader; reused
+	reservation *memory.Reservation // for long lines; nil for no limit
 }
 
-func (s *streamReader) read(r *bufio.Reader) error {
+func (s *streamReader) read(ctx context.Context, r *bufio.Reader) error {
 	var c chunk
 	d := newChunkDecoder()
 	for {
-		line, err := readLine(r)
+		line, err := s.readLine(ctx, r)
 		if err != nil {
 			return s.endError(err)
 		}
@@ -269,6 +279,10 @@
 
 // endError returns the error for a body that ended with err, or nil if a finish reason has shown that the answer is complete.
 func (s *streamReader) endError(err error) error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
 	if s.result.Finish != "" {
 		return nil
 	}
@@ -279,23 +293,44 @@
 }
 
 // readLine returns the next line without its end. The slice is valid until the next call.
-func readLine(r *bufio.Reader) ([]byte, error) {
+func (s *streamReader) readLine(ctx context.Context, r *bufio.Reader) ([]byte, error) {
 	line, err := r.ReadSlice('\n')
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return nil, err
-	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxEventBytes {
+	s.long = s.long[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if err := s.appendLong(ctx, line); err != nil {
+			return nil, err
+		}
 		line, err = r.ReadSlice('\n')
-		long = append(long, line...)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return bytes.TrimRight(long, "\r\n"), nil
+	if err := s.appendLong(ctx, line); err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(s.long, "\r\n"), nil
+}
+
+// appendLong appends a part of a line to the buffer for long lines, and reserves memory before it grows.
+func (s *streamReader) appendLong(ctx context.Context, part []byte) error {
+	n := len(s.long) + len(part)
+	if n > maxEventBytes {
+		return &Error{Op: "stream", Kind: ErrEndless, Err: fmt.Errorf("a line exceeds %d bytes", maxEventBytes)}
+	}
+	if n > cap(s.long) {
+		n = max(n, 2*cap(s.long))
+		if s.reservation != nil {
+			if err := growWait(ctx, s.reservation, int64(n-cap(s.long))*lineCost); err != nil {
+				return &Error{Op: "stream", Kind: ErrNoMemory, Err: err}
+			}
+		}
+		s.long = append(make([]byte, 0, n), s.long...)
+	}
+	s.long = append(s.long, part...)
+	return nil
 }
 
 // checkOwner returns an error if a reply names another request. An endpoint may send a reply once more, and on a pooled connection
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -245,3 +245,56 @@
 		t.Errorf("%d tokens, finish %q, %v", r.Tokens, r.Finish, err)
 	}
 }
+
+// TestEndlessEvents guards against streams whose events are held without a limit on all of them together.
+func TestEndlessEvents(t *testing.T) {
+	for _, f := range standin.EndlessStreams {
+		t.Run(string(f), func(t *testing.T) {
+			e, a := startEndless(t, f)
+			c, b := newBoundedClient(t)
+			peak := peakHeap(func() {
+				var w sync.WaitGroup
+				for range endlessCalls {
+					w.Go(func() {
+						ctx, cancel := context.WithTimeout(t.Context(), endlessTime)
+						defer cancel()
+						q := engine.ChatRequest{Model: "m@1", MaxTokens: 1000, Messages: []engine.Message{{Role: "user", Content: prompt}}}
+						if _, err := c.Stream(ctx, a, "chat", q, func(string) error { return nil }); err == nil {
+							t.Error("the stream ended as if it were complete")
+						}
+					})
+				}
+				w.Wait()
+			})
+			t.Logf("peak %d KiB, %d KiB sent", peak>>10, e.Sent()[f]>>10)
+			if most := int64(2*endlessMemory + endlessCalls*200<<10); peak > most {
+				t.Errorf("peak %d KiB, more than %d KiB", peak>>10, most>>10)
+			}
+			if err := b.NewReservation().Grow(b.MaxBodySize()); err != nil {
+				t.Errorf("memory of the streams was not released: %v", err)
+			}
+		})
+	}
+}
+
+// TestLargestEvent guards against refusing or changing a large event while there is room for it.
+func TestLargestEvent(t *testing.T) {
+	text := strings.Repeat("x", 1000<<10)
+	event := fmt.Sprintf(`data: {"model":"m@1","choices":[{"delta":{"content":%q},"finish_reason":"stop"}]}`+"\n\n", text)
+	a := serveText(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+event+event+"data: [DONE]\n\n")
+	c, b := newBoundedClient(t)
+	q := engine.ChatRequest{Model: "m@1", MaxTokens: 10, Messages: []engine.Message{{Role: "user", Content: prompt}}}
+	got := 0
+	_, err := c.Stream(t.Context(), a, "chat", q, func(s string) error {
+		if s == text {
+			got++
+		}
+		return nil
+	})
+	if err != nil || got != 2 {
+		t.Errorf("%d of 2 events, %v", got, err)
+	}
+	if err := b.NewReservation().Grow(b.MaxBodySize()); err != nil {
+		t.Errorf("memory of the stream was not released: %v", err)
+	}
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -130,11 +130,7 @@
 	reserve := func(int64) error { return nil }
 	if c.s.ReplyMemory != nil {
 		r.reservation = c.s.ReplyMemory.NewReservation()
-		reserve = func(n int64) error {
-			ctx, cancel := context.WithTimeout(ctx, maxMemoryWait)
-			defer cancel()
-			return r.reservation.GrowWait(ctx, n)
-		}
+		reserve = func(n int64) error { return growWait(ctx, r.reservation, n) }
 	}
 	var err error
 	r.Body, err = memory.ReadAll(res.Body, c.s.MaxReplyBytes, reserve)
@@ -150,6 +146,13 @@
 	return err
 }
 
+// growWait reserves n more bytes and waits a little for room.
+func growWait(ctx context.Context, r *memory.Reservation, n int64) error {
+	ctx, cancel := context.WithTimeout(ctx, maxMemoryWait)
+	defer cancel()
+	return r.GrowWait(ctx, n)
+}
+
 // endsWithConnection reports whether only the end of the connection marks the end of a reply's body.
 func endsWithConnection(res *http.Response) bool {
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -26,7 +26,7 @@
 	_, w := startWatchdog(context.Background(), time.Minute)
 	defer w.stop()
 	s := streamReader{version: "m@1", onText: onText, watchdog: w, progress: time.Minute, start: time.Now()}
-	err := s.read(bufio.NewReaderSize(bytes.NewReader(data), 4096))
+	err := s.read(context.Background(), bufio.NewReaderSize(bytes.NewReader(data), 4096))
 	return s.result, err
 }
 
