Bound the kept text of answers

Cause: the text of an answer is kept to continue it at another engine, to rate it, and whole while its rating decides about its delivery, without a limit on all answers together; a rated one had no limit at all. Change: kept text reserves memory from the budget of answers before it grows. A rated step that finds no room fails, so the next version answers. An answer that is being delivered goes on without its copy, and can then be neither continued nor rated. TestTextBeyondMemory: an answer whose text does not fit is complete, and one that breaks off then is not repeated.

--- a/cmd/cassiaspoke/endless_serve_test.go
+++ b/cmd/cassiaspoke/endless_serve_test.go
@@ -168,6 +168,9 @@
 		body    string // with the key of the request for %s
 	}{
 		"heads/stream":   {faultyVersion, standin.EndlessHeads, chatPath, chat("bad", true)},
+		"streams/stream": {faultyVersion, standin.EndlessStreams, chatPath, chat("bad", true)},
+		"streams/whole":  {faultyVersion, standin.EndlessStreams, chatPath, chat("bad", false)},
+		"streams/rated":  {cheapVersion, standin.EndlessStreams, chatPath, chat("rated", true)},
 		"heads/service":  {"", standin.EndlessHeads, orderPath, `{"key":"%s"}`},
 		"bodies/service": {"", standin.EndlessBodies, orderPath, `{"key":"%s"}`},
 	} {
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -19,6 +19,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/config"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/internal/standin"
 	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
@@ -34,6 +35,7 @@
 	catalog  atomic.Pointer[config.Catalog]
 	stale    atomic.Bool
 	engines  []*standin.Engine
+	memory   *memory.Budget // for the text that is kept
 
 	mu    sync.Mutex
 	table *endpoint.Table
@@ -103,9 +105,12 @@
 	}, true)
 }
 
+// textMemory is enough for the answers of most tests, and not for those of endless_test.go.
+const textMemory = 64 << 10
+
 func newFixture(t *testing.T, wait time.Duration) *fixture {
 	t.Helper()
-	f := &fixture{t: t, table: endpoint.NewTable(endpoint.DefaultSettings(1))}
+	f := &fixture{t: t, memory: memory.NewBudget(textMemory), table: endpoint.NewTable(endpoint.DefaultSettings(1))}
 	f.catalog.Store(config.NewCatalog())
 	f.apply(record.Change{Kind: record.ProfilePublish, Name: "p", Profile: &record.Profile{
 		Name: "p", Allow: []string{"m@*"}, Safe: "m@*", Quality: record.Quality{MinScore: 0.5, Share: 0.9},
@@ -117,7 +122,7 @@
 	s := answer.DefaultSettings("a")
 	s.QueueTimeout = wait
 	f.executor = answer.NewExecutor(s, answer.Dependencies{
-		Catalog: f.catalog.Load, CheckServing: f.serving, Pool: f, Planner: f, Suspects: f, Rater: f, Engines: c, Events: f,
+		Catalog: f.catalog.Load, CheckServing: f.serving, Pool: f, Planner: f, Suspects: f, Rater: f, Engines: c, Events: f, TextMemory: f.memory,
 		Retries: endpoint.NewRetryBudget(endpoint.RetrySettings{MaxAttempts: 3, RetryRatio: 1, MaxSavedRetries: 10}),
 	})
 	return f
@@ -184,7 +189,10 @@
 const prompt = "Summarise tokens=20 the log"
 
 // runRequest runs a request and returns its text, result and error.
-func (f *fixture) runRequest() (*textSink, answer.Result, error) {
+func (f *fixture) runRequest() (*textSink, answer.Result, error) { return f.runPrompt(prompt) }
+
+// runPrompt runs a request with a prompt.
+func (f *fixture) runPrompt(prompt string) (*textSink, answer.Result, error) {
 	f.t.Helper()
 	c := f.catalog.Load()
 	q := &answer.Request{
--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
@@ -20,7 +19,7 @@
 	step           cascade.Step
 	exclude        [6]endpoint.Handle // endpoints that failed last
 	failures       int
-	buffer         strings.Builder // text of a rated step; an unrated step delivers its text at once
+	buffer         *heldText // text of a rated step; an unrated step delivers its text at once
 	bufferedTokens int
 	usage          engine.Usage
 	finish         string
@@ -53,6 +52,9 @@
 		if e.Kind == engine.ErrEndless && a.bufferedTokens+a.r.deliveredTokens >= a.r.maxOutputTokens {
 			return &Error{Op: "run", Kind: ErrCapacity, Err: err}
 		}
+		if a.r.dropped {
+			return &Error{Op: "continue", Kind: ErrIncomplete, Err: err}
+		}
 		// An answer of which text has arrived is continued rather than repeated, so it uses nothing of the retry budget.
 		if a.bufferedTokens+a.r.deliveredTokens > tokensBefore {
 			continue
@@ -97,8 +99,7 @@
 		}
 		if a.step.RateBeforeDelivery {
 			a.bufferedTokens++
-			a.buffer.WriteString(s)
-			return nil
+			return a.buffer.add(s)
 		}
 		a.r.deliveredTokens++
 		return a.r.deliver(s, a.step.Version)
@@ -120,7 +121,7 @@
 
 // sendEvent returns the name of the event for sending the request: "continued" if a part of the answer has arrived.
 func (a *attempt) sendEvent() string {
-	if a.buffer.Len() > 0 || (!a.step.RateBeforeDelivery && a.r.delivered.Len() > 0) {
+	if a.bufferedTokens > 0 || (!a.step.RateBeforeDelivery && a.r.sinkStarted) {
 		return "continued"
 	}
 	return "sent"
--- a/internal/answer/endless_test.go
+++ b/internal/answer/endless_test.go
@@ -47,8 +47,7 @@
 	e := f.addEndless("m@1", standin.EndlessText)
 	begin := time.Now()
 	sink, _, err := f.runRequest()
-	var failure *answer.Error
-	if !errors.As(err, &failure) || failure.Kind != answer.ErrIncomplete || time.Since(begin) > 10*time.Second {
+	if errorKind(err) != answer.ErrIncomplete || time.Since(begin) > 10*time.Second {
 		t.Errorf("%v after %v", err, time.Since(begin))
 	}
 	if n := e.Requests()[standin.EndlessText]; n != 1 || sink.Len() > 5<<20 {
@@ -77,3 +76,52 @@
 		})
 	}
 }
+
+// checkReleased checks that all memory of kept text was released.
+func (f *fixture) checkReleased() {
+	f.t.Helper()
+	if err := f.memory.NewReservation().Grow(f.memory.MaxBodySize()); err != nil {
+		f.t.Errorf("memory of kept text was not released: %v", err)
+	}
+}
+
+// TestTextBeyondMemory guards against failing a sound answer because there is no memory for a copy of its text, and against sending
+// the request again when an answer whose text was not kept breaks off: the text would be repeated.
+func TestTextBeyondMemory(t *testing.T) {
+	const long = "Summarise tokens=4000 the log" // an answer of 32 KB, for which a buffer grows beyond half of the memory
+	for name, c := range map[string]struct {
+		prompt string
+		faults standin.EngineFaults
+		tokens int
+		kind   answer.ErrorKind
+		served int
+	}{
+		"complete":             {long, standin.EngineFaults{}, 4000, "", 1},
+		"broken off":           {long, standin.EngineFaults{TruncateAfterTokens: 3900}, 3900, answer.ErrIncomplete, 1},
+		"continued while kept": {prompt, standin.EngineFaults{TruncateAfterTokens: 10}, 20, "", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, time.Second)
+			f.changeVersion(record.VersionAdd, "m@1")
+			f.changeVersion(record.VersionRollOut, "m@1")
+			e1, e2 := f.addEngine("e1", c.faults, "m@1"), f.addEngine("e2", c.faults, "m@1")
+			sink, _, err := f.runPrompt(c.prompt)
+			if got := errorKind(err); got != c.kind || sink.String() != standin.AnswerText("m@1", c.prompt, c.tokens) {
+				t.Errorf("%d bytes, %v", sink.Len(), err)
+			}
+			if n := e1.AnswerCounts()["m@1"] + e2.AnswerCounts()["m@1"]; n != c.served {
+				t.Errorf("%d requests, want %d", n, c.served)
+			}
+			f.checkReleased()
+		})
+	}
+}
+
+// errorKind returns the kind of an error of the package, or "".
+func errorKind(err error) answer.ErrorKind {
+	var e *answer.Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
--- a/internal/answer/executor.go
+++ b/internal/answer/executor.go
@@ -14,6 +14,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/endpoint"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
 	"github.com/cassiaspoke/cassiaspoke/internal/engine"
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 	"github.com/cassiaspoke/cassiaspoke/internal/timeline"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
@@ -60,6 +61,7 @@
 	Rater        Rater
 	Engines      *engine.Client
 	Events       Recorder
+	TextMemory   *memory.Budget // for the text of answers that is kept; nil for no limit
 }
 
 // Executor plans chat requests and runs them until their answers are complete.
@@ -93,7 +95,8 @@
 	sentToEngine    bool   // an engine may have received the request
 	sinkStarted     bool
 	attempts        endpoint.AttemptCount
-	delivered       strings.Builder // text that the sink has received
+	delivered       *heldText // text that the sink has received, to continue or rate the answer
+	dropped         bool      // there was no memory for it, so the answer can be neither continued nor rated
 	deliveredTokens int
 	result          Result
 }
@@ -158,6 +161,8 @@
 // Run runs the plan and writes the text to the sink. The answer is complete if the error is nil.
 func (p *Plan) Run(ctx context.Context, sink Sink) (Result, error) {
 	p.r.sink = sink
+	p.r.delivered = newHeldText(p.executor.deps.TextMemory)
+	defer func() { p.r.delivered.release() }() // not the text that is being rated
 	runCtx, cancel := context.WithDeadline(ctx, p.r.Deadline)
 	defer cancel()
 	err := p.executor.runAndReplan(runCtx, p.r)
@@ -181,7 +186,7 @@
 	case runCtx.Err() != nil:
 		out.Kind = ErrDeadline
 	}
-	if r.delivered.Len() > 0 && out.Kind != ErrCancelled {
+	if r.sinkStarted && out.Kind != ErrCancelled {
 		out.Kind = ErrIncomplete
 	}
 	return out
@@ -214,7 +219,7 @@
 		Class: r.class, Candidates: x.deps.Planner.Candidates(r.Profile.Name), Quality: r.Profile.Quality, Weights: r.Profile.Weights,
 		RaterAvailable: x.deps.Planner.RaterAvailable(), MaxCost: r.Profile.MaxCost, Deadline: time.Until(r.Deadline),
 		InputTokens: r.inputTokens, MaxOutputTokens: r.maxOutputTokens, PinnedVersion: pinned,
-		InSession: r.NewSession || r.Token != nil || r.delivered.Len() > 0,
+		InSession: r.NewSession || r.Token != nil || r.sinkStarted,
 	}
 	if pinned != "" {
 		req.Candidates = cascade.PinnedCandidates(c, r.Profile.Name, pinned)
@@ -286,7 +291,8 @@
 func (x *Executor) runStep(ctx context.Context, r *requestState, s cascade.Step, after string) error {
 	r.result.Steps++
 	start := time.Now()
-	a := &attempt{executor: x, r: r, step: s}
+	a := &attempt{executor: x, r: r, step: s, buffer: newHeldText(x.deps.TextMemory)}
+	defer a.buffer.release()
 	err := a.runUntilComplete(ctx)
 	cost := x.deps.Catalog().Versions[s.Version].Price.Cost(a.usage.Input, a.usage.Output)
 	r.result.Cost += cost
@@ -308,8 +314,8 @@
 	}
 	x.deps.Planner.Observe(o)
 	r.result.Version, r.result.Finish = s.Version, a.finish
-	if s.RateAfterDelivery {
-		x.rateDelivered(r, o, r.delivered.String())
+	if s.RateAfterDelivery && !r.dropped {
+		x.rateDelivered(r, o)
 	}
 	return nil
 }
@@ -331,10 +337,13 @@
 }
 
 // rateDelivered rates an answer after its delivery, in the background, so that the caller does not wait for it.
-func (x *Executor) rateDelivered(r *requestState, o cascade.Outcome, text string) {
-	rated := RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text}
+func (x *Executor) rateDelivered(r *requestState, o cascade.Outcome) {
+	text := r.delivered
+	r.delivered = &heldText{}
+	rated := RatedAnswer{r.class, o.Version, r.Profile.Name, r.prompt, text.String()}
 	at := time.Now()
 	x.ratings.Go(func() {
+		defer text.release()
 		ctx, cancel := context.WithTimeout(context.Background(), x.s.RatingTimeout)
 		defer cancel()
 		score, err := x.deps.Rater.Rate(ctx, rated)
@@ -366,7 +375,10 @@
 		}
 		r.sinkStarted = true
 	}
-	r.delivered.WriteString(s)
+	if !r.dropped && r.delivered.add(s) != nil {
+		r.delivered.release()
+		r.dropped = true
+	}
 	return r.sink.WriteText(s, version)
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -87,7 +87,7 @@
 	retries := newRetryBudget(o.Retries)
 	i.answerMaker = answer.NewExecutor(o.Answer, answer.Dependencies{
 		Catalog: i.config.Catalog, CheckServing: i.checkFreshness, Pool: i.control, Planner: i.control, Suspects: i.suspects, Retries: retries,
-		Rater: &rater{o.Rater, i.control}, Engines: i.engines, Events: o.EventWriter,
+		Rater: &rater{o.Rater, i.control}, Engines: i.engines, Events: o.EventWriter, TextMemory: o.AnswerMemory,
 	})
 	orders := servicecall.NewDispatcher(o.Order, i.checkFreshness, i.control, i.ledger, retries, i.engines, o.EventWriter)
 	i.gateway = gateway.New(o.Gateway, gateway.Dependencies{
