Bound the replies of the platform's services

Cause: each reply of the log, the rating service, the weight store and the instance list was read up to 64 MiB, a rating with one number, too, with no limit on all of them, and lists of empty elements take 20 times their bytes when they are decoded; the head of a reply could have 10 MiB. 8 calls at once to such services held 66 to 918 MiB of heap (TestEndlessReplies in internal/platform, without budget and the limit on small replies). The head has 8 KiB.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -211,6 +211,15 @@
 // serveMemoryShare is the share of the process's memory for the bodies of requests, and again for answers that are sent whole.
 const serveMemoryShare = 1. / 8
 
+const (
+	// platformMemoryShare is the share of the process's memory for pages of the log and lists of instances, encoded and decoded.
+	platformMemoryShare = 1. / 16
+	// minPlatformMemory has room for the lists of some thousand endpoints and for pages of usual records.
+	minPlatformMemory = 8 << 20
+	// maxPlatformHeaderBytes bounds the head of a reply of the platform's services. The shortest fields of that size take 120 KiB.
+	maxPlatformHeaderBytes = 8 << 10
+)
+
 // bytesPerField is the size from which the number of fields that a head may have is derived: what a field takes at least on the wire.
 const bytesPerField = 5
 
@@ -251,9 +260,12 @@
 // instanceOptions converts settings to the options of an instance.
 func instanceOptions(s settings.Settings) instance.Options {
 	o := instance.DefaultOptions(s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.Region)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxPlatformHeaderBytes}}
+	replies := memory.NewBudget(max(minPlatformMemory, int64(platformMemoryShare*float64(s.Limits.Memory))))
 	newClient := func(u settings.URL) *platform.Client {
-		return platform.NewClient(string(u), client, s.Platform.Timeout)
+		c := platform.NewClient(string(u), client, s.Platform.Timeout)
+		c.LimitMemory(replies)
+		return c
 	}
 	o.Log, o.Rater, o.WeightStore, o.InstanceList = newClient(s.Platform.Log), newClient(s.Platform.Rating), newClient(s.Platform.Weights), newClient(s.Platform.Instances)
 	o.OperatorKeys = certificate.NewOperatorKeys(s.Operators.Keys)
