--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -11,9 +13,12 @@
 )
 
 const (
-	readBufferSize  = 4 << 10  // bytes; a typical event or response head fits
-	maxHeadBytes    = 32 << 10 // of a response head with the interim responses before it; servers commonly send less than 8 KiB
-	maxConnRequests = 1 << 10  // on one connection; bounds the set of request identifiers that it keeps
+	readBufferSize = 4 << 10  // bytes; a typical event or response head fits
+	maxHeadBytes   = 32 << 10 // of a response head with the interim responses before it; servers commonly send less than 8 KiB
+	// maxHeadLines bounds the lines of a response head in addition to its bytes. A line takes about 100 bytes beside its text, so
+	// 32 KiB of the shortest ones would take 450 KiB; servers commonly send fewer than 30.
+	maxHeadLines    = 256
+	maxConnRequests = 1 << 10 // on one connection; bounds the set of request identifiers that it keeps
 )
 
 // conn is a connection to an endpoint that carries one request at a time.
@@ -26,6 +31,7 @@
 	expires    time.Time           // the connection is not reused from this time on
 	requestIDs map[uint64]struct{} // hashes of the identifiers of its requests
 	headLeft   int64               // bytes that the response head may still take; negative once the head is complete
+	headLines  int                 // line ends read since the start of the response head; may include some of its body
 	deadline   time.Time           // end of the wait for the next bytes
 	// onTimeout is called when the wait for the next bytes has ended, with the delay of the timer. It
 	// returns how much longer to wait, or 0 to give up. It may be nil.
@@ -55,6 +61,9 @@
 	if c.headLeft == 0 {
 		return 0, fmt.Errorf("response head exceeds %d bytes", maxHeadBytes)
 	}
+	if c.headLeft > 0 && c.headLines > maxHeadLines {
+		return 0, fmt.Errorf("response head exceeds %d lines", maxHeadLines)
+	}
 	if c.headLeft > 0 {
 		b = b[:min(int64(len(b)), c.headLeft)]
 	}
@@ -64,6 +73,7 @@
 			c.activity.recordRead()
 			if c.headLeft > 0 {
 				c.headLeft -= int64(n)
+				c.headLines += bytes.Count(b[:n], []byte("\n"))
 			}
 			return n, err
 		}
@@ -87,5 +97,17 @@
 	return c.SetReadDeadline(deadline)
 }
 
+// beginHead prepares for the head of a response.
+func (c *conn) beginHead() { c.headLeft, c.headLines = maxHeadBytes, 0 }
+
+// countLines returns the number of lines of a header.
+func countLines(h http.Header) int {
+	n := 0
+	for _, l := range h {
+		n += len(l)
+	}
+	return n
+}
+
 // discard closes the connection and ignores any error, as the connection is not used again.
 func (c *conn) discard() { _ = c.Close() }
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -190,3 +191,44 @@
 		})
 	}
 }
+
+// TestHeadLines guards against a response head whose lines take many times their bytes when they are parsed, and against counting the
+// lines of the body.
+func TestHeadLines(t *testing.T) {
+	head := func(lines int) string {
+		var b strings.Builder
+		b.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+		for i := range lines {
+			fmt.Fprintf(&b, "%03x:\r\n", i)
+		}
+		return b.String()
+	}
+	body := "\r\n" + strings.Repeat(":\n\n", 5000)
+	for name, c := range map[string]struct {
+		text string
+		ok   bool
+	}{
+		"without end":    {head(4000), false},
+		"too many":       {head(300) + body, false},
+		"in interim":     {strings.Replace(head(300), "200 OK", "103 Early Hints", 1) + "\r\n" + head(0) + body, false},
+		"many":           {head(240) + body, true},
+		"few, then body": {head(0) + body, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := testConn(iotest.HalfReader(strings.NewReader(c.text)))
+			r, err := n.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+			if !c.ok {
+				if KindOf(err) != ErrBadResponse || n.headLeft < maxHeadBytes-3*readBufferSize {
+					t.Errorf("%d bytes read, error %v", maxHeadBytes-n.headLeft, err)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			if b, err := io.ReadAll(r.Body); err != nil || "\r\n"+string(b) != body {
+				t.Errorf("%d bytes of body, %v", len(b), err)
+			}
+		})
+	}
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -107,7 +107,7 @@
 		}()
 	}
 	received := false
-	c.headLeft = maxHeadBytes
+	c.beginHead()
 	for strays := 0; strays < maxStrayResponses; {
 		if _, err := c.reader.Peek(1); err != nil {
 			if received {
@@ -120,6 +120,8 @@
 		switch {
 		case err != nil:
 			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: err}
+		case countLines(r.Header) > maxHeadLines:
+			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: fmt.Errorf("response head exceeds %d lines", maxHeadLines)}
 		case r.StatusCode < http.StatusOK:
 			continue // interim responses count towards the size of the head
 		case isOwn(r.Header):
@@ -131,7 +133,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes)); err != nil || n == maxDrainBytes || r.Close {
 			return nil, &Error{Op: "skip", Kind: ErrBadResponse, Err: errors.Join(err, fmt.Errorf("response belongs to another request"))}
 		}
-		c.headLeft = maxHeadBytes
+		c.beginHead()
 	}
 	return nil, &Error{Op: "read", Kind: ErrBadResponse, Err: fmt.Errorf("%d responses belong to other requests", maxStrayResponses)}
 }
