--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/cascade"
@@ -20,7 +19,7 @@
 	step           cascade.Step
 	exclude        [6]endpoint.Handle // endpoints that failed last
 	failures       int
-	buffer         strings.Builder // text of a rated step; an unrated step delivers its text at once
+	buffer         *heldText // text of a rated step; an unrated step delivers its text at once
 	bufferedTokens int
 	usage          engine.Usage
 	finish         string
@@ -36,6 +35,7 @@
 	engine.ErrStatus:         endpoint.FailErrorStatus,
 	engine.ErrTruncated:      endpoint.FailErrorStatus,
 	engine.ErrWrongReply:     endpoint.FailErrorStatus,
+	engine.ErrEndless:        endpoint.FailErrorStatus,
 }
 
 // runUntilComplete tries endpoints until the answer is complete, the retry budget is exhausted or an error occurs that is
@@ -48,6 +48,13 @@
 		if err == nil || !errors.As(err, &e) || e.Kind == engine.ErrCancelled {
 			return err
 		}
+		// Nothing is missing of an answer that has as many tokens as it may have, but its end is unknown.
+		if e.Kind == engine.ErrEndless && a.bufferedTokens+a.r.deliveredTokens >= a.r.maxOutputTokens {
+			return &Error{Op: "run", Kind: ErrCapacity, Err: err}
+		}
+		if a.r.dropped {
+			return &Error{Op: "continue", Kind: ErrIncomplete, Err: err}
+		}
 		// An answer of which text has arrived is continued rather than repeated, so it uses nothing of the retry budget.
 		if a.bufferedTokens+a.r.deliveredTokens > tokensBefore {
 			continue
@@ -92,8 +99,7 @@
 		}
 		if a.step.RateBeforeDelivery {
 			a.bufferedTokens++
-			a.buffer.WriteString(s)
-			return nil
+			return a.buffer.add(s)
 		}
 		a.r.deliveredTokens++
 		return a.r.deliver(s, a.step.Version)
@@ -115,7 +121,7 @@
 
 // sendEvent returns the name of the event for sending the request: "continued" if a part of the answer has arrived.
 func (a *attempt) sendEvent() string {
-	if a.buffer.Len() > 0 || (!a.step.RateBeforeDelivery && a.r.delivered.Len() > 0) {
+	if a.bufferedTokens > 0 || (!a.step.RateBeforeDelivery && a.r.sinkStarted) {
 		return "continued"
 	}
 	return "sent"
@@ -134,7 +140,9 @@
 		a.executor.deps.Suspects.EndpointCrashed(c.ID)
 	}
 	a.executor.recordEvent("attempt-failed", a.r, a.step.Version, c.ID, err)
-	a.executor.deps.Pool.Record(endpoint.RequestFailed{Endpoint: c.Endpoint, Started: started, Kind: endpointFailKinds[e.Kind], Version: a.step.Version})
+	if k, ok := endpointFailKinds[e.Kind]; ok {
+		a.executor.deps.Pool.Record(endpoint.RequestFailed{Endpoint: c.Endpoint, Started: started, Kind: k, Version: a.step.Version})
+	}
 	a.exclude[a.failures%len(a.exclude)] = c.Endpoint
 	a.failures++
 	return err
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,13 +14,21 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
 const (
-	maxEventBytes      = 1 << 20 // of one event of a stream
-	maxErrorBodyBytes  = 4 << 10 // read from an error reply
+	maxEventBytes     = 1 << 20 // of one event of a stream
+	maxErrorBodyBytes = 4 << 10 // read from an error reply
+	// maxExtraEvents are allowed beyond one for each token: the role, the finish reason and the usage have events of their own.
+	maxExtraEvents = 16
+	// maxIdleBytes is how much of a stream may bring no event. A keep-alive comment every second takes 3 bytes.
+	maxIdleBytes = 64 << 10
+	// lineCost is what a byte of the buffer for long lines takes: the decoder's buffer is up to twice as large as the line, its text is
+	// decoded once and encoded once for the caller.
+	lineCost           = 5
 	maxProbeReplyBytes = 64 << 10
-	maxHeaderBytes     = 32 << 10 // of a reply
 )
 
 // Settings holds the timeouts and size limits of calls to endpoints.
@@ -30,6 +38,9 @@
 	ProgressTimeout   time.Duration // timeout between two events of a stream
 	MaxReplyBytes     int64         // maximum size of a plain service's reply body, in bytes
 	Propagator        Propagator    // propagates timeline stamps; nil for none
+
+	// ReplyMemory is the budget of the replies that are held; nil for no limit.
+	ReplyMemory *memory.Budget
 }
 
 // Propagator carries the stamps of the event timeline in the headers of requests and replies.
@@ -62,8 +73,15 @@
 		s.Propagator = noopPropagator{}
 	}
 	d := &net.Dialer{Timeout: s.DialTimeout}
-	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
-	fresh := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: conn}, nil
+	}
+	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes}
+	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes}
 	return &Client{s: s, pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
 }
 
@@ -100,7 +118,8 @@
 	}
 	ctx, w := startWatchdog(ctx, c.s.FirstTokenTimeout)
 	defer w.stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+"/v1/chat/completions", bytes.NewReader(b))
+	var head headLimit
+	req, err := http.NewRequestWithContext(head.context(ctx), http.MethodPost, "http://"+a.String()+"/v1/chat/completions", bytes.NewReader(b))
 	if err != nil {
 		return Result{}, &Error{Op: "stream", Kind: ErrRefused, Err: err}
 	}
@@ -110,31 +129,36 @@
 	start := time.Now()
 	res, err := c.pooled.Do(req)
 	if err != nil {
-		return Result{}, w.classify("stream", err)
+		return Result{}, w.classify("stream", head.explain(err))
 	}
 	defer func() { _ = res.Body.Close() }()
 	if err := checkOwner("stream", res, id); err != nil {
 		return Result{}, err
 	}
-	s := streamReader{version: q.Model, onText: onText, watchdog: w, progress: c.s.ProgressTimeout, start: start}
+	s := streamReader{version: q.Model, maxTokens: q.MaxTokens, onText: onText, watchdog: w, progress: c.s.ProgressTimeout, start: start}
+	if c.s.ReplyMemory != nil {
+		s.reservation = c.s.ReplyMemory.NewReservation()
+		defer s.reservation.Release()
+	}
 	s.result.Report = parseReport(res.Header)
 	c.s.Propagator.ExtractHeader(res.Header)
 	if res.StatusCode != http.StatusOK {
 		return s.result, statusError("stream", res)
 	}
-	err = s.read(bufio.NewReaderSize(res.Body, 4096))
+	err = s.read(ctx, bufio.NewReaderSize(res.Body, 4096))
 	return s.result, err
 }
 
 // Probe asks an endpoint for its load on a new connection.
 func (c *Client) Probe(ctx context.Context, a netip.AddrPort) (ProbeReply, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/v1/load", nil)
+	var head headLimit
+	req, err := http.NewRequestWithContext(head.context(ctx), http.MethodGet, "http://"+a.String()+"/v1/load", nil)
 	if err != nil {
 		return ProbeReply{}, &Error{Op: "probe", Kind: ErrRefused, Err: err}
 	}
 	res, err := c.fresh.Do(req)
 	if err != nil {
-		return ProbeReply{}, &Error{Op: "probe", Kind: transportErrorKind(err, ErrTimeout), Err: err}
+		return ProbeReply{}, &Error{Op: "probe", Kind: transportErrorKind(head.explain(err), ErrTimeout), Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
@@ -153,13 +177,14 @@
 	if err != nil {
 		return &Error{Op: "order", Kind: ErrStatus, Err: err}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+"/v1/orders", bytes.NewReader(b))
+	var head headLimit
+	req, err := http.NewRequestWithContext(head.context(ctx), http.MethodPost, "http://"+a.String()+"/v1/orders", bytes.NewReader(b))
 	if err != nil {
 		return &Error{Op: "order", Kind: ErrRefused, Err: err}
 	}
 	res, err := c.fresh.Do(req)
 	if err != nil {
-		return &Error{Op: "order", Kind: transportErrorKind(err, ErrConnectionLost), Err: err}
+		return &Error{Op: "order", Kind: transportErrorKind(head.explain(err), ErrConnectionLost), Err: err}
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
@@ -170,32 +195,40 @@
 
 // streamReader reads the events of one streamed answer.
 type streamReader struct {
-	version  string
-	onText   func(string) error
-	watchdog *watchdog
-	progress time.Duration // timeout between two events
-	start    time.Time     // of the request
-	result   Result
+	version   string
+	maxTokens int // of the answer; 0 for no limit
+	onText    func(string) error
+	watchdog  *watchdog
+	progress  time.Duration // timeout between two events
+	start     time.Time     // of the request
+	events    int
+	idleBytes int // since the last event
+	result    Result
+
+	long        []byte              // the current line if it is longer than the buffer of the reader; reused
+	reservation *memory.Reservation // for long lines; nil for no limit
 }
 
-func (s *streamReader) read(r *bufio.Reader) error {
+func (s *streamReader) read(ctx context.Context, r *bufio.Reader) error {
 	var c chunk
 	d := newChunkDecoder()
 	for {
-		line, err := readLine(r)
+		line, err := s.readLine(ctx, r)
 		if err != nil {
 			return s.endError(err)
 		}
 		data, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
+			if s.idleBytes += len(line) + 1; s.idleBytes > maxIdleBytes {
+				return &Error{Op: "stream", Kind: ErrEndless, Err: fmt.Errorf("%d bytes without an event", s.idleBytes)}
+			}
 			continue
 		}
+		s.idleBytes = 0
 		if string(data) == DataDone {
 			return s.endError(io.EOF)
 		}
-		// Decoding leaves fields alone that the chunk lacks, so reused elements would keep the text of the previous chunk.
-		clear(c.Choices)
-		c = chunk{Choices: c.Choices[:0]}
+		c = chunk{} // decoding leaves fields alone that the chunk lacks
 		if err := d.decode(data, &c); err != nil {
 			return &Error{Op: "stream", Kind: ErrTruncated, Err: err}
 		}
@@ -205,10 +238,11 @@
 	}
 }
 
-// chunk holds the fields of a streamed Completion that the client uses. Decoding the others would cost an allocation each.
+// chunk holds the fields of a streamed Completion that the client uses. Decoding the others would cost an allocation each. Requests
+// ask for one choice; more of them are ignored, as empty ones take eight times the memory of their text.
 type chunk struct {
 	Model   string `json:"model"`
-	Choices []struct {
+	Choices [1]struct {
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
@@ -224,27 +258,30 @@
 	if s.result.TimeToFirstToken == 0 {
 		s.result.TimeToFirstToken = time.Since(s.start)
 	}
+	if s.events++; s.maxTokens > 0 && s.events > s.maxTokens+maxExtraEvents {
+		return &Error{Op: "stream", Kind: ErrEndless, Err: fmt.Errorf("%d events, the answer may have %d tokens", s.events, s.maxTokens)}
+	}
 	s.watchdog.reset(s.progress)
 	if c.Usage != nil {
 		s.result.Usage = *c.Usage
 	}
-	for _, choice := range c.Choices {
-		if choice.Finish != nil {
-			s.result.Finish = *choice.Finish
-		}
-		if choice.Delta.Content == "" {
-			continue
-		}
-		s.result.Tokens++
-		if err := s.onText(choice.Delta.Content); err != nil {
-			return err
-		}
+	choice := &c.Choices[0]
+	if choice.Finish != nil {
+		s.result.Finish = *choice.Finish
 	}
-	return nil
+	if choice.Delta.Content == "" {
+		return nil
+	}
+	s.result.Tokens++
+	return s.onText(choice.Delta.Content)
 }
 
 // endError returns the error for a body that ended with err, or nil if a finish reason has shown that the answer is complete.
 func (s *streamReader) endError(err error) error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
 	if s.result.Finish != "" {
 		return nil
 	}
@@ -255,23 +292,44 @@
 }
 
 // readLine returns the next line without its end. The slice is valid until the next call.
-func readLine(r *bufio.Reader) ([]byte, error) {
+func (s *streamReader) readLine(ctx context.Context, r *bufio.Reader) ([]byte, error) {
 	line, err := r.ReadSlice('\n')
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return nil, err
-	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) && len(long) < maxEventBytes {
+	s.long = s.long[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if err := s.appendLong(ctx, line); err != nil {
+			return nil, err
+		}
 		line, err = r.ReadSlice('\n')
-		long = append(long, line...)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return bytes.TrimRight(long, "\r\n"), nil
+	if err := s.appendLong(ctx, line); err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(s.long, "\r\n"), nil
+}
+
+// appendLong appends a part of a line to the buffer for long lines, and reserves memory before it grows.
+func (s *streamReader) appendLong(ctx context.Context, part []byte) error {
+	n := len(s.long) + len(part)
+	if n > maxEventBytes {
+		return &Error{Op: "stream", Kind: ErrEndless, Err: fmt.Errorf("a line exceeds %d bytes", maxEventBytes)}
+	}
+	if n > cap(s.long) {
+		n = max(n, 2*cap(s.long))
+		if s.reservation != nil {
+			if err := growWait(ctx, s.reservation, int64(n-cap(s.long))*lineCost); err != nil {
+				return &Error{Op: "stream", Kind: ErrNoMemory, Err: err}
+			}
+		}
+		s.long = append(make([]byte, 0, n), s.long...)
+	}
+	s.long = append(s.long, part...)
+	return nil
 }
 
 // checkOwner returns an error if a reply names another request. An endpoint may send a reply once more, and on a pooled connection
@@ -316,8 +374,13 @@
 	return r
 }
 
-// transportErrorKind returns ErrRefused if no connection was established, and connected if bytes may have been sent.
+// transportErrorKind returns ErrRefused if no connection was established, and connected if bytes may have been sent. An error of
+// the package keeps its kind.
 func transportErrorKind(err error, connected ErrorKind) ErrorKind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return ErrRefused
