Give the attempt that follows a stalled one a file of its own

stall.go held both the decision to move on and how the next attempt begins. Functions are moved as they are; the tests of internal/ingress pass.

--- /dev/null
+++ b/internal/ingress/next_attempt.go
@@ -0,0 +1,79 @@
+package ingress
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
+)
+
+// refusalWindow is how long a stalled response is kept after the request was sent to another endpoint. An endpoint that can't take a
+// request refuses it at once. The first endpoint must have stopped 400 ms after the second one began.
+const refusalWindow = 150 * time.Millisecond
+
+// beginNext begins attempts at other endpoints until one of them isn't refused at once, and reports whether there is one. It is called
+// by the request's goroutine.
+func (a *attempt) beginNext(reserve float64) bool {
+	x := a.exchange
+	for x.mayMove() && a.reserveRetry(reserve) && !a.response.HasUnread() {
+		now := time.Now()
+		c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, a.nextRequest())
+		if !ok {
+			return false
+		}
+		b := x.newAttempt(now, c, inFlight)
+		b.sendInBackground()
+		if !b.refusedAtOnce() {
+			x.begun = b
+			return true
+		}
+		if next := b.complete(); next != stepRetry {
+			x.noRetryReason = "" // the response that has stalled goes on
+			return false
+		}
+	}
+	return false
+}
+
+// refusedAtOnce reports whether the attempt has failed within refusalWindow.
+func (a *attempt) refusedAtOnce() bool {
+	t := time.NewTimer(refusalWindow)
+	defer t.Stop()
+	select {
+	case r := <-a.sent:
+		a.sent <- r
+		return r.err != nil || a.exchange.handler.options.Protocol.DecodeResponse(r.response.Status, r.response.Header).NotExecuted
+	case <-t.C:
+		return false
+	}
+}
+
+// discardBegun ends an attempt that is under way and whose response nobody waits for, as the client has left or the instance stops.
+func (x *exchange) discardBegun() {
+	b := x.begun
+	if b == nil {
+		return
+	}
+	x.begun = nil
+	b.release()
+	if r := <-b.sent; r.response != nil {
+		r.response.Close(false)
+	}
+	x.handler.balancer.recordEnd(time.Now(), b.inFlight, false)
+}
+
+// mayMove reports whether the request may be sent to another endpoint now.
+func (x *exchange) mayMove() bool {
+	now := time.Now()
+	verdict, _ := x.handler.coordinator.prompts.verdict(now, x.inputIDs)
+	return now.Before(x.deadline) && x.attemptsLeft() && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
+}
+
+// nextRequest returns the properties of the request for the choice of another endpoint.
+func (a *attempt) nextRequest() placement.Request {
+	q := a.exchange.placementRequest()
+	q.ExcludedEndpoints = maps.Clone(q.ExcludedEndpoints)
+	q.ExcludedEndpoints[a.choice.Endpoint.ID] = true
+	return q
+}
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -3,24 +3,16 @@
 import (
 	"errors"
 	"io"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/stall"
-	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
-const (
-	// stallRetryReserve is the share of the retry budget that is kept for failed requests and not spent on stalled ones.
-	stallRetryReserve = 0.3
-	// refusalWindow is how long a stalled response is kept after the request was sent to another endpoint. An endpoint that can't take
-	// a request refuses it at once. The first endpoint must have stopped 400 ms after the second one began.
-	refusalWindow = 150 * time.Millisecond
-)
+// stallRetryReserve is the share of the retry budget that is kept for failed requests and not spent on stalled ones.
+const stallRetryReserve = 0.3
 
 // stallTimer bounds the wait for the next bytes of a response. When it expires, it abandons the attempt only if another
 // attempt is certain to be made.
@@ -74,72 +66,6 @@
 	return s.attempt.reserveRetry(s.retryReserve)
 }
 
-// beginNext begins attempts at other endpoints until one of them isn't refused at once, and reports whether there is one. It is called
-// by the request's goroutine.
-func (a *attempt) beginNext(reserve float64) bool {
-	x := a.exchange
-	for x.mayMove() && a.reserveRetry(reserve) && !a.response.HasUnread() {
-		now := time.Now()
-		c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, a.nextRequest())
-		if !ok {
-			return false
-		}
-		b := x.newAttempt(now, c, inFlight)
-		b.sendInBackground()
-		if !b.refusedAtOnce() {
-			x.begun = b
-			return true
-		}
-		if next := b.complete(); next != stepRetry {
-			x.noRetryReason = "" // the response that has stalled goes on
-			return false
-		}
-	}
-	return false
-}
-
-// refusedAtOnce reports whether the attempt has failed within refusalWindow.
-func (a *attempt) refusedAtOnce() bool {
-	t := time.NewTimer(refusalWindow)
-	defer t.Stop()
-	select {
-	case r := <-a.sent:
-		a.sent <- r
-		return r.err != nil || a.exchange.handler.options.Protocol.DecodeResponse(r.response.Status, r.response.Header).NotExecuted
-	case <-t.C:
-		return false
-	}
-}
-
-// discardBegun ends an attempt that is under way and whose response nobody waits for, as the client has left or the instance stops.
-func (x *exchange) discardBegun() {
-	b := x.begun
-	if b == nil {
-		return
-	}
-	x.begun = nil
-	b.release()
-	if r := <-b.sent; r.response != nil {
-		r.response.Close(false)
-	}
-	x.handler.balancer.recordEnd(time.Now(), b.inFlight, false)
-}
-
-// mayMove reports whether the request may be sent to another endpoint now.
-func (x *exchange) mayMove() bool {
-	now := time.Now()
-	verdict, _ := x.handler.coordinator.prompts.verdict(now, x.inputIDs)
-	return now.Before(x.deadline) && x.attemptsLeft() && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
-}
-
-// nextRequest returns the properties of the request for the choice of another endpoint.
-func (a *attempt) nextRequest() placement.Request {
-	q := a.exchange.placementRequest()
-	q.ExcludedEndpoints = maps.Clone(q.ExcludedEndpoints)
-	q.ExcludedEndpoints[a.choice.Endpoint.ID] = true
-	return q
-}
-
 // reserveRetry reports whether the newest configuration allows the request to be sent again and another endpoint can take it,
 // and charges the retry if so, unless one that was charged before has not been made. It keeps the given share of the retry budget untouched.
 func (a *attempt) reserveRetry(reserve float64) bool {
