Keep room for small bodies beside stalled ones

Cause: a reservation may have as much of a budget as it leaves for all others. Those that then stop without being released add up: each takes half of what the ones before it left, so 12 answers of up to 4 MiB that stop before their end leave no 4 KiB (TestStalledLeaveRoom). Every answer to another client fails then, and a request that may run once is lost. Change: the last quarter of a budget is for reservations of up to 4 KiB. That is room for 736 of them in the smallest instances, which have 524 requests at a time. The largest body stays half of the budget. Answers above 4 KiB may still find no room while stalled ones hold theirs.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -13,9 +13,14 @@
 // length of a body, so a sender can't make an instance reserve memory by only stating a length.
 const initialBufferSize = 4 << 10
 
+// smallShare is the share of a budget that a reservation of up to initialBufferSize bytes may have to count as small.
+const smallShare = 1. / 1024
+
 // Budget limits the bytes that are reserved at one time for one purpose. A single reservation may hold no more bytes than
 // remain free for all others, so a few that keep growing leave room for small ones (dynamic thresholds, Choudhury and
-// Hahne 1998).
+// Hahne 1998). Reservations that stop growing without being released still add up: each takes half of what the others left. So the
+// last quarter of the budget is kept for reservations of up to 4 KiB. That is room for 736 of them where the budget is a
+// sixteenth of 184 MiB, which allows 524 requests at a time.
 type Budget struct {
 	size int64
 
@@ -51,7 +56,7 @@
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.reserved+n > b.size-b.used-n {
+	if !b.hasRoom(r.reserved+n, n) {
 		b.cancelSlowest(r, time.Now())
 		return b.freed
 	}
@@ -60,6 +65,15 @@
 	return nil
 }
 
+// hasRoom reports whether a reservation of total bytes may have n more. The caller must hold the lock.
+func (b *Budget) hasRoom(total, n int64) bool {
+	left := b.size - b.used - n
+	if total <= min(initialBufferSize, int64(smallShare*float64(b.size))) {
+		return left >= 0
+	}
+	return left >= max(total, b.size/4)
+}
+
 // Grow reserves n more bytes, or fails at once if too few are free.
 func (r *Reservation) Grow(n int64) error {
 	if r.tryReserve(n) != nil {
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -115,3 +115,33 @@
 		}
 	}
 }
+
+// TestStalledLeaveRoom guards against reservations that took what they could and keep it, because their senders have stopped, and
+// leave nothing for small ones: each may take half of what the ones before it left.
+func TestStalledLeaveRoom(t *testing.T) {
+	const size, all = 184 << 20 / 16, 524 // of the smallest instances, and their requests at a time
+	for name, c := range map[string]struct {
+		largest int64 // of the stalled reservations
+		stalled int
+	}{
+		"large":         {4 << 20, 100},
+		"one after one": {4 << 20, 12},
+		"of 128 KiB":    {128 << 10, 400},
+		"of 8 KiB":      {8 << 10, all - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBudget(size)
+			for range c.stalled {
+				r, n := b.NewReservation(), int64(initialBufferSize)
+				for total := n; total <= c.largest && r.Grow(n) == nil; total += n {
+					n = total
+				}
+			}
+			for i := range all - c.stalled {
+				if err := b.NewReservation().Grow(initialBufferSize); err != nil {
+					t.Fatalf("reservation %d of %d bytes: %v", i, initialBufferSize, err)
+				}
+			}
+		})
+	}
+}
