Keep at most 256 versions that an endpoint reports

Cause: the versions in the head of a reply and in the answer to a probe were kept as they came, as many as fit: 30,721 empty ones in 30 KiB take 490 KB for each endpoint (TestManyVersions). Change: the first 256 are kept. Result: TestManyVersions passes.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -30,6 +30,7 @@
 	// decoded once and encoded once for the caller.
 	lineCost           = 5
 	maxProbeReplyBytes = 64 << 10
+	maxVersions        = 256 // that an endpoint may report; they are kept for each endpoint
 )
 
 // Settings holds the timeouts and size limits of calls to endpoints.
@@ -357,11 +358,23 @@
 	}
 	r.Wait, r.HasWait = parseWaitHeader(h.Get(HeaderWait))
 	if v := h.Get(HeaderVersions); v != "" {
-		r.Versions = strings.Split(v, ",")
+		r.Versions = limitVersions(strings.SplitN(v, ",", maxVersions+1))
 	}
 	return r
 }
 
+// limitVersions returns the first maxVersions versions, without the memory of the others.
+func limitVersions(l []string) []string {
+	if len(l) <= maxVersions {
+		return l
+	}
+	out := make([]string, 0, maxVersions)
+	for _, v := range l[:maxVersions] {
+		out = append(out, strings.Clone(v))
+	}
+	return out
+}
+
 // parseWaitHeader parses a waiting time and reports whether it is valid.
 func parseWaitHeader(s string) (time.Duration, bool) {
 	d, err := time.ParseDuration(s)
@@ -370,7 +383,7 @@
 
 // Report returns the endpoint's state as a Report.
 func (l ProbeReply) Report() Report {
-	r := Report{Outstanding: l.Outstanding, Slots: l.Slots, Versions: l.Versions, Leaving: l.Leaving}
+	r := Report{Outstanding: l.Outstanding, Slots: l.Slots, Versions: limitVersions(l.Versions), Leaving: l.Leaving}
 	r.Wait, r.HasWait = parseWaitHeader(l.Wait)
 	return r
 }
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -85,3 +86,16 @@
 		b.Fatal(err)
 	}
 }
+
+// TestManyVersions guards against an endpoint whose report of very many versions is kept.
+func TestManyVersions(t *testing.T) {
+	for name, text := range map[string]string{"none": "", "one": "m@1", "most": strings.Repeat("m@1,", maxVersions-1) + "m@1", "too many": strings.Repeat(",", 30<<10)} {
+		h := http.Header{}
+		h.Set(HeaderVersions, text)
+		reported, probed := parseReport(h).Versions, ProbeReply{Versions: strings.Split(text, ",")}.Report().Versions
+		want := min(len(strings.Split(text, ",")), maxVersions)
+		if text != "" && len(reported) != want || len(probed) != want || cap(reported) > 2*maxVersions {
+			t.Errorf("%s: %d and %d versions, room for %d, want %d", name, len(reported), len(probed), cap(reported), want)
+		}
+	}
+}
