Give each call of a read from the log its own timeout

Cause: since a read asks for fewer records when it finds no memory, its calls shared one timeout, and a log that is slow with the first ones left none for the last. With the race detector TestLargePages failed so ("context deadline exceeded", one run). Change: each call has the timeout; a reader waits for the others at most as long. Result: the tests of the package pass, in 8 s and with the race detector in 45 s.

--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/memory"
@@ -33,13 +32,13 @@
 	client  *http.Client
 	timeout time.Duration // of a call, in addition to the wait of a read
 	memory  *memory.Budget
-	single  sync.Mutex // held while a page of one record is read without the budget
+	single  chan struct{} // holds an element while a page of one record is read without the budget
 }
 
 // NewClient returns a client of the services at the base URL. The timeout applies to each call; a read gets its wait in
 // addition.
 func NewClient(base string, client *http.Client, timeout time.Duration) *Client {
-	return &Client{base: base, client: client, timeout: timeout}
+	return &Client{base: base, client: client, timeout: timeout, single: make(chan struct{}, 1)}
 }
 
 // LimitMemory sets the budget of the pages and lists that are read at a time; without one they are bounded one by one.
@@ -70,8 +69,6 @@
 // Read returns up to limit records of a stream, starting at an offset. If there are none, the log waits for one until
 // wait has passed. If there is no memory for them, it asks for fewer.
 func (c *Client) Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
-	defer cancel()
 	for c.memory != nil {
 		p, err := c.read(ctx, stream, from, limit, wait, c.memory, maxReplyBytes)
 		var m *memory.Error
@@ -79,15 +76,29 @@
 			return p, err
 		}
 		if limit <= 1 {
-			c.single.Lock() // so that a reader gets past its next record, whatever others hold
-			defer c.single.Unlock()
-			return c.read(ctx, stream, from, limit, 0, nil, maxRecordReplyBytes)
+			return c.readSingle(ctx, stream, from, err)
 		}
 		limit = max(1, limit/smallerPage)
 	}
 	return c.read(ctx, stream, from, limit, wait, nil, maxReplyBytes)
 }
 
+// readSingle reads one record outside the budget, so that a reader gets past its next record whatever others hold. It returns err if
+// others do so for too long.
+func (c *Client) readSingle(ctx context.Context, stream string, from Offset, err error) (Page, error) {
+	t := time.NewTimer(c.timeout)
+	defer t.Stop()
+	select {
+	case c.single <- struct{}{}:
+	case <-t.C:
+		return Page{}, err
+	case <-ctx.Done():
+		return Page{}, err
+	}
+	defer func() { <-c.single }()
+	return c.read(ctx, stream, from, 1, 0, nil, maxRecordReplyBytes)
+}
+
 // read makes one call of Read, whose reply has at most maxBytes.
 func (c *Client) read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration, b *memory.Budget, maxBytes int64) (Page, error) {
 	q := url.Values{
@@ -95,6 +106,8 @@
 		"limit": {strconv.Itoa(limit)},
 		"wait":  {wait.String()},
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+wait)
+	defer cancel()
 	var p Page
 	err := c.roundTrip(ctx, "read", http.MethodGet, "/v1/streams/"+url.PathEscape(stream)+"?"+q.Encode(), nil, b, maxBytes, &p)
 	if err != nil {
