Let an instance that has just started refuse a request with little time

Cause: the check. All six were requests with a deadline of 300 ms, sent 6 to 18 ms after the instance had started.

Requests with the usual deadline have to be served then as before.

--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -22,6 +22,7 @@
 	unusualRequests  = 24                      // one in so many requests is a slow stream, if it is a stream, or has shortDeadline
 	slowDeadline     = 5 * time.Second         // longer than a slow stream of six events
 	shortDeadline    = 300 * time.Millisecond
+	startSlack       = time.Second     // after the start of an instance, in which it reads its first configuration
 	lateStopRequests = 3 * time.Second // after SIGTERM; the rule on lost requests excuses cuts at the end of the grace period up to it
 )
 
@@ -128,24 +129,30 @@
 			return true
 		}
 	}
-	return c.anyStop(q, func(stop time.Time) bool {
+	return c.anyStop(q, q.sent, func(stop time.Time) bool {
 		return q.end.After(stop.Add(gracePeriod-gracePeriod/6)) && q.sent.Before(stop.Add(lateStopRequests))
 	})
 }
 
-// refusalIsExcused reports whether an instance that stops may refuse the request, as its deadline lies beyond the grace period or in
-// the last part of it, which the instance keeps for its exit.
+// refusalIsExcused reports whether an instance may refuse the request: one that stops, if the deadline lies beyond the grace period or
+// in the last part of it, which the instance keeps for its exit; one that has just started, if the request has no time to wait for
+// its configuration.
 func (c *checker) refusalIsExcused(q *request) bool {
-	return c.fleet.options.StopSeries && c.anyStop(q, func(stop time.Time) bool {
-		return q.sent.Add(q.Deadline).After(stop.Add(gracePeriod - exitReserve))
-	})
+	if !c.fleet.options.StopSeries {
+		return false
+	}
+	if q.Deadline == shortDeadline && c.anyStop(q, q.sent.Add(-startSlack), func(time.Time) bool { return true }) {
+		return true
+	}
+	return c.anyStop(q, q.sent, func(stop time.Time) bool { return q.sent.Add(q.Deadline).After(stop.Add(gracePeriod - exitReserve)) })
 }
 
-// anyStop reports whether f holds for the beginning of a restart of the request's instance that overlaps the request.
-func (c *checker) anyStop(q *request, f func(stop time.Time) bool) bool {
+// anyStop reports whether f holds for the beginning of a restart of the request's instance that was under way at some time between
+// from and the end of the request.
+func (c *checker) anyStop(q *request, from time.Time, f func(stop time.Time) bool) bool {
 	q.instance.mu.Lock()
 	defer q.instance.mu.Unlock()
 	return slices.ContainsFunc(q.instance.disturbances, func(d *disturbance) bool {
-		return anyOverlaps([]*disturbance{d}, q.sent, q.end) && f(d.from)
+		return anyOverlaps([]*disturbance{d}, from, q.end) && f(d.from)
 	})
 }
