--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,9 +79,14 @@
 	if o.StopSeries {
 		plannedDuration = o.FaultDuration
 		extra.Go(func() { f.stopInSeries(ctx, time.Now().Add(plannedDuration)) })
+		extra.Go(func() { f.preempt(ctx, time.Now().Add(plannedDuration)) })
+		f.setIdleTimeout(maxThinkTime * 7 / 8) // some requests cross it
 	}
 	f.runActions(ctx, time.Now().Add(plannedDuration), plannedChanges)
 	extra.Wait()
+	if o.StopSeries {
+		f.setIdleTimeout(time.Minute)
+	}
 	time.Sleep(settleTime)
 	quietFrom := time.Now()
 	time.Sleep(quietPeriod)
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,9 +21,14 @@
 	maxSignalGap     = 1500 * time.Millisecond // upper bound of the time between two signals to a process
 	maxExtraSignals  = 4                       // further signals to a process that stops
 	unusualRequests  = 24                      // one in so many requests is a slow stream, if it is a stream, or has shortDeadline
-	slowDeadline     = 5 * time.Second         // longer than a slow stream of six events
+	lateRequests     = 12                      // of unusualRequests are answered late, if they may be repeated
+	minLateResponse  = 150                     // ms; an instance waits for 200 ms at least
+	maxLateResponse  = 500
+	slowDeadline     = 5 * time.Second // longer than a slow stream of six events
 	shortDeadline    = 300 * time.Millisecond
-	startSlack       = time.Second     // after the start of an instance, in which it reads its first configuration
+	startSlack       = time.Second // after the start of an instance, in which it reads its first configuration
+	maxPreemption    = 30 * time.Millisecond
+	maxPreemptionGap = 100 * time.Millisecond
 	lateStopRequests = 3 * time.Second // after SIGTERM; the rule on lost requests excuses cuts at the end of the grace period up to it
 )
 
@@ -71,6 +77,26 @@
 	}
 }
 
+// preempt pauses all instances for some milliseconds time and again until a time, as a busy machine does. Such a pause excuses
+// nothing.
+func (f *fleet) preempt(ctx context.Context, until time.Time) {
+	var w sync.WaitGroup
+	defer w.Wait()
+	for _, n := range f.instances {
+		rng := rand.New(rand.NewPCG(f.options.Seed, uint64(1000+n.index)))
+		w.Go(func() {
+			for ctx.Err() == nil && time.Now().Before(until) {
+				time.Sleep(time.Duration(rng.Int64N(int64(maxPreemptionGap))))
+				if p := n.currentProcess(); p != nil {
+					p.signal(syscall.SIGSTOP)
+					time.Sleep(time.Duration(rng.Int64N(int64(maxPreemption))))
+					p.signal(syscall.SIGCONT)
+				}
+			}
+		})
+	}
+}
+
 // sendSignals sends signals to a process until it has ended; p may be nil.
 func sendSignals(p *process, l []delayedSignal) {
 	if p == nil {
@@ -96,19 +122,29 @@
 	return slices.ContainsFunc(n.disturbances, func(d *disturbance) bool { return d.to.IsZero() })
 }
 
-// makeUnusual makes some requests last for seconds and gives others hardly any time.
+// makeUnusual makes some requests last for seconds, gives others hardly any time, and has some answered at about the time at which
+// an instance would give up waiting for the first byte.
 func (q *request) makeUnusual(rng *rand.Rand) {
-	switch rng.IntN(unusualRequests) {
-	case 0:
-		if q.Model != "" {
-			q.Path += standin.SlowSuffix
-			q.Deadline = slowDeadline
-		}
-	case 1:
+	late := minLateResponse + rng.IntN(maxLateResponse-minLateResponse)
+	switch k := rng.IntN(unusualRequests); {
+	case k == 0 && q.Model != "":
+		q.Path += standin.SlowSuffix
+		q.Deadline = slowDeadline
+	case k == 1:
 		q.Deadline = shortDeadline
+	case k < lateRequests && !q.isOnceOnly():
+		q.Path += standin.LatePrefix + strconv.Itoa(late)
 	}
 }
 
+// setIdleTimeout changes the time for which instances keep idle connections of clients.
+func (f *fleet) setIdleTimeout(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config["limits"].(map[string]any)["idleTimeoutMs"] = d.Milliseconds()
+	f.publishConfig()
+}
+
 // isOnceOnly reports whether the request may run once at most.
 func (q *request) isOnceOnly() bool {
 	return q.Path == standin.PathOnce || strings.HasPrefix(q.Path, standin.PathSingleStream)
