--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -41,8 +41,12 @@
 	refusalTimeout  = 100 * time.Millisecond // to write a refusal
 )
 
-// errHead states that a head was refused.
-var errHead = errors.New("connlimit: head refused")
+var (
+	// errHead states that a head was refused.
+	errHead = errors.New("connlimit: head refused")
+	// errEvicted states that a connection was evicted. Net/http writes no answer to a failed read.
+	errEvicted = &net.OpError{Op: "read", Err: net.ErrClosed}
+)
 
 // Refusals of heads. The request has not run.
 const (
@@ -77,7 +81,8 @@
 	head       *memory.Reservation
 	pipelined  bool
 	closed     bool        // what it held is released
-	evicted    bool        // closed to make room for others
+	evicted    bool        // closed because of a limit; what it sends from then on is dropped
+	reading    bool        // the server waits for bytes, so it has no whole request that it has not begun
 	received   int         // of an opaque connection, until it is proven
 	unproven   *time.Timer // closes an opaque connection that sends next to nothing
 
@@ -95,64 +100,28 @@
 		}
 	}
 	if l.options.Opaque {
-		n.unproven = time.AfterFunc(unprovenTimeout, func() {
-			n.listener.limiter.Count(ReasonUnproven, n.listener.options.Name, n.RemoteAddr().String())
-			_ = n.Close()
-		})
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.unproven = time.AfterFunc(unprovenTimeout, n.closeUnproven)
 	}
 	return n
 }
 
-// Evicted reports whether the connection was closed to make room for others.
-func (c *Conn) Evicted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.evicted
-}
-
-// markEvicted records that the connection is closed to make room for others.
-func (c *Conn) markEvicted() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.evicted = true
-}
-
-// progress returns when to close the connection if there are too many, 0 for not at all, and for how long it has waited.
-func (c *Conn) progress(now time.Time) (rank int, wait time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.listener.options.Opaque && c.unproven != nil, c.phase == phaseHead, c.phase == phaseIdle && c.unused && !c.listener.options.Opaque:
-		return 1, now.Sub(c.since)
-	case c.phase == phaseIdle && (!c.listener.options.Opaque || !c.unused):
-		return 2, now.Sub(c.since)
-	}
-	return 0, 0
-}
-
-// holdsHead reports whether the connection has waited for some time for the rest of a head that has memory reserved.
-func (c *Conn) holdsHead(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.phase == phaseHead && c.charged > 0 && now.Sub(c.since) > minAge
-}
-
-func (c *Conn) phaseStart() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.since
-}
-
-// Read reads from the connection. It returns an error after a head that exceeds the limits.
+// Read reads from the connection. It returns an error after a head that exceeds the limits, and if the connection was evicted.
 func (c *Conn) Read(b []byte) (int, error) {
+	c.setReading(true)
 	n, err := c.Conn.Read(b)
 	if n <= 0 {
+		c.setReading(false)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.NoteTimeout()
 		}
 		return n, err
 	}
-	reason := c.noteRead(b[:n], len(b))
+	reason, ok := c.noteRead(b[:n], len(b))
+	if !ok {
+		return 0, errEvicted
+	}
 	if reason == ReasonHeadMemory && c.listener.limiter.closeSlowestHeads(time.Now(), c) {
 		reason = c.retryHead()
 	}
@@ -170,6 +139,13 @@
 	return 0, errHead
 }
 
+// setReading records whether the server waits for bytes.
+func (c *Conn) setReading(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = v
+}
+
 // NoteTimeout counts a timeout of the connection if a head has not ended.
 func (c *Conn) NoteTimeout() {
 	c.mu.Lock()
@@ -187,24 +163,33 @@
 	return c.checkHead()
 }
 
-// noteRead follows the phases of a connection and returns why its head is to be refused, or "".
-func (c *Conn) noteRead(b []byte, size int) Reason {
+// noteRead follows the phases of a connection and returns why its head is to be refused, or "". It returns false if the bytes are to be
+// dropped, as the connection was evicted before they were read.
+func (c *Conn) noteRead(b []byte, size int) (Reason, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	switch {
+	case c.evicted:
+		return "", false
 	case c.closed:
-		return "" // the server notices by its next read or write
+		return "", true // the server notices by its next read or write
 	case c.listener.options.Opaque:
 		c.noteOpaque(len(b))
-		return ""
+		return "", true
 	case c.phase == phaseActive:
 		// While a request is under way and its body is read, net/http reads a single byte to notice that the client leaves.
-		if size == 1 && !c.pipelined {
+		// The byte may also be the first of a request that came between the end of the answer and that of this read.
+		switch {
+		case size == 1 && !c.pipelined:
 			c.pipelined = true
 			c.listener.limiter.Count(ReasonPipelined, c.listener.options.Name, c.RemoteAddr().String())
 			c.setReadBuffer(pipelinedBuffer)
+		case size > 1 && c.pipelined: // the body of that request
+			c.pipelined = false
+			c.setReadBuffer(unreadBytes)
 		}
-		return ""
+		return "", true
 	case c.phase == phaseIdle:
 		if c.pipelined && len(b) < size { // all that the client has sent was read
 			c.pipelined = false
@@ -213,7 +198,7 @@
 		c.phase, c.since = phaseHead, time.Now()
 	}
 	c.countHead(b)
-	return c.checkHead()
+	return c.checkHead(), true
 }
 
 // setReadBuffer sets the size of the kernel's buffer for bytes that are not read yet. On failure it stays as it is.
@@ -234,6 +219,18 @@
 	}
 }
 
+// closeUnproven closes an opaque connection unless it has been proven.
+func (c *Conn) closeUnproven() {
+	c.mu.Lock()
+	due := c.unproven != nil && !c.closed && !c.evicted
+	c.evicted = c.evicted || due
+	c.mu.Unlock()
+	if due {
+		c.listener.limiter.Count(ReasonUnproven, c.listener.options.Name, c.RemoteAddr().String())
+		_ = c.Close()
+	}
+}
+
 // countHead counts the bytes and fields of a head, up to its end.
 func (c *Conn) countHead(b []byte) {
 	for i, x := range b {
--- a/internal/connlimit/reuse_test.go
+++ b/internal/connlimit/reuse_test.go
@@ -110,6 +110,33 @@
 	}
 }
 
+// TestLongBodyAfterEarlyByte guards against a small buffer for a long body, which makes it slow, of a request whose first byte was read in
+// the background: net/http writes the answer before it ends that read, so a client that waits for its answers meets it, too.
+func TestLongBodyAfterEarlyByte(t *testing.T) {
+	s := &scriptedConn{buffer: unreadBytes}
+	c := newConn(s, newTestListener(New(Options{Memory: 16 << 20}), false))
+	read := func(size int, text string) {
+		s.reads = []string{text}
+		_, _ = c.Read(make([]byte, size))
+	}
+	const post, rest = "POST / HTTP/1.1\r\nHost: h\r\n", "Content-Length: 100000\r\n\r\n"
+	read(4<<10, post+"\r\n")
+	c.setState(http.StateActive)
+	read(1, post[:1])
+	c.setState(http.StateIdle)
+	const left = 4<<10 - 1
+	read(left, post[1:]+rest+strings.Repeat("x", left-len(post[1:]+rest)))
+	c.setState(http.StateActive)
+	read(4<<10, strings.Repeat("x", 4<<10))
+	if s.buffer != unreadBytes {
+		t.Errorf("buffer of %d bytes for the body, want %d", s.buffer, unreadBytes)
+	}
+	read(1, post[:1])
+	if s.buffer != pipelinedBuffer {
+		t.Errorf("buffer of %d bytes beside a pipelined request", s.buffer)
+	}
+}
+
 // TestLongRequestAfterBody guards against the server's deadline for a body, which would end the context of a request whose handler runs
 // longer.
 func TestLongRequestAfterBody(t *testing.T) {
@@ -173,3 +200,47 @@
 		}
 	}
 }
+
+// hookedBody calls onEnd when the end of the body has been read, before the reader learns of it.
+type hookedBody struct {
+	io.ReadCloser
+	onEnd func()
+}
+
+func (b hookedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.onEnd()
+	}
+	return n, err
+}
+
+// TestSlowBodyClosesConn guards against a connection on which net/http cancels all further requests: its background read has met the
+// deadline of a body that was found too slow when its end had just been read.
+func TestSlowBodyClosesConn(t *testing.T) {
+	budget := memory.NewBudget(64 << 10)
+	a := startServer(t, New(Options{Memory: 64 << 20}), 1, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = hookedBody{r.Body, func() {
+			time.Sleep(1100 * time.Millisecond) // longer than a transfer may pause while others need its memory
+			other := budget.NewReservation()
+			defer other.Release()
+			_ = other.Grow(60 << 10) // more than is left
+			<-r.Context().Done()
+		}}
+		b, err := BodyReader{Budget: budget}.Read(w, r, 20<<10)
+		b.Release()
+		if err != nil {
+			w.WriteHeader(http.StatusTooManyRequests)
+		}
+	})
+	c := dial(t, a)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusTooManyRequests || !resp.Close {
+		t.Errorf("status %d, connection closed: %v; want a refusal and a closed connection", resp.StatusCode, resp.Close)
+	}
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -89,6 +89,9 @@
 	cold          coldStarts
 	pools         map[string]*pool // by service; only those whose engines state their memory
 	instances     int              // that send requests to the endpoints, this one included
+	hasLimits     bool             // an endpoint may have a limit; false spares choices a look at each endpoint
+	heldBack      bool             // the present choice leaves out an endpoint that has had what its limit allows
+	heldBackCount map[string]int64 // such choices since the last call of HeldBack, by service
 	loadsAt       time.Time        // when the loads of the other instances were collected
 
 	evacuatedZones  map[string]bool
@@ -120,7 +123,7 @@
 	for id, s := range t.states {
 		// An endpoint that has left keeps its state until its last request has ended. What it has asked for holds if its
 		// registration comes back.
-		if states[id] == nil && (s.localRequests > 0 || s.leaving || !s.pausedUntil.IsZero()) {
+		if states[id] == nil && (s.localRequests > 0 || s.leaving || !s.pausedUntil.IsZero() || s.limit.Stated()) {
 			states[id] = s
 		}
 	}
@@ -140,6 +143,7 @@
 // Choose returns the endpoint with the lowest cost, or false if there is no suitable endpoint.
 func (t *Table) Choose(now time.Time, r Request) (Choice, bool) {
 	m := t.latencyModel(r.Service, r.Model)
+	t.heldBack = false
 	if r.memory = t.memoryNeed(now, r); r.memory.limit > 0 {
 		t.pools[r.Service].scarce++
 	}
@@ -151,6 +155,7 @@
 	if !found {
 		best, found = t.fallback(now, r, m)
 	}
+	t.countHeldBack(r.Service)
 	best.RelativeWork = t.pools[r.Service].relativeWork(m, best.UncachedTokens)
 	return best, found
 }
@@ -165,11 +170,15 @@
 	l := t.services[r.Service]
 	for i := range l {
 		e, s := &l[i], states[i]
-		if !cache.isCandidate(i) || t.avoid(now, s, &r.memory) || !t.eligible(now, &r, e, s) {
+		limited := t.limited(now, s)
+		if !limited && !cache.isCandidate(i) || t.avoid(now, s, &r.memory) || !t.eligible(now, &r, e, s) {
 			continue
 		}
 		c := t.estimate(now, e, s, m, cache.uncached(i))
 		v := t.cost(now, &r, m, s, &c)
+		if limited {
+			v *= limitedCostShare
+		}
 		if v < lowest {
 			best, lowest, found = c, v, true
 		}
@@ -177,12 +186,16 @@
 	return best, found
 }
 
+// limitedCostShare is the share of its cost that counts for an endpoint whose limit permits a request now. What is not used of a limit is
+// lost, and only responses tell that a limit is over.
+const limitedCostShare = 0.5
+
 // eligible reports whether an endpoint may get the request. An ejected one may if there is no other; one that has asked for no
-// requests, is cold and has had its share, whose memory the request would exceed, or whose availability zone is evacuated, may
+// requests, is cold or has a limit and has had its share, whose memory the request would exceed, or whose availability zone is evacuated, may
 // not.
 func (t *Table) eligible(now time.Time, r *Request, e *routing.Endpoint, s *state) bool {
 	return !s.evacuated && s.acceptsWork(now) && !r.ExcludedEndpoints[e.ID] && (r.Version == "" || e.Version == r.Version) &&
-		!r.memory.excludes(s) && t.permits(now, r.Service, s)
+		!r.memory.excludes(s) && t.permits(now, r.Service, s) && t.withinLimit(now, s)
 }
 
 // avoid reports whether an eligible endpoint gets the request only if no other can take it.
--- a/internal/core/placement/state.go
+++ b/internal/core/placement/state.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/coldstart"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/requestlimit"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
@@ -23,6 +24,7 @@
 	startedAtMS int64 // start of the process in Unix time
 	address     netip.AddrPort
 	hash        uint64 // hash of the endpoint's identifier
+	process     uint32 // see processHash
 
 	localRequests  int            // requests that this instance has in progress
 	localTokens    int            // tokens of these requests in the engine's memory
@@ -47,7 +49,9 @@
 	askedAt            time.Time // when it last asked for one of the two
 	remotePausedUntil  time.Time // it has asked other instances for no requests before then
 	pauseNoticed       bool      // EndedPauses is to return the endpoint after its pause
-	evacuated          bool      // its availability zone is evacuated
+	limit              requestlimit.Endpoint
+	limitNoticed       float64 // limit of the last change that was returned
+	evacuated          bool    // its availability zone is evacuated
 
 	prefixes map[uint64]time.Time // time of the last use, by prefix hash
 
@@ -57,7 +61,7 @@
 }
 
 func newState(e routing.Endpoint) *state {
-	return &state{startedAtMS: e.StartedAtMS, address: e.Address, hash: xxhash.Sum64String(e.ID), latencyFactor: 1, prefixes: map[uint64]time.Time{}, heldParts: map[uint64]int{}}
+	return &state{startedAtMS: e.StartedAtMS, address: e.Address, hash: xxhash.Sum64String(e.ID), process: processHash(e), latencyFactor: 1, prefixes: map[uint64]time.Time{}, heldParts: map[uint64]int{}}
 }
 
 // succeed returns the state of a new process in place of one with state s, which may be nil.
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -4,13 +4,18 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
+// maxMemoryWait is how long a reply waits for memory that others hold, as long as the body of a caller does.
+const maxMemoryWait = 250 * time.Millisecond
+
 // ServiceCall is a request to a plain service.
 type ServiceCall struct {
 	Method       string
@@ -22,12 +27,21 @@
 	FencingToken string // fencing token; empty for none
 }
 
-// ServiceReply is a plain service's reply.
+// ServiceReply is a plain service's reply. It must be released when its body is not used any more.
 type ServiceReply struct {
 	Status int
 	Header http.Header
 	Body   []byte
 	Report Report
+
+	reservation *memory.Reservation
+}
+
+// Release releases the memory of the reply.
+func (r ServiceReply) Release() {
+	if r.reservation != nil {
+		r.reservation.Release()
+	}
 }
 
 // CallService makes a call that may be repeated. ErrRefused means that nothing was sent.
@@ -49,7 +63,7 @@
 	if err != nil {
 		return nil, &Error{Op: "connect", Kind: ErrRefused, Err: err}
 	}
-	return &SingleUseConn{c: c, address: a, conn: conn}, nil
+	return &SingleUseConn{c: c, address: a, conn: &headConn{Conn: conn}}, nil
 }
 
 // Close closes a connection that was not used for a call.
@@ -61,7 +75,7 @@
 	conns <- s.conn
 	// If a connection fails, net/http repeats a request with an Idempotency-Key on another one.
 	// The transport has a single connection, so that it can't.
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes, DialContext: func(context.Context, string, string) (net.Conn, error) {
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes, DialContext: func(context.Context, string, string) (net.Conn, error) {
 		select {
 		case conn := <-conns:
 			return conn, nil
@@ -84,7 +98,8 @@
 func (c *Client) callService(ctx context.Context, t http.RoundTripper, a netip.AddrPort, call ServiceCall, timeout time.Duration) (ServiceReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := newServiceRequest(callCtx, a, call)
+	var head headLimit
+	req, err := newServiceRequest(head.context(callCtx), a, call)
 	if err != nil {
 		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
 	}
@@ -92,24 +107,50 @@
 	hc := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	res, err := hc.Do(req)
 	if err != nil {
-		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
+		return ServiceReply{}, classifyServiceError(ctx, callCtx, head.explain(err))
 	}
 	defer func() { _ = res.Body.Close() }()
 	if err := checkOwner("service", res, call.ID); err != nil {
 		return ServiceReply{}, err
 	}
 	c.s.Propagator.ExtractHeader(res.Header)
-	b, err := io.ReadAll(io.LimitReader(res.Body, c.s.MaxReplyBytes+1))
-	if err != nil {
+	out := ServiceReply{Status: res.StatusCode, Header: res.Header, Report: parseReport(res.Header)}
+	if err := c.readBody(callCtx, &out, res); err != nil {
+		out.Release()
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
 	}
-	if int64(len(b)) > c.s.MaxReplyBytes {
-		return ServiceReply{}, &Error{Op: "service", Kind: ErrTooLarge, Err: errors.New("reply exceeds the limit")}
+	return out, nil
+}
+
+// readBody reads the body of a reply. A body that states a length above the limit is not read.
+func (c *Client) readBody(ctx context.Context, r *ServiceReply, res *http.Response) error {
+	if res.ContentLength > c.s.MaxReplyBytes && res.Body != http.NoBody { // a reply to HEAD has none
+		return &Error{Op: "service", Kind: ErrTooLarge, Err: fmt.Errorf("reply of %d bytes, the limit is %d", res.ContentLength, c.s.MaxReplyBytes)}
+	}
+	reserve := func(int64) error { return nil }
+	if c.s.ReplyMemory != nil {
+		r.reservation = c.s.ReplyMemory.NewReservation()
+		reserve = func(n int64) error { return growWait(ctx, r.reservation, n) }
 	}
-	if len(b) == 0 && endsWithConnection(res) {
-		return ServiceReply{}, &Error{Op: "service", Kind: ErrConnectionLost, Err: errors.New("the connection ended before the first byte of a body without a length")}
+	var err error
+	r.Body, err = memory.ReadAll(res.Body, c.s.MaxReplyBytes, reserve)
+	var m *memory.Error
+	switch {
+	case errors.As(err, &m) && m.Kind == memory.ErrTooLarge:
+		return &Error{Op: "service", Kind: ErrTooLarge, Err: err}
+	case errors.As(err, &m):
+		return &Error{Op: "service", Kind: ErrNoMemory, Err: err}
+	case err == nil && len(r.Body) == 0 && endsWithConnection(res):
+		return &Error{Op: "service", Kind: ErrConnectionLost, Err: errors.New("the connection ended before the first byte of a body without a length")}
 	}
-	return ServiceReply{Status: res.StatusCode, Header: res.Header, Body: b, Report: parseReport(res.Header)}, nil
+	return err
+}
+
+// growWait reserves n more bytes and waits a little for room.
+func growWait(ctx context.Context, r *memory.Reservation, n int64) error {
+	ctx, cancel := context.WithTimeout(ctx, maxMemoryWait)
+	defer cancel()
+	return r.GrowWait(ctx, n)
 }
 
 // endsWithConnection reports whether only the end of the connection marks the end of a reply's body.
@@ -141,6 +182,10 @@
 
 // classifyServiceError returns the error of a call that was cancelled, timed out or lost its connection.
 func classifyServiceError(callerCtx, callCtx context.Context, err error) error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
 	kind := transportErrorKind(err, ErrConnectionLost)
 	switch {
 	case kind == ErrRefused:
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -19,6 +19,7 @@
 const (
 	maxStrayResponses = 4        // responses to other requests that are skipped before the connection is closed
 	maxInlineWrite    = 8 << 10  // bytes of a request that is written before reading starts; they fit into any socket buffer
+	longRequest       = 64 << 10 // bytes of a request that an endpoint may be slow to read; shorter ones fit into its socket buffer
 	maxDrainBytes     = 64 << 10 // of a response body that is read only to reuse the connection
 )
 
@@ -93,6 +94,12 @@
 // exchange writes a request and reads the head of its response.
 func (c *conn) exchange(q Request, isOwn func(http.Header) bool, w *writeState) (*http.Response, error) {
 	b := q.encode()
+	if len(b) > longRequest {
+		// The user timeout also counts while the endpoint takes no more bytes, although its host confirms that it is there.
+		if err := c.clearUserTimeout(); err != nil {
+			return nil, &Error{Op: "write", Kind: c.failureKind(), Err: err}
+		}
+	}
 	if len(b) <= maxInlineWrite {
 		if _, err := c.Write(b); err != nil {
 			return nil, &Error{Op: "write", Kind: c.failureKind(), Err: err}
@@ -107,7 +114,7 @@
 		}()
 	}
 	received := false
-	c.headLeft = maxHeadBytes
+	c.beginHead()
 	for strays := 0; strays < maxStrayResponses; {
 		if _, err := c.reader.Peek(1); err != nil {
 			if received {
@@ -120,6 +127,8 @@
 		switch {
 		case err != nil:
 			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: err}
+		case countLines(r.Header) > maxHeadLines:
+			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: fmt.Errorf("response head exceeds %d lines", maxHeadLines)}
 		case r.StatusCode < http.StatusOK:
 			continue // interim responses count towards the size of the head
 		case isOwn(r.Header):
@@ -131,7 +140,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes)); err != nil || n == maxDrainBytes || r.Close {
 			return nil, &Error{Op: "skip", Kind: ErrBadResponse, Err: errors.Join(err, fmt.Errorf("response belongs to another request"))}
 		}
-		c.headLeft = maxHeadBytes
+		c.beginHead()
 	}
 	return nil, &Error{Op: "read", Kind: ErrBadResponse, Err: fmt.Errorf("%d responses belong to other requests", maxStrayResponses)}
 }
@@ -186,6 +195,9 @@
 	return nil
 }
 
+// HasUnread reports whether bytes of the response, or its end, have arrived that were not read yet.
+func (r *Response) HasUnread() bool { return !IsIdle(r.conn.Conn) }
+
 // SetTimeoutHandler sets the function that is called when a wait for bytes has ended, with the delay of the timer.
 // The function returns how much longer to wait, or 0 to give up.
 func (r *Response) SetTimeoutHandler(f func(delay time.Duration) time.Duration) { r.conn.onTimeout = f }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,7 @@
 	attempts          int                 // attempts that may have reached an endpoint
 	connectFailures   int                 // attempts that could not connect
 	retryReserved     bool                // the retry budget was already charged for the next attempt
+	begun             *attempt            // next attempt, which is under way already; nil if none is
 	mayHaveRun        bool                // an endpoint may have run the request
 	lastFailure       *bufferedResponse   // the endpoint's latest 5xx response
 	bodyMemory        *memory.Reservation // for the body of the request
@@ -116,12 +118,11 @@
 	defer cancel()
 	x.ctx = ctx
 	x.excludedEndpoints = map[string]bool{}
+	defer x.discardBegun()
 	x.service = x.route.PickService(rand.Float64())
 	x.handler.balancer.countRequest(time.Now(), x.service)
 	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
-	if x.request.Model == attributes.AnyModel && len(x.route.Models) > 0 {
-		x.model = x.route.Models[0]
-	}
+	x.pickModel()
 	if localErr := x.admit(); localErr != nil {
 		x.finishUnserved(localErr)
 		return
@@ -141,8 +142,22 @@
 	}
 }
 
+// pickModel keeps the model that was picked for the request if the route has it, and picks the smallest one otherwise.
+func (x *exchange) pickModel() {
+	switch {
+	case x.request.Model != attributes.AnyModel || len(x.route.Models) == 0:
+		x.model = ""
+	case !slices.Contains(x.route.Models, x.model):
+		x.model = x.route.Models[0]
+	}
+}
+
 // attemptOnce makes one attempt if the deadline, the route and the retry budget allow it.
 func (x *exchange) attemptOnce() (nextStep, *localError) {
+	if a := x.begun; a != nil {
+		x.begun = nil
+		return x.completeAttempt(a), nil
+	}
 	now := time.Now()
 	if x.checkClientLeft() {
 		return stepDone, nil
@@ -173,14 +188,16 @@
 		x.handler.balancer.recordEnd(now, inFlight, false)
 		return x.giveUp("retry budget"), nil
 	}
-	x.retryReserved = false
-	x.handler.balancer.recordWork(now, x.organisation, x.placementRequest(), c)
-	a := &attempt{exchange: x, choice: c, inFlight: inFlight, sentAt: now}
-	next := a.sendAndRecord()
+	return x.completeAttempt(x.newAttempt(now, c, inFlight)), nil
+}
+
+// completeAttempt makes an attempt and gives the reason if no other one may follow.
+func (x *exchange) completeAttempt(a *attempt) nextStep {
+	next := a.complete()
 	if next == stepGiveUp && x.noRetryReason == "" {
 		x.giveUp("may have run")
 	}
-	return next, nil
+	return next
 }
 
 // checkSuspicion returns an error if the content or a part of the prompt crashes endpoints. It waits if that is about to be
@@ -260,6 +277,7 @@
 	if t := x.route.Timeout; t > 0 {
 		x.deadline = minTime(oldDeadline, x.start.Add(t))
 	}
+	x.pickModel()
 	if !x.route.SendsTo(x.service) {
 		x.service = x.route.PickService(rand.Float64())
 		x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
@@ -309,6 +327,8 @@
 			localErr.reason = "all endpoints have asked for no requests"
 		case a.AllCold():
 			localErr.reason = "all endpoints are cold"
+		case a.AllLimited():
+			localErr.reason = "all endpoints have got what their request limits allow"
 		case a.AllFull():
 			localErr.reason = "the memory of the engines is full"
 		}
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +47,7 @@
 	c := stall.Input{Timeout: s.timeout, Waits: s.elapsedWaits + 1, TimerDelay: timerDelay, Started: s.responseStarted}
 	c.EndpointActive, c.OtherEndpoints, c.SilentEndpoints = x.handler.pool.Activity(a.choice.Endpoint.Address, s.timeout)
 	d := x.handler.options.Stall.ExtendWait(c)
-	if d == 0 && !a.reserveRetry(s.retryReserve) {
+	if d == 0 && !s.moveOn() {
 		d = s.timeout
 	}
 	if d == s.timeout {
@@ -57,17 +56,24 @@
 	return d
 }
 
+// moveOn reports whether another attempt is to be made. A response that has started is kept until that attempt is under way, unless a
+// new configuration has to be applied first.
+func (s *stallTimer) moveOn() bool {
+	x := s.attempt.exchange
+	if s.responseStarted && (x.headSent || x.handler.snapshot.Load().configuration == x.snapshot.configuration) {
+		return s.attempt.beginNext(s.retryReserve)
+	}
+	return s.attempt.reserveRetry(s.retryReserve)
+}
+
 // reserveRetry reports whether the newest configuration allows the request to be sent again and another endpoint can take it,
-// and charges the retry if so. It keeps the given share of the retry budget untouched.
+// and charges the retry if so, unless one that was charged before has not been made. It keeps the given share of the retry budget untouched.
 func (a *attempt) reserveRetry(reserve float64) bool {
 	x, now := a.exchange, time.Now()
 	if !a.nextAllowed() {
 		return false
 	}
-	q := x.placementRequest()
-	q.ExcludedEndpoints = maps.Clone(x.excludedEndpoints)
-	q.ExcludedEndpoints[a.choice.Endpoint.ID] = true
-	if _, ok := x.handler.balancer.findEndpoint(now, q); !ok || !x.handler.balancer.takeRetry(now, x.service, reserve) {
+	if _, ok := x.handler.balancer.findEndpoint(now, a.nextRequest()); !ok || !x.retryReserved && !x.handler.balancer.takeRetry(now, x.service, reserve) {
 		return false
 	}
 	x.retryReserved = true
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -29,7 +30,7 @@
 		x.model, x.retryReserved = model, true
 		return stepRetry, "confidence " + strconv.Itoa(a.attributes.Confidence)
 	}
-	events := forward.NewEventReader(a.response.Body, x.responseMemory.Grow)
+	events := forward.NewEventReader(a.response.Body, x.awaitResponseMemory)
 	resumed := x.headSent && x.request.LastEventID != ""
 	extendWait := a.watchEvents()
 	if err := extendWait(time.Now()); err != nil {
@@ -52,7 +53,9 @@
 			a.dataEvents, idleBytes, a.lastEventAt = a.dataEvents+1, 0, time.Now()
 			if a.dataEvents == 1 {
 				a.firstEventAt = a.lastEventAt
-				x.handler.coordinator.prompts.unwatch(a)
+				if err := x.handler.coordinator.prompts.unwatch(a); err != nil {
+					return a.handleBrokenStream(&forward.Error{Op: "read event", Kind: forward.ErrCancelled, Err: err})
+				}
 			}
 			if a.dataEvents == gapSampleEvents {
 				a.recordMeanGap(a.dataEvents) // the end of a slow stream would come too late
@@ -84,6 +87,13 @@
 	}
 }
 
+// awaitResponseMemory reserves memory for an event. Other responses may hold it for a moment.
+func (x *exchange) awaitResponseMemory(n int64) error {
+	ctx, cancel := context.WithTimeout(x.ctx, maxAdmissionWait)
+	defer cancel()
+	return x.responseMemory.GrowWait(ctx, n)
+}
+
 const (
 	gapSampleEvents   = 5        // events from which the mean gap of a stream is computed
 	maxIdleEventBytes = 64 << 10 // bytes without data, such as comments, between two events
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,6 +42,11 @@
 	runSeeds(t, map[string]Options{"stops in series": {Seed: 5001, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4, StopSeries: true}})
 }
 
+// Guards against endpoints that get more requests than the limits that they name allow, and against refusals without need after the limits.
+func TestSoakLimits(t *testing.T) {
+	runSeeds(t, map[string]Options{"limits": {Seed: 5000, FaultDuration: 16 * time.Second, Instances: 3, Engines: 4, Limits: true}})
+}
+
 // runSeeds builds the program and runs seeds at the same time.
 func runSeeds(t *testing.T, seeds map[string]Options) {
 	t.Helper()
