Make the attempt for which one was given up though its route has moved

Cause: a stall timeout gives an attempt up because the newest configuration allows another one, and the next attempt then applied a configuration that had come into force in between and does not have the route or the key any more. The client got neither response.

The attempt for which a retry was reserved is now made as the configuration before allows, if the newest one does not allow the request. The client sent the request while that was in force, so no bound on configurations is exceeded. Whether to give up an attempt is still decided by the newest configuration.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -262,13 +262,20 @@
 	return x.request.Model
 }
 
-// refreshConfiguration applies a configuration that was published since the last attempt.
+// refreshConfiguration applies a configuration that was published since the last attempt. If it does not allow the request, an
+// attempt for which a retry was reserved is still made as the configuration before allows.
 func (x *exchange) refreshConfiguration() *localError {
 	latest := x.handler.snapshot.Load()
 	if latest.configuration == x.snapshot.configuration || x.headSent {
 		x.snapshot = latest
 		return nil
 	}
+	if x.retryReserved {
+		// An attempt was given up for the next one. Without a route, the client would get neither response.
+		if _, _, localErr := x.findRoute(latest.configuration); localErr != nil {
+			return nil
+		}
+	}
 	x.snapshot = latest
 	oldDeadline := x.deadline
 	if localErr := x.matchRoute(latest.configuration); localErr != nil {
