--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,12 @@
 	runSeeds(t, map[string]Options{"crowds": {Seed: 4000, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4, Crowds: true}})
 }
 
+// Guards against requests that are cut or left without an answer while several instances stop at a time, get further signals and
+// their clients keep using connections until they end.
+func TestSoakStopSeries(t *testing.T) {
+	runSeeds(t, map[string]Options{"stops in series": {Seed: 5001, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4, StopSeries: true}})
+}
+
 // Guards against endpoints that get more requests than the limits that they name allow, and against refusals without need after the limits.
 func TestSoakLimits(t *testing.T) {
 	runSeeds(t, map[string]Options{"limits": {Seed: 5000, FaultDuration: 16 * time.Second, Instances: 3, Engines: 4, Limits: true}})
