Test silent streams in one table

Three tests of silent streams stood apart with the same set-up and the same assertions. They are one table now; the waits and assertions are unchanged. No code changes.

go test -race ./internal/ingress ./internal/memory passes. With the response given up before the next attempt (trial), all three cases fail.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -74,7 +74,8 @@
 	go func() { a.sent <- send() }()
 }
 
-// prepareSend returns a function that sends the request and waits for the head of the response. It doesn't use the exchange.
+// prepareSend returns a function that sends the request and waits for the head of the response. The function doesn't use the
+// exchange, so that it may run beside the request's goroutine.
 func (a *attempt) prepareSend() func() sendResult {
 	x := a.exchange
 	// A retry may be the last attempt, so it does not risk a pooled connection that the endpoint may have closed.
--- a/internal/ingress/silent_stream_test.go
+++ b/internal/ingress/silent_stream_test.go
@@ -148,47 +148,47 @@
 	}
 }
 
-// TestSilentStreamRefusedElsewhere guards against ending a stream because its endpoint was silent for some time: the connection was
-// closed before another endpoint had taken the request, and all others refused it.
-func TestSilentStreamRefusedElsewhere(t *testing.T) {
-	t.Parallel()
+// beginStream starts an instance and a stream of which the client has the first event.
+func beginStream(t *testing.T) (*Ingress, *streamEngines, <-chan result) {
+	t.Helper()
 	e := &streamEngines{release: make(chan int)}
-	_, url := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, e.ServeHTTP)
+	i, url := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, e.ServeHTTP)
 	done, parts := startStream(t, url)
 	e.release <- 1
 	<-parts
-	time.Sleep(stallTestGap + 300*time.Millisecond)
-	e.release <- 2
-	close(e.release)
-	expectStream(t, done, e, 2)
+	return i, e, done
 }
 
-// TestSilentStreamOthersUnreachable guards against giving up a stream for an endpoint that is known to be unreachable, which is chosen only
-// if there is no other.
-func TestSilentStreamOthersUnreachable(t *testing.T) {
-	t.Parallel()
-	e := &streamEngines{release: make(chan int)}
-	i, url := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, e.ServeHTTP)
-	done, parts := startStream(t, url)
-	e.release <- 1
-	<-parts
-	for n := range 2 { // the stream's own endpoint is excluded anyway
-		i.balancer.markUnreachable(time.Now().Add(stallTestGap), fmt.Sprint("engine-", n))
+// TestSilentStream guards against ending a stream because its endpoint was silent for some time: the connection was closed before another
+// endpoint had taken the request, or for an attempt that was certain not to be made.
+func TestSilentStream(t *testing.T) {
+	for name, prepare := range map[string]func(t *testing.T, i *Ingress){
+		"refused elsewhere": func(*testing.T, *Ingress) {},
+		"others are known to be unreachable": func(_ *testing.T, i *Ingress) {
+			for n := range 2 { // the stream's own endpoint is excluded anyway
+				i.balancer.markUnreachable(time.Now().Add(stallTestGap), fmt.Sprint("engine-", n))
+			}
+		},
+		"content was refused since it began": func(t *testing.T, i *Ingress) {
+			refuseContent(t, i, contentID(suspect.HashContent("", []byte("/stream/x"), nil)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			i, e, done := beginStream(t)
+			prepare(t, i)
+			time.Sleep(stallTestGap + 300*time.Millisecond)
+			e.release <- 2
+			close(e.release)
+			expectStream(t, done, e, 2)
+		})
 	}
-	time.Sleep(stallTestGap + 300*time.Millisecond)
-	e.release <- 2
-	close(e.release)
-	expectStream(t, done, e, 2)
 }
 
 // TestEventCrossesStallTimeout guards against giving up a stream whose next event arrives while the timeout for it is being handled.
 func TestEventCrossesStallTimeout(t *testing.T) {
 	t.Parallel()
-	e := &streamEngines{release: make(chan int)}
-	i, url := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, e.ServeHTTP)
-	done, parts := startStream(t, url)
-	e.release <- 1
-	<-parts
+	i, e, done := beginStream(t)
 	i.balancer.mu.Lock() // the timeout looks for another endpoint
 	time.Sleep(stallTestGap + 50*time.Millisecond)
 	e.release <- 2
@@ -219,23 +219,6 @@
 	expectOneRequest(t, e)
 }
 
-// TestSilentStreamOfRefusedContent guards against giving up a stream for an attempt that is certain not to be made, as its content
-// has been refused since it began.
-func TestSilentStreamOfRefusedContent(t *testing.T) {
-	t.Parallel()
-	e := &streamEngines{release: make(chan int)}
-	i, url := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, e.ServeHTTP)
-	done, parts := startStream(t, url)
-	e.release <- 1
-	<-parts
-	id := contentID(suspect.HashContent("", []byte("/stream/x"), nil))
-	refuseContent(t, i, id)
-	time.Sleep(stallTestGap + 300*time.Millisecond)
-	e.release <- 2
-	close(e.release)
-	expectStream(t, done, e, 2)
-}
-
 // refuseContent makes an instance refuse a content.
 func refuseContent(t *testing.T, i *Ingress, id string) {
 	t.Helper()
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -19,8 +19,7 @@
 // Budget limits the bytes that are reserved at one time for one purpose. A single reservation may hold no more bytes than
 // remain free for all others, so a few that keep growing leave room for small ones (dynamic thresholds, Choudhury and
 // Hahne 1998). Reservations that stop growing without being released still add up: each takes half of what the others left. So the
-// last quarter of the budget is kept for reservations of up to 4 KiB. That is room for 736 of them where the budget is a
-// sixteenth of 184 MiB, which allows 524 requests at a time.
+// last quarter of the budget is kept for reservations of up to 4 KiB.
 type Budget struct {
 	size int64
 
