Count a slowdown of endpoints once in the wait for a slot

What callers saw: requests were refused as not servable within a deadline of 2 s, or for a shortage, although the endpoints would have served them in time.

Cause: the time that a response takes was learned from endpoints as they are, and then multiplied by the latency factor of the endpoint. A slowdown of all endpoints raises both, so that the estimated wait grows with its square.

The wait for a slot now rests on the time at an endpoint with latency factor 1. Other uses of the total time (prompts held in memory, work, the risk of a failure) keep the time as it is.

--- a/internal/core/placement/inflight.go
+++ b/internal/core/placement/inflight.go
@@ -69,7 +69,7 @@
 		s.localPrefillMS = max(0, s.localPrefillMS-k.prefillMS)
 	}
 	if complete {
-		k.model.observeCompletion(float64(now.Sub(k.sent)) / float64(time.Millisecond))
+		k.model.observeCompletion(float64(now.Sub(k.sent))/float64(time.Millisecond), s.latencyFactor)
 	}
 }
 
--- a/internal/core/placement/latency.go
+++ b/internal/core/placement/latency.go
@@ -23,7 +23,8 @@
 type latencyModel struct {
 	baseMS            float64 // time to the first byte with an empty prompt
 	perTokenMS        float64 // added for each prompt token that is not cached
-	totalMS           float64 // time to the end of the response
+	totalMS           float64 // time to the end of the response at the endpoints as they are
+	unitTotalMS       float64 // the same at an endpoint with latency factor 1
 	firstByteSamples  int
 	completionSamples int
 	regression        regression
@@ -69,7 +70,7 @@
 		m = t.latencyModels[k]
 	}
 	if m == nil {
-		m = &latencyModel{baseMS: initialBaseMS, perTokenMS: initialPerTokenMS, totalMS: initialTotalMS}
+		m = &latencyModel{baseMS: initialBaseMS, perTokenMS: initialPerTokenMS, totalMS: initialTotalMS, unitTotalMS: initialTotalMS}
 		m.addSample(0, initialBaseMS, initialSampleWeight)
 		m.addSample(initialSampleTokens, initialBaseMS+initialSampleTokens*initialPerTokenMS, initialSampleWeight)
 		t.latencyModels[k] = m
@@ -96,10 +97,12 @@
 	m.baseMS, m.perTokenMS = max(0.1, base), max(1e-5, slope)
 }
 
-// observeCompletion updates the estimate with the time to the end of a response.
-func (m *latencyModel) observeCompletion(ms float64) {
+// observeCompletion updates the estimates with the time to the end of a response of an endpoint with the given latency factor.
+func (m *latencyModel) observeCompletion(ms, latencyFactor float64) {
 	m.completionSamples++
-	m.totalMS += (ms - m.totalMS) * sampleWeight(m.completionSamples)
+	w := sampleWeight(m.completionSamples)
+	m.totalMS += (ms - m.totalMS) * w
+	m.unitTotalMS += (ms/latencyFactor - m.unitTotalMS) * w
 }
 
 // sampleWeight returns the weight of the n-th observation. The first observations outweigh the initial estimate:
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -239,7 +239,7 @@
 	queueExtra, extra := s.speed.extraMS(now, queue, t.settings.Speed), s.speed.extraMS(now, queue+own, t.settings.Speed)
 	queue += queueExtra
 	ms := own + queue + extra - queueExtra
-	slotWait := max(0, running+1-slots) / slots * m.totalMS * s.latencyFactor
+	slotWait := max(0, running+1-slots) / slots * m.unitTotalMS * s.latencyFactor
 	ms += slotWait
 	return Choice{
 		Endpoint: *e, TimeToFirstByte: milliseconds(ms), PrefillWait: milliseconds(queue),
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -42,7 +42,7 @@
 // slotWaitMS estimates the milliseconds that a new request waits for a slot.
 func (t *Table) slotWaitMS(now time.Time, slots int, s *state, m *latencyModel) float64 {
 	n := float64(max(1, slots))
-	return max(0, s.running(now, t.settings.ReportTTL)+1-n) / n * m.totalMS * s.latencyFactor
+	return max(0, s.running(now, t.settings.ReportTTL)+1-n) / n * m.unitTotalMS * s.latencyFactor
 }
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
