Compare the time of a response with the latency factor in force

What callers saw: after a pause of an endpoint or of this process of 150 ms, requests were refused ('it can't be served within its deadline') for up to seconds, with the endpoints idle. Found by TestEvacuation, which failed with 503 in 1 of 16 runs beside other work; its log line shows no shortage before.

Cause: the latency factor moves by the ratio of the observed to the expected time, and the expected time has the factor that was in force when the request was sent. Of requests that run at the same time, each applied its correction on top of those of the others: 40 requests that waited for one pause of 150 ms instead of 5 ms raised the factor to its maximum of 20, and the next burst was estimated at 11.5 s (trial with 8 slots).

The ratio now refers to the factor in force, so that the factor approaches what was observed and does not pass it.

--- a/internal/core/placement/inflight.go
+++ b/internal/core/placement/inflight.go
@@ -57,7 +57,8 @@
 	// What is learned is the time without the passing speed, which the next estimate takes from the endpoint's figures.
 	ms /= meanSlowdown(k.slowdown, s.speed.slowdown(now, t.settings.Speed))
 	k.model.observeFirstByte(max(0, ms-k.queueMS), k.uncachedTokens, s.latencyFactor)
-	s.updateLatencyFactor(ms, k.expectedMS-k.passingMS)
+	// The factor may have changed since the request was sent: responses to requests that ran at the same time tell of the same moment.
+	s.updateLatencyFactor(ms, (k.expectedMS-k.passingMS)*s.latencyFactor/k.latencyFactor)
 }
 
 // RecordEnd records the end of a request; complete states that the response is complete.
