Keep versions loaded that were added and not yet rolled out

Callers: right after a version was rolled out, requests for it failed with no-capacity, "no endpoint serves large@1" or the error of the last engine.

Cause: the loader unloaded every version of the catalog that was not runnable. Between the addition of a version and its roll-out that is the version about to be rolled out, so all engines that held it dropped it, and its roll-out began without an engine.

Change: a version that was only added is desired on no engine, but is kept where it is loaded, unless the engine needs the slot for another version. Versions that were halted or withdrawn are unloaded as before.

Evidence: TestAddedVersionStaysLoaded got an unload before.

--- a/internal/core/loading/desired.go
+++ b/internal/core/loading/desired.go
@@ -26,22 +26,25 @@
 // DesiredVersion is the number of engines of a pool that should hold a version.
 type DesiredVersion struct {
 	Version string
-	Engines int
+	Engines int // 0 keeps the version where it is loaded, as far as its slots are not needed
 }
 
 // DesiredVersions returns the versions that a pool of the given number of engines should hold, those on most engines first.
 // The current version of a model belongs on every engine, a version in roll-out on its share of them, and an older
-// active version on Pool.OldVersionEngines of them, because sessions stay on it.
+// active version on Pool.OldVersionEngines of them, because sessions stay on it. No engine has to hold a version that was only added,
+// but those that do may keep it: if they unloaded it, its roll-out would begin without an engine.
 func DesiredVersions(c *config.Catalog, p Pool, engines int) []DesiredVersion {
 	var desired []DesiredVersion
 	for _, m := range p.Models {
 		current := newestActive(c, m)
 		for name, v := range c.Versions {
-			if config.ModelName(name) != m || !v.Runnable() {
+			if config.ModelName(name) != m || (!v.Runnable() && v.State != config.StateAdded) {
 				continue
 			}
 			w := DesiredVersion{Version: name, Engines: min(engines, p.OldVersionEngines)}
 			switch {
+			case v.State == config.StateAdded:
+				w.Engines = 0
 			case name == current:
 				w.Engines = engines
 			case v.State != config.StateActive:
--- a/internal/core/loading/plan.go
+++ b/internal/core/loading/plan.go
@@ -25,7 +25,7 @@
 
 // Plan returns the commands to send now, loads before unloads. A version is unloaded only from an engine that it is not
 // assigned to. One that other engines should hold is unloaded only if the engine needs the slot for another version and
-// enough other engines have it ready.
+// enough other engines have it ready, and a desired one that no engine has to hold only if the engine needs the slot.
 func (p *Planner) Plan(now time.Time, desired []DesiredVersion, pool Pool, engines []Engine, token uint64) []Command {
 	live := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Leaving })
 	slices.SortFunc(live, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
@@ -37,7 +37,7 @@
 		}
 	}
 	commands = append(commands, p.planLoads(desired, pool, live, assigned)...)
-	commands = append(commands, planUnloads(pool, live, assigned)...)
+	commands = append(commands, planUnloads(desired, pool, live, assigned)...)
 	commands = slices.DeleteFunc(commands, func(c Command) bool {
 		at, ok := p.sent[c]
 		return ok && now.Sub(at) < p.limits.ResendAfter
@@ -96,8 +96,9 @@
 }
 
 // planUnloads returns the unloads of versions that are assigned to no engine, and of versions whose slot is needed for
-// an assigned one while enough other engines have them ready.
-func planUnloads(pool Pool, live []Engine, assigned map[string][]string) []Command {
+// an assigned one while enough other engines have them ready. Desired versions that no engine has to hold are unloaded only if
+// their slot is needed.
+func planUnloads(desired []DesiredVersion, pool Pool, live []Engine, assigned map[string][]string) []Command {
 	assignedCount, ready := map[string]int{}, map[string]int{}
 	for _, e := range live {
 		for _, v := range assigned[e.ID] {
@@ -117,7 +118,8 @@
 			}
 			// A version left here by an earlier assignment, but still assigned to other engines, is unloaded only if its
 			// slot is needed.
-			if assignedCount[v] > 0 && (!missing || len(e.ReadyVersions) < pool.SlotsPerEngine) {
+			slotNeeded := missing && len(e.ReadyVersions) >= pool.SlotsPerEngine
+			if (assignedCount[v] > 0 || slices.Contains(desired, DesiredVersion{Version: v})) && !slotNeeded {
 				continue
 			}
 			ready[v]--
--- a/internal/core/loading/plan_test.go
+++ b/internal/core/loading/plan_test.go
@@ -199,3 +199,38 @@
 		t.Errorf("desired %v, want %v", got, want)
 	}
 }
+
+// Guards against the unloading of a version that was added and is about to be rolled out: until the engines have loaded it again,
+// its roll-out sends requests to engines without it. An engine may drop it only for a version that it lacks a slot for.
+func TestAddedVersionStaysLoaded(t *testing.T) {
+	c := config.NewCatalog()
+	for next, ch := range []record.Change{
+		{Kind: record.VersionAdd, Name: "m@1", Version: &record.Version{Name: "m@1"}},
+		{Kind: record.VersionRollOut, Name: "m@1", RollOut: &record.RollOut{}},
+		{Kind: record.VersionAdd, Name: "m@2", Version: &record.Version{Name: "m@2"}},
+	} {
+		ch.Base = c.Versions[ch.Name].Revision
+		var err error
+		if c, err = c.Apply(uint64(next), epoch, ch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, tc := range map[string]struct {
+		slots int
+		ready []string
+		want  []Command
+	}{
+		"beside the active version":   {slots: 2, ready: []string{"m@1", "m@2"}},
+		"with a slot to spare":        {slots: 2, ready: []string{"m@2"}, want: []Command{{Kind: Load, Engine: "e", Version: "m@1"}}},
+		"in the active version's way": {slots: 1, ready: []string{"m@2"}, want: []Command{{Kind: Unload, Engine: "e", Version: "m@2"}}},
+		"not loaded":                  {slots: 2, ready: []string{"m@1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := Pool{Name: "p", Models: []string{"m"}, SlotsPerEngine: tc.slots}
+			engines := []Engine{{ID: "e", ReadyVersions: tc.ready}}
+			if got := NewPlanner(limits).Plan(epoch, DesiredVersions(c, p, 1), p, engines, 0); !slices.Equal(got, tc.want) {
+				t.Errorf("commands %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
