Keep the view of endpoints while a list repeats the same versions

Cause: the table keeps the versions of an endpoint in order, but compared them with the list as it came. With a list or reports in another order it built a new view, a pass over all endpoints, at each read of the list and each answer. Seen in the logs of TestEndpointFailsMidway: three changes of versions at each read of the list, none of them real. Change: versions are compared in order. Evidence: TestSameVersionsKeepView got a new view after the same list and after a report of the same versions.

--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -199,12 +199,21 @@
 	if slices.Equal(e.versions, versions) {
 		return
 	}
-	e.versions = slices.Clone(versions)
-	slices.Sort(e.versions)
-	e.versions = slices.Compact(e.versions)
+	sorted := sortedVersions(versions)
+	if slices.Equal(e.versions, sorted) {
+		return
+	}
+	e.versions = sorted
 	t.view = nil
 }
 
+// sortedVersions returns a copy of versions in order and without duplicates.
+func sortedVersions(versions []string) []string {
+	out := slices.Clone(versions)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // updateGate applies the entry's state to the gate, which old views read too, and to the current view.
 func (t *Table) updateGate(e *entry) {
 	gate := e.gate()
