Probe an engine whose listed versions change after its own report

Callers: requests for a version waited five seconds and failed with "no endpoint serves large@1" although engines had the version.

Cause: the versions that an engine reports take precedence over the list for 30 s, as the list may be out of date. An engine that loaded a version after its last report, and gets no request whose answer would report again, was taken for one without the version for that long. Seen in a failed run of TestEndpointFailsMidway/wrong_version: an engine had loaded the version at 36.340 and the list had it at 36.428, at 36.446 a report from before replaced it at an instance, and its request failed after five seconds.

Change: a change of the list to other versions than the reported ones makes the instance probe the engine. The probe settles it either way; one that fails is repeated every ProbeInterval. The list alone still doesn't override a report.

--- a/internal/core/endpoint/health.go
+++ b/internal/core/endpoint/health.go
@@ -187,6 +187,9 @@
 		case t.leavingCheckDue(now, e):
 			e.nextLeavingCheck = now.Add(t.settings.OwnReportLifetime)
 			t.requestProbe(now, e)
+		case t.versionsCheckDue(now, e):
+			e.nextVersionsCheck = now.Add(t.settings.ProbeInterval)
+			t.requestProbe(now, e)
 		}
 		t.removeIfGone(now, i)
 	}
@@ -200,6 +203,14 @@
 		now.Sub(e.answeredAt) >= t.settings.OwnReportLifetime && !now.Before(e.nextLeavingCheck)
 }
 
+// versionsCheckDue reports whether an endpoint is due for a probe because the list has changed to other versions since it reported its own.
+// Its report takes precedence over the list, and it may get no request whose answer would report them again.
+func (t *Table) versionsCheckDue(now time.Time, e *entry) bool {
+	return e.state != healthEjected && e.missingSince.IsZero() && e.versionsReportedAt.Before(e.listChangedAt) &&
+		now.Sub(e.versionsReportedAt) <= t.settings.OwnReportLifetime && !now.Before(e.nextVersionsCheck) &&
+		!slices.Equal(e.versions, e.listedVersions)
+}
+
 // removeIfGone removes an endpoint that has been off the list for RemoveAfter and does not answer. One that is not
 // ejected is probed first.
 func (t *Table) removeIfGone(now time.Time, i int) {
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -45,6 +45,9 @@
 	versions           []string
 	slots              int
 	versionsReportedAt time.Time // time at which the endpoint last reported its versions
+	listedVersions     []string  // versions in the list, in order
+	listChangedAt      time.Time // time of the last change of listedVersions
+	nextVersionsCheck  time.Time // time from which a probe may settle whether that change is newer than the endpoint's report
 	reportedAt         time.Time
 	// deniedVersions maps versions that answers contradicted to the time until which they are denied.
 	deniedVersions map[string]time.Time
@@ -165,13 +168,26 @@
 	}
 	e := t.entries[i]
 	e.missingSince = time.Time{}
-	if e.service == "" && now.Sub(e.versionsReportedAt) > t.settings.OwnReportLifetime {
-		t.setVersions(e, instance.Versions)
+	if e.service == "" {
+		t.applyListedVersions(now, e, instance.Versions)
 	}
 	e.leavingByList, e.evacuated = instance.Leaving, t.evacuatedZones[e.zone]
 	t.updateGate(e)
 }
 
+// applyListedVersions sets the versions to the listed ones, unless the endpoint's own report takes precedence because the list may be
+// out of date.
+func (t *Table) applyListedVersions(now time.Time, e *entry, versions []string) {
+	if !slices.Equal(e.listedVersions, versions) {
+		if listed := sortedVersions(versions); !slices.Equal(e.listedVersions, listed) {
+			e.listedVersions, e.listChangedAt = listed, now
+		}
+	}
+	if now.Sub(e.versionsReportedAt) > t.settings.OwnReportLifetime {
+		t.setVersions(e, versions)
+	}
+}
+
 func (t *Table) newEntry(instance platform.Instance) *entry {
 	t.lastHandle++
 	e := &entry{
@@ -263,7 +279,7 @@
 		e.slots, t.view = r.Slots, nil
 	}
 	if r.Versions != nil && e.service == "" {
-		e.versionsReportedAt = now
+		e.versionsReportedAt = r.Time
 		t.setVersions(e, e.withoutDenied(now, r.Versions))
 	}
 	t.setAdapters(e, r.Adapters)
