Record what an engine reports when its reply begins

Callers: an engine that announced its stop got new requests, requests for a version waited although an engine had loaded it, and requests were refused after their retries had gone to engines that had said they lack the version.

Cause: the report in the head of a reply was recorded when the answer was complete, with the time of its end. At the end of a long answer it replaced what later replies had reported: the announced stop and loaded versions. The report of a reply that failed, such as status 404, was not recorded at all.

Change: the engine client passes the report on as soon as the head has arrived, whatever its status, and the table records it then.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -91,7 +91,14 @@
 	sentBefore := a.r.sentToEngine
 	a.r.sentToEngine = true
 	firstToken := true
-	res, err := a.executor.deps.Engines.Stream(ctx, c.Address, a.r.ID, a.engineRequest(), func(s string) error {
+	// What the engine reports is recorded at once: at the end of a long answer it would replace what later replies have reported.
+	onReport := func(r engine.Report) {
+		if r.Leaving {
+			c.BlockEndpoint() // takes effect in all views at once, before the table processes the report
+		}
+		a.executor.deps.Pool.Record(endpoint.ReportReceived{Endpoint: c.Endpoint, Report: endpointReport(r, time.Now())})
+	}
+	res, err := a.executor.deps.Engines.StreamWithReport(ctx, c.Address, a.r.ID, a.engineRequest(), onReport, func(s string) error {
 		if firstToken {
 			firstToken = false
 			a.executor.deps.Suspects.RecordFirstToken(a.r.content, c.ID)
@@ -104,15 +111,12 @@
 		a.r.deliveredTokens++
 		return a.r.deliver(s, a.step.Version)
 	})
-	if res.Report.Leaving {
-		c.BlockEndpoint() // takes effect in all views at once, before the table processes the report
-	}
 	a.usage.Input = max(a.usage.Input, res.Usage.Input)
 	if err == nil {
 		complete = true
 		a.usage.Output += res.Usage.Output
 		a.finish = res.Finish
-		a.executor.deps.Pool.Record(endpoint.RequestAnswered{Endpoint: c.Endpoint, Started: started, Report: endpointReport(res.Report, time.Now())})
+		a.executor.deps.Pool.Record(endpoint.RequestAnswered{Endpoint: c.Endpoint, Started: started})
 		return nil
 	}
 	a.usage.Output += int64(res.Tokens)
--- a/internal/core/endpoint/event.go
+++ b/internal/core/endpoint/event.go
@@ -41,11 +41,17 @@
 // InstancesListed carries the platform's list of instances. An empty list is ignored.
 type InstancesListed struct{ Instances []platform.Instance }
 
+// ReportReceived carries the report at the beginning of a reply, which may go on or fail.
+type ReportReceived struct {
+	Endpoint Handle
+	Report   Report
+}
+
 // RequestAnswered reports that an endpoint answered a request.
 type RequestAnswered struct {
 	Endpoint Handle
 	Started  time.Time // time at which the request was sent
-	Report   Report
+	Report   Report    // at the end of the reply; none if ReportReceived carried it
 }
 
 // RequestFailed reports that a request failed on an endpoint.
@@ -80,6 +86,7 @@
 type Tick struct{}
 
 func (InstancesListed) event()    {}
+func (ReportReceived) event()     {}
 func (RequestAnswered) event()    {}
 func (RequestFailed) event()      {}
 func (ProbeFinished) event()      {}
--- a/internal/core/endpoint/table.go
+++ b/internal/core/endpoint/table.go
@@ -92,6 +92,10 @@
 		t.settings.FleetSize = ev.FleetSize
 	case Tick:
 		t.applyTick(now)
+	case ReportReceived:
+		if e := t.byHandle[ev.Endpoint]; e != nil {
+			t.applyReport(now, e, ev.Report)
+		}
 	case RequestAnswered:
 		if e := t.byHandle[ev.Endpoint]; e != nil {
 			t.applyAnswered(now, e, ev)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -111,6 +111,12 @@
 // Stream runs a chat request on an engine and calls onText for each piece of the answer.
 // The result is valid also if the error is not nil. An error of onText ends the stream and is returned.
 func (c *Client) Stream(ctx context.Context, a netip.AddrPort, id string, q ChatRequest, onText func(string) error) (Result, error) {
+	return c.StreamWithReport(ctx, a, id, q, func(Report) {}, onText)
+}
+
+// StreamWithReport is like Stream and calls onReport as soon as the head of the reply has arrived, whatever its status. The answer
+// may go on for minutes after that.
+func (c *Client) StreamWithReport(ctx context.Context, a netip.AddrPort, id string, q ChatRequest, onReport func(Report), onText func(string) error) (Result, error) {
 	q.Stream = true
 	q.Options = &StreamOptions{IncludeUsage: true}
 	b, err := json.Marshal(q)
@@ -142,6 +148,7 @@
 		defer s.reservation.Release()
 	}
 	s.result.Report = parseReport(res.Header)
+	onReport(s.result.Report)
 	c.s.Propagator.ExtractHeader(res.Header)
 	if res.StatusCode != http.StatusOK {
 		return s.result, statusError("stream", res)
