Date a service's report by the head of its reply

Callers: a service endpoint that had announced its stop got new calls.

Cause: as with engines, the announcement was dated by the end of the reply's body. At the end of a slow body whose head came before the announcement, the endpoint was taken for one that accepts calls. An announcement in a reply with an error status was not recorded.

Change: a report carries the time at which the head arrived, and the table ignores it if it knows a newer one. Reports of error replies are recorded.

Evidence: TestLeavingDuringReply failed before in both cases: the endpoint accepted calls after the end of the first reply, and after the announcement in a reply with status 503.

--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -96,7 +96,7 @@
 		if r.Leaving {
 			c.BlockEndpoint() // takes effect in all views at once, before the table processes the report
 		}
-		a.executor.deps.Pool.Record(endpoint.ReportReceived{Endpoint: c.Endpoint, Report: endpointReport(r, time.Now())})
+		a.executor.deps.Pool.Record(endpoint.ReportReceived{Endpoint: c.Endpoint, Report: endpointReport(r)})
 	}
 	res, err := a.executor.deps.Engines.StreamWithReport(ctx, c.Address, a.r.ID, a.engineRequest(), onReport, func(s string) error {
 		if firstToken {
@@ -226,13 +226,13 @@
 }
 
 // endpointReport converts the report of an engine to one for the endpoint table.
-func endpointReport(r engine.Report, now time.Time) endpoint.Report {
+func endpointReport(r engine.Report) endpoint.Report {
 	out := endpoint.Report{Leaving: r.Leaving, Versions: r.Versions}
 	if r.Leaving || len(r.Versions) > 0 {
-		out.Time = now // the table ignores a report without a time
+		out.Time = r.ReceivedAt // the table ignores a report without a time
 	}
 	if r.Slots > 0 {
-		out.Time, out.Load, out.Slots, out.HasWait, out.Wait = now, r.Outstanding, r.Slots, r.HasWait, r.Wait
+		out.Time, out.Load, out.Slots, out.HasWait, out.Wait = r.ReceivedAt, r.Outstanding, r.Slots, r.HasWait, r.Wait
 	}
 	return out
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -91,6 +91,7 @@
 
 // Report is the state that an endpoint reported in the headers of a reply.
 type Report struct {
+	ReceivedAt  time.Time // time at which the head of the reply arrived
 	Outstanding int
 	Slots       int // 0 if the endpoint reported no load
 	Versions    []string
@@ -357,7 +358,7 @@
 
 // parseReport reads the state that an endpoint reported in a reply's headers.
 func parseReport(h http.Header) Report {
-	r := Report{Leaving: h.Get(HeaderLeaving) == "true"}
+	r := Report{ReceivedAt: time.Now(), Leaving: h.Get(HeaderLeaving) == "true"}
 	if outstanding, slots, ok := strings.Cut(h.Get(HeaderLoad), "/"); ok {
 		r.Outstanding, _ = strconv.Atoi(outstanding)
 		r.Slots, _ = strconv.Atoi(slots)
@@ -387,9 +388,9 @@
 	return d, err == nil && d >= 0
 }
 
-// Report returns the endpoint's state as a Report.
+// Report returns the endpoint's state as a Report that has just been received.
 func (l ProbeReply) Report() Report {
-	r := Report{Outstanding: l.Outstanding, Slots: l.Slots, Versions: limitVersions(l.Versions), Leaving: l.Leaving}
+	r := Report{ReceivedAt: time.Now(), Outstanding: l.Outstanding, Slots: l.Slots, Versions: limitVersions(l.Versions), Leaving: l.Leaving}
 	r.Wait, r.HasWait = parseWaitHeader(l.Wait)
 	return r
 }
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -113,8 +113,8 @@
 	if err := checkOwner("service", res, call.ID); err != nil {
 		return ServiceReply{}, err
 	}
-	c.s.Propagator.ExtractHeader(res.Header)
 	out := ServiceReply{Status: res.StatusCode, Header: res.Header, Report: parseReport(res.Header)}
+	c.s.Propagator.ExtractHeader(res.Header)
 	if err := c.readBody(callCtx, &out, res); err != nil {
 		out.Release()
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
--- a/internal/servicecall/dispatcher.go
+++ b/internal/servicecall/dispatcher.go
@@ -327,18 +327,26 @@
 			d.pool.Record(endpoint.RequestFailed{Endpoint: e.Endpoint, Started: started, Kind: k})
 		}
 	case r.Status >= http.StatusInternalServerError:
+		d.recordReport(e, r.Report)
 		d.pool.Record(endpoint.RequestFailed{Endpoint: e.Endpoint, Started: started, Kind: endpoint.FailErrorStatus})
 	default:
-		if r.Report.Leaving {
-			e.BlockEndpoint() // takes effect in all views at once, before the table handles the event
-		}
-		d.pool.Record(endpoint.RequestAnswered{Endpoint: e.Endpoint, Started: started, Report: endpoint.Report{Time: time.Now(), Leaving: r.Report.Leaving}})
+		d.recordReport(e, r.Report)
+		d.pool.Record(endpoint.RequestAnswered{Endpoint: e.Endpoint, Started: started})
 	}
 	if err != nil && (failure == nil || failure.Kind != engine.ErrCancelled) {
 		d.writeEvent("call-failed", c, e.ID, err)
 	}
 }
 
+// recordReport records the report of a reply as of the time at which its head arrived. Its body may have taken long, and other replies may
+// have reported since.
+func (d *Dispatcher) recordReport(e endpoint.Choice, r engine.Report) {
+	if r.Leaving {
+		e.BlockEndpoint() // takes effect in all views at once, before the table handles the event
+	}
+	d.pool.Record(endpoint.ReportReceived{Endpoint: e.Endpoint, Report: endpoint.Report{Time: r.ReceivedAt, Leaving: r.Leaving}})
+}
+
 // writeEvent writes an event about a call to the timeline.
 func (d *Dispatcher) writeEvent(name string, c Call, endpoint string, err error) {
 	e := timeline.Event{Component: "order", Name: name, Request: c.RequestID, Organisation: c.Organisation, Endpoint: endpoint}
