Let the engines of TestTextBeyondMemory pause on a busy machine

Cause: the fixture ends an answer after 100 ms without an event. The test sends answers of 4,000 events from engines in its own process. Change: the test's client waits 10 s for an event. No case of the test has a silent engine, so what it checks stays: without the refusal to repeat an answer whose text was dropped it still fails, and without delivering text for which there is no memory, too.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -109,6 +109,12 @@
 const textMemory = 64 << 10
 
 func newFixture(t *testing.T, wait time.Duration) *fixture {
+	t.Helper()
+	return newFixtureWithProgress(t, wait, 100*time.Millisecond)
+}
+
+// newFixtureWithProgress returns a fixture whose engines may send nothing for a given time in the middle of an answer.
+func newFixtureWithProgress(t *testing.T, wait, progress time.Duration) *fixture {
 	t.Helper()
 	f := &fixture{t: t, memory: memory.NewBudget(textMemory), table: endpoint.NewTable(endpoint.DefaultSettings(1))}
 	f.catalog.Store(config.NewCatalog())
@@ -117,7 +123,7 @@
 		MaxCost: 1 << 40, Deadline: record.Duration(time.Minute), Weights: record.Weights{Cost: 1},
 	}}, true)
 	f.apply(record.Change{Kind: record.OrganisationPublish, Name: "o", Organisation: &record.Organisation{Name: "o", Profiles: []string{"p"}}}, true)
-	c := engine.NewClient(engine.Settings{DialTimeout: time.Second, FirstTokenTimeout: 5 * time.Second, ProgressTimeout: 100 * time.Millisecond})
+	c := engine.NewClient(engine.Settings{DialTimeout: time.Second, FirstTokenTimeout: 5 * time.Second, ProgressTimeout: progress})
 	t.Cleanup(c.Close)
 	s := answer.DefaultSettings("a")
 	s.QueueTimeout = wait
--- a/internal/answer/endless_test.go
+++ b/internal/answer/endless_test.go
@@ -101,7 +101,8 @@
 		"continued while kept": {prompt, standin.EngineFaults{TruncateAfterTokens: 10}, 20, "", 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, time.Second)
+			// No engine goes silent here. With 100 ms an answer of 4,000 events was taken for silent on a busy machine.
+			f := newFixtureWithProgress(t, time.Second, 10*time.Second)
 			f.changeVersion(record.VersionAdd, "m@1")
 			f.changeVersion(record.VersionRollOut, "m@1")
 			e1, e2 := f.addEngine("e1", c.faults, "m@1"), f.addEngine("e2", c.faults, "m@1")
