--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -91,6 +91,7 @@
 
 // Report is the state that an endpoint reported in the headers of a reply.
 type Report struct {
+	ReceivedAt  time.Time // time at which the head of the reply arrived
 	Outstanding int
 	Slots       int // 0 if the endpoint reported no load
 	Versions    []string
@@ -111,6 +112,12 @@
 // Stream runs a chat request on an engine and calls onText for each piece of the answer.
 // The result is valid also if the error is not nil. An error of onText ends the stream and is returned.
 func (c *Client) Stream(ctx context.Context, a netip.AddrPort, id string, q ChatRequest, onText func(string) error) (Result, error) {
+	return c.StreamWithReport(ctx, a, id, q, func(Report) {}, onText)
+}
+
+// StreamWithReport is like Stream and calls onReport as soon as the head of the reply has arrived, whatever its status. The answer
+// may go on for minutes after that.
+func (c *Client) StreamWithReport(ctx context.Context, a netip.AddrPort, id string, q ChatRequest, onReport func(Report), onText func(string) error) (Result, error) {
 	q.Stream = true
 	q.Options = &StreamOptions{IncludeUsage: true}
 	b, err := json.Marshal(q)
@@ -142,6 +149,7 @@
 		defer s.reservation.Release()
 	}
 	s.result.Report = parseReport(res.Header)
+	onReport(s.result.Report)
 	c.s.Propagator.ExtractHeader(res.Header)
 	if res.StatusCode != http.StatusOK {
 		return s.result, statusError("stream", res)
@@ -350,7 +358,7 @@
 
 // parseReport reads the state that an endpoint reported in a reply's headers.
 func parseReport(h http.Header) Report {
-	r := Report{Leaving: h.Get(HeaderLeaving) == "true"}
+	r := Report{ReceivedAt: time.Now(), Leaving: h.Get(HeaderLeaving) == "true"}
 	if outstanding, slots, ok := strings.Cut(h.Get(HeaderLoad), "/"); ok {
 		r.Outstanding, _ = strconv.Atoi(outstanding)
 		r.Slots, _ = strconv.Atoi(slots)
@@ -380,9 +388,9 @@
 	return d, err == nil && d >= 0
 }
 
-// Report returns the endpoint's state as a Report.
+// Report returns the endpoint's state as a Report that has just been received.
 func (l ProbeReply) Report() Report {
-	r := Report{Outstanding: l.Outstanding, Slots: l.Slots, Versions: limitVersions(l.Versions), Leaving: l.Leaving}
+	r := Report{ReceivedAt: time.Now(), Outstanding: l.Outstanding, Slots: l.Slots, Versions: limitVersions(l.Versions), Leaving: l.Leaving}
 	r.Wait, r.HasWait = parseWaitHeader(l.Wait)
 	return r
 }
