Don't let slow responses end a limit that was named meanwhile

Callers saw nothing; an endpoint with a request limit got more than it had named. A response without a limit ended the limit at the instance that got it, which told all others, however long ago the request had been sent. An endpoint that decides what a response says when it gets the request (as one does that puts the headers together before it runs it) and begins some responses seconds later thus ended its own limit again and again: after each, all instances sent without a pace until the next response that named it.

The end of a limit now counts from when its request was sent, here and in what instances tell each other, so it is older than a limit that was named in between. Limits count from their arrival as before. The end is known one response later in the worst case.

The other cases of TestLimitedFleet and TestSumOfInstances hold.

Tests changed: RecordLimit and RecordResponse take the time at which the request was sent, so their callers pass it. The replay keeps each request with its instance instead of in two slices, since slow requests don't end in the order of their starts.

--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -14,13 +14,14 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
-// RecordLimit records the limit that an endpoint states in a response, 0 if it states none, and returns how it has changed.
-func (t *Table) RecordLimit(now time.Time, e routing.Endpoint, perSecond float64) requestlimit.Change {
+// RecordLimit records the limit that an endpoint states in the response to a request that was sent at sentAt, 0 if it states none, and
+// returns how it has changed.
+func (t *Table) RecordLimit(now, sentAt time.Time, e routing.Endpoint, perSecond float64) requestlimit.Change {
 	s := t.states[e.ID]
 	if s == nil || s.startedAtMS != e.StartedAtMS || s.address != e.Address || perSecond == attributes.UnknownRequestLimit {
 		return requestlimit.Change{}
 	}
-	c := s.limit.RecordResponse(now, perSecond)
+	c := s.limit.RecordResponse(now, sentAt, perSecond)
 	t.hasLimits = t.hasLimits || perSecond > 0
 	if c.Changed() {
 		t.forgetUnwilling(now)
--- a/internal/core/placement/limit_fleet_test.go
+++ b/internal/core/placement/limit_fleet_test.go
@@ -15,6 +15,7 @@
 	limitNamedAt    = 2 * time.Second // in the replay
 	limitFirstByte  = 100 * time.Millisecond
 	limitTotal      = 300 * time.Millisecond
+	limitSlow       = 8 * time.Second // until the first byte of a slow response
 	limitEndpoints  = 9
 	limitLoad       = 10 // requests a second and endpoint
 	limitStep       = 10 * time.Millisecond
@@ -29,11 +30,20 @@
 	limit   func(at time.Duration) float64
 	reports []Limits // of the instances, on their way
 
+	slowShare float64 // of the requests, whose responses begin after limitSlow with what the endpoint said when it got the request
+
 	sends    []limitedSend // to the limited endpoint
 	refused  int
 	requests int
-	running  []coldRequest // in the order of their starts
-	owner    []int         // instances of running
+	running  []limitedRequest // in the order of their starts
+}
+
+// limitedRequest is a request under way.
+type limitedRequest struct {
+	coldRequest
+	instance  int
+	firstByte time.Duration // after it was sent
+	slow      bool
 }
 
 // limitedSend is a request to the limited endpoint.
@@ -62,7 +72,7 @@
 	f.tables[i].RecordNewEndpoints(now)
 	f.running = slices.Clip(f.running)
 	for k := range f.running {
-		if f.owner[k] == i {
+		if f.running[k].instance == i {
 			f.running[k].table = nil
 		}
 	}
@@ -110,28 +120,35 @@
 
 // progress lets the requests under way get their first bytes and end.
 func (f *limitedReplay) progress(now time.Time) {
+	limited := newEndpoints(1, "a")[service][0].ID
 	for i := range f.running {
 		q := &f.running[i]
-		if now.Sub(q.sent) < limitFirstByte || q.started || q.table == nil {
+		if now.Sub(q.sent) < q.firstByte || q.started || q.table == nil {
 			continue
 		}
 		q.started = true
 		q.table.RecordFirstByte(now, q.inFlight)
-		limit := 0.0
-		if q.endpoint.ID == newEndpoints(1, "a")[service][0].ID {
-			limit = f.limit(now.Sub(start))
+		limit, stated := 0.0, now
+		if q.slow {
+			stated = q.sent
 		}
-		q.table.RecordLimit(now, q.endpoint, limit)
-		if limit > 0 && f.toldAt[f.owner[i]].IsZero() {
-			f.toldAt[f.owner[i]] = now
+		if q.endpoint.ID == limited {
+			limit = f.limit(stated.Sub(start))
 		}
-	}
-	for len(f.running) > 0 && now.Sub(f.running[0].sent) >= limitTotal {
-		if t := f.running[0].table; t != nil {
-			t.RecordEnd(now, f.running[0].inFlight, true)
+		q.table.RecordLimit(now, q.sent, q.endpoint, limit)
+		if limit > 0 && f.toldAt[q.instance].IsZero() {
+			f.toldAt[q.instance] = now
 		}
-		f.running, f.owner = f.running[1:], f.owner[1:]
 	}
+	f.running = slices.DeleteFunc(f.running, func(q limitedRequest) bool {
+		if now.Sub(q.sent) < q.firstByte+limitTotal-limitFirstByte {
+			return false
+		}
+		if q.table != nil {
+			q.table.RecordEnd(now, q.inFlight, true)
+		}
+		return true
+	})
 }
 
 // place sends a request of an instance.
@@ -146,8 +163,11 @@
 	if c.Endpoint.ID == newEndpoints(1, "a")[service][0].ID {
 		f.sends = append(f.sends, limitedSend{now, instance})
 	}
-	f.running = append(f.running, coldRequest{table: t, inFlight: t.RecordSend(now, q, c), endpoint: c.Endpoint, sent: now})
-	f.owner = append(f.owner, instance)
+	r := limitedRequest{coldRequest{table: t, inFlight: t.RecordSend(now, q, c), endpoint: c.Endpoint, sent: now}, instance, limitFirstByte, false}
+	if f.slowShare > 0 && f.requests%int(1/f.slowShare) == 0 {
+		r.firstByte, r.slow = limitSlow, true
+	}
+	f.running = append(f.running, r)
 }
 
 // count returns the number of requests that the limited endpoint got in a span.
@@ -217,22 +237,24 @@
 		cutOff    int           // instances that are cut off before the limit is named
 		restartAt time.Duration // of a third of the instances
 		least     int           // requests to the endpoint from 5 s on until the limit is over
+		slowShare float64       // of the requests
 	}
 	cases := map[string]scenario{
-		"restart":        {9, fixed, constant, 0, 9 * time.Second, 15},
-		"restart of 78":  {78, fixed, constant, 0, 9 * time.Second, 10},
-		"cut off":        {9, fixed, constant, 3, 0, 15},
-		"cut off, of 78": {78, fixed, constant, 26, 0, 10},
-		"changing":       {9, changing, constant, 0, 0, 25},
-		"changing, 78":   {78, changing, constant, 0, 0, 10},
+		"restart":                      {9, fixed, constant, 0, 9 * time.Second, 15, 0},
+		"restart of 78":                {78, fixed, constant, 0, 9 * time.Second, 10, 0},
+		"cut off":                      {9, fixed, constant, 3, 0, 15, 0},
+		"cut off, of 78":               {78, fixed, constant, 26, 0, 10, 0},
+		"changing":                     {9, changing, constant, 0, 0, 25, 0},
+		"changing, 78":                 {78, changing, constant, 0, 0, 10, 0},
+		"limit ended by old responses": {9, fixed, constant, 0, 0, 25, 0.2},
 	}
 	for _, n := range []int{1, 3, 6, 9, 78, 195} {
 		least := 30
 		if n > 20 {
 			least = 10
 		}
-		cases[fmt.Sprint(n)] = scenario{n, fixed, constant, 0, 0, least}
-		cases[fmt.Sprint(n, " in waves")] = scenario{n, fixed, waves, 0, 0, least / 2}
+		cases[fmt.Sprint(n)] = scenario{n, fixed, constant, 0, 0, least, 0}
+		cases[fmt.Sprint(n, " in waves")] = scenario{n, fixed, waves, 0, 0, least / 2, 0}
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -247,7 +269,7 @@
 						f.tables[i].SetAlone()
 					}
 				}
-				f.cutOff = c.cutOff
+				f.cutOff, f.slowShare = c.cutOff, c.slowShare
 				at := time.Duration(0)
 				if c.restartAt > 0 {
 					f.run(0, c.restartAt, rng, c.load)
--- a/internal/core/placement/limit_test.go
+++ b/internal/core/placement/limit_test.go
@@ -13,7 +13,7 @@
 	t.SetAlone()
 	l := newEndpoints(endpoints, "a")
 	t.SetEndpoints(l)
-	t.RecordLimit(start, l[service][0], limit)
+	t.RecordLimit(start, start, l[service][0], limit)
 	return t, l[service]
 }
 
@@ -45,7 +45,7 @@
 	if n := count(11*time.Second, 12*time.Second); n != 100 {
 		t.Errorf("%d of 100 requests to the new process", n)
 	}
-	table.RecordLimit(start.Add(12*time.Second), old, 1) // late response of the old process
+	table.RecordLimit(start.Add(12*time.Second), start.Add(12*time.Second), old, 1) // late response of the old process
 	if n := count(12*time.Second, 13*time.Second); n != 100 {
 		t.Errorf("%d of 100 requests to the new process after a response of the old one", n)
 	}
@@ -82,7 +82,7 @@
 func TestAllLimited(t *testing.T) {
 	table, l := newLimitedTable(0.5, 3)
 	for _, e := range l {
-		table.RecordLimit(start, e, 0.5)
+		table.RecordLimit(start, start, e, 0.5)
 	}
 	refused, served := 0, 0
 	for at := time.Duration(0); at < 20*time.Second; at += 10 * time.Millisecond {
--- a/internal/core/requestlimit/endpoint.go
+++ b/internal/core/requestlimit/endpoint.go
@@ -85,16 +85,22 @@
 	return e.own
 }
 
-// RecordResponse records that a response received now states a limit, or none if it is 0.
-func (e *Endpoint) RecordResponse(now time.Time, perSecond float64) Change {
-	if perSecond == 0 && !e.Stated() {
-		return Change{}
+// RecordResponse records that the response to a request that was sent at sentAt states a limit, or none if it is 0. Without a limit it counts
+// from sentAt, as an endpoint may decide what a response says when it gets the request, and begin the response long after it has named
+// a limit in others.
+func (e *Endpoint) RecordResponse(now, sentAt time.Time, perSecond float64) Change {
+	n := statement{perSecond, now}
+	if perSecond == 0 {
+		n.at = sentAt
+		if !e.Stated() || n.at.Before(e.latest().at) {
+			return Change{}
+		}
 	}
 	c := Change{From: e.PerSecond(now), To: perSecond}
 	if perSecond == 0 && (c.From > 0 || e.endAt.IsZero()) {
 		e.endAt = now
 	}
-	e.own, e.suspected = statement{perSecond, now}, true
+	e.own, e.suspected = n, true
 	return c
 }
 
--- a/internal/core/requestlimit/endpoint_test.go
+++ b/internal/core/requestlimit/endpoint_test.go
@@ -79,7 +79,7 @@
 					for at := time.Duration(0); at < length; at += step {
 						now := start.Add(at)
 						if at%time.Second == 0 {
-							e.RecordResponse(now, c.limit)
+							e.RecordResponse(now, now, c.limit)
 						}
 						if c.demand(at) && e.Allows(now, c.size(i), phase) {
 							e.RecordSend(now)
@@ -141,7 +141,7 @@
 		t.Run(name, func(t *testing.T) {
 			var e Endpoint
 			for _, x := range c.said {
-				e.RecordResponse(start.Add(x.at), x.limit)
+				e.RecordResponse(start.Add(x.at), start.Add(x.at), x.limit)
 			}
 			if got := e.PerSecond(start.Add(c.at)); got != c.want {
 				t.Errorf("limit %v, want %v", got, c.want)
@@ -168,7 +168,7 @@
 				if at/(5*time.Second)%2 == 0 {
 					n++
 				}
-				e.RecordResponse(now, limit)
+				e.RecordResponse(now, now, limit)
 				if e.Allows(now, n, phase) {
 					e.RecordSend(now)
 					sent = append(sent, now)
@@ -186,7 +186,10 @@
 func TestStatementsOfOthers(t *testing.T) {
 	const s = time.Second
 	own := func(at time.Duration, limit float64) func(*Endpoint) {
-		return func(e *Endpoint) { e.RecordResponse(start.Add(at), limit) }
+		return func(e *Endpoint) { e.RecordResponse(start.Add(at), start.Add(at), limit) }
+	}
+	slow := func(at, took time.Duration, limit float64) func(*Endpoint) {
+		return func(e *Endpoint) { e.RecordResponse(start.Add(at), start.Add(at-took), limit) }
 	}
 	told := func(at time.Duration, limit float64, age time.Duration) func(*Endpoint) {
 		return func(e *Endpoint) { e.RecordOthers(start.Add(at), Statement{limit, age}) }
@@ -213,6 +216,10 @@
 		"others replace by a newer one":    {[]func(*Endpoint){told(2*s, 2, 0), told(3*s, 3, 0)}, 3 * s, 3, false},
 		"named to this instance again":     {[]func(*Endpoint){own(0, 2), own(s, 0), own(2*s, 4)}, 3 * s, 4, true},
 		"not confirmed, nothing to tell":   {[]func(*Endpoint){own(0, 2)}, retention, 0, false},
+		"slow response, own limit":         {[]func(*Endpoint){own(3*s, 2), slow(4*s, 2*s, 0)}, 4 * s, 2, true},
+		"slow response, told of a limit":   {[]func(*Endpoint){told(3*s, 2, 0), slow(4*s, 2*s, 0)}, 4 * s, 2, false},
+		"slow response before being told":  {[]func(*Endpoint){own(0, 2), own(s, 0), slow(4*s, 2*s, 0), told(4*s, 3, s)}, 4 * s, 3, true},
+		"over in a slow response":          {[]func(*Endpoint){own(s, 2), slow(4*s, 2*s, 0)}, 4 * s, 0, true},
 		"told of an end, and then a limit": {[]func(*Endpoint){told(s, 0, 0), told(2*s, 3, 0)}, 3 * s, 3, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -251,7 +258,7 @@
 					for at := time.Duration(0); at < time.Duration(seconds)*time.Second; at += 50 * time.Millisecond {
 						now := start.Add(at)
 						if at%(200*time.Millisecond) == 0 {
-							e.RecordResponse(now, limit(at, rng))
+							e.RecordResponse(now, now, limit(at, rng))
 						}
 						if e.Allows(now, instances, phase) {
 							e.RecordSend(now)
--- a/internal/ingress/cold.go
+++ b/internal/ingress/cold.go
@@ -27,7 +27,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.RecordResponse(now, sentAt, e, warmUp)
-	return b.table.RecordLimit(now, e, limit)
+	return b.table.RecordLimit(now, sentAt, e, limit)
 }
 
 // coldState is what the log and the metrics tell of cold endpoints.
