Keep the request limit of an endpoint that got no requests

Callers saw nothing; an endpoint with a request limit got more than it had named in a wave after a quiet time. A limit that no response confirms was forgotten after 30 s, by all instances at the same moment. After a time without requests, or with the endpoint paused or its zone evacuated for that long, all instances sent without a pace until one had its response and told the others.

The expiry is for an instance that is cut off, which nobody can tell that a limit is over. While reports on at least half of the known instances come in, somebody would tell of a newer response. The 30 s now begin with the latest such report, up to 10 min after the statement; without reports, or for a limit that has expired already, nothing changes. As before, the first response replaces the statement.

Tests changed: the replay passes the number of instances that a report covers to SetRemoteLimits.

--- a/internal/core/coldstart/coldstart_test.go
+++ b/internal/core/coldstart/coldstart_test.go
@@ -283,3 +283,21 @@
 		})
 	}
 }
+
+// TestCoveredBy guards against an instance that takes reports on a few others, as of instances that are cut off together, for those of all.
+func TestCoveredBy(t *testing.T) {
+	var f, alone Fleet
+	alone.SetAlone()
+	if f.CoveredBy(start, 0) || !alone.CoveredBy(start, 0) {
+		t.Error("no other instances: want false unless there are none")
+	}
+	f.Observe(start, 9)
+	for others, want := range map[int]bool{0: false, 3: false, 4: true, 9: true, 20: true} {
+		if got := f.CoveredBy(start.Add(settleTime), others); got != want {
+			t.Errorf("%d others of 9: %v, want %v", others, got, want)
+		}
+	}
+	if f.CoveredBy(start.Add(time.Second), 9) {
+		t.Error("true before the number of instances is known")
+	}
+}
--- a/internal/core/coldstart/fleet.go
+++ b/internal/core/coldstart/fleet.go
@@ -39,6 +39,11 @@
 	f.latest = max(f.latest, others+1)
 }
 
+// CoveredBy reports whether a report on a number of other instances covers at least half of all.
+func (f *Fleet) CoveredBy(now time.Time, others int) bool {
+	return f.alone || others > 0 && 2*(others+1) >= f.Size(now)
+}
+
 // Size returns the number of instances to assume, which is at least 1.
 func (f *Fleet) Size(now time.Time) int {
 	if f.alone {
--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -42,6 +42,9 @@
 func (t *Table) LimitChanges(now time.Time) ([]LimitChange, map[string]int) {
 	var changes []LimitChange
 	counts := make(map[string]int, len(t.services))
+	if t.cold.fleet.CoveredBy(now, 0) {
+		t.recordLimitReports(now) // there are no other instances
+	}
 	t.hasLimits = false
 	for _, s := range t.states {
 		t.hasLimits = t.hasLimits || s.limit.PerSecond(now) > 0
@@ -142,15 +145,27 @@
 	return out
 }
 
-// SetRemoteLimits records what endpoints have said to other instances.
-func (t *Table) SetRemoteLimits(now time.Time, l Limits) {
-	if len(l) == 0 {
+// SetRemoteLimits records what endpoints have said to a number of other instances.
+func (t *Table) SetRemoteLimits(now time.Time, l Limits, others int) {
+	if len(l) > 0 {
+		for _, s := range t.states {
+			if r, ok := l[s.process]; ok {
+				s.limit.RecordOthers(now, r)
+				s.askedAt, t.hasLimits = now, true
+			}
+		}
+	}
+	if t.cold.fleet.CoveredBy(now, others) {
+		t.recordLimitReports(now)
+	}
+}
+
+// recordLimitReports records that most other instances have told what endpoints have said to them.
+func (t *Table) recordLimitReports(now time.Time) {
+	if !t.hasLimits {
 		return
 	}
 	for _, s := range t.states {
-		if r, ok := l[s.process]; ok {
-			s.limit.RecordOthers(now, r)
-			s.askedAt, t.hasLimits = now, true
-		}
+		s.limit.RecordReports(now)
 	}
 }
--- a/internal/core/placement/limit_fleet_test.go
+++ b/internal/core/placement/limit_fleet_test.go
@@ -89,7 +89,7 @@
 				others.Add(r, 0) // the time on the way is not known
 			}
 		}
-		t.SetRemoteLimits(now, others)
+		t.SetRemoteLimits(now, others, len(connected)-1)
 	}
 	exchangeLoads(now, connected)
 	f.reports = f.reports[:0]
@@ -299,3 +299,55 @@
 		})
 	}
 }
+
+// TestLimitForgottenWhileQuiet guards against a wave of requests beyond the limit of an endpoint that got none for a while, and so had no
+// response in which to name its limit again; and against a limit that holds on after such a time although it is over.
+func TestLimitForgottenWhileQuiet(t *testing.T) {
+	const (
+		limit     = 2.6
+		quietAt   = 10 * time.Second
+		quietEnd  = quietAt + 40*time.Second // longer than an unconfirmed limit counts at an instance that is cut off
+		waveEnd   = quietEnd + 10*time.Second
+		instances = 9
+	)
+	load := func(at time.Duration) float64 {
+		switch {
+		case at < quietAt:
+			return limitLoad * limitEndpoints
+		case at < quietEnd:
+			return 0
+		}
+		return 4 * limitLoad * limitEndpoints
+	}
+	for name, over := range map[string]time.Duration{"limited": waveEnd, "over": quietAt + time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(3) {
+				rng := rand.New(rand.NewPCG(seed, 3))
+				f := newLimitedReplay(instances, func(at time.Duration) float64 {
+					if at < limitNamedAt || at >= over {
+						return 0
+					}
+					return limit
+				})
+				for _, x := range f.tables {
+					x.settings.ColdSeed = rng.Uint64()
+				}
+				f.run(0, waveEnd, rng, load)
+				allowed := int(1.5*limit*limitPeriod.Seconds() + 5)
+				all, _ := f.most(quietEnd, waveEnd)
+				late := f.count(waveEnd-5*time.Second, waveEnd)
+				t.Logf("seed %d: at most %d in %v, %d allowed; %d in the last 5 s; %d of %d refused", seed, all, limitPeriod, allowed, late, f.refused, f.requests)
+				if over == waveEnd && all > allowed {
+					t.Errorf("at most %d in %v, %d allowed", all, limitPeriod, allowed)
+				}
+				if over < waveEnd && late < 100 {
+					t.Errorf("%d requests in 5 s after the limit", late)
+				}
+				if f.refused > 0 {
+					t.Errorf("%d requests were refused", f.refused)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/requestlimit/endpoint.go
+++ b/internal/core/requestlimit/endpoint.go
@@ -14,6 +14,7 @@
 	others statement // what it has said to other instances
 	endAt  time.Time // when it first said to this instance that the latest limit is over
 	sentAt time.Time // latest request while it had a limit
+	toldAt time.Time // latest time until which another instance would have told of a newer statement
 
 	suspected     bool // PerSecond has to look at the statements; false for nearly all endpoints, which keeps a choice cheap
 	pace          coldstart.Pace
@@ -29,7 +30,9 @@
 
 const (
 	retention    = 30 * time.Second // how long a limit counts that no later response confirms
-	endRetention = 40 * time.Second // how long other instances are told that a limit is over
+	endRetention = 40 * time.Second // how long other instances are told that a limit is over; longer than retention
+	// maxToldRetention bounds how long a limit counts beyond retention because no other instance tells of a newer response.
+	maxToldRetention = 10 * time.Minute
 )
 
 // retentionOf returns how long a limit counts. An endpoint with a low limit gets requests at longer intervals, and its responses are
@@ -41,9 +44,25 @@
 // expectedRequests is the number of requests after which at least one response has most likely confirmed a limit.
 const expectedRequests = 20
 
-// holds reports whether the statement names a limit that is in force.
-func (s statement) holds(now time.Time) bool {
-	return s.perSecond > 0 && now.Sub(s.at) < retentionOf(s.perSecond)
+// holds reports whether a statement names a limit that is in force. Time in which other instances would have told of a newer response does
+// not count: the endpoint has got no request, and all instances that forget its limit at once would send it a wave.
+func (e *Endpoint) holds(s statement, now time.Time) bool {
+	from := s.at
+	if e.toldAt.After(from) {
+		from = e.toldAt
+	}
+	if latest := s.at.Add(maxToldRetention); from.After(latest) {
+		from = latest
+	}
+	return s.perSecond > 0 && now.Sub(from) < retentionOf(s.perSecond)
+}
+
+// RecordReports records that other instances have told of all responses that they got. A limit that has expired stays so, since the
+// end of a limit is told only for a time.
+func (e *Endpoint) RecordReports(now time.Time) {
+	if e.PerSecond(now) > 0 {
+		e.toldAt = now
+	}
 }
 
 // Change tells how the limit of an endpoint differs from the one before; 0 is no limit.
@@ -65,7 +84,7 @@
 // check returns the limit in force, and lets later calls of PerSecond skip the statements if there is none.
 func (e *Endpoint) check(now time.Time) float64 {
 	s := e.latest()
-	if e.suspected = s.holds(now); !e.suspected {
+	if e.suspected = e.holds(s, now); !e.suspected {
 		return 0
 	}
 	return s.perSecond
@@ -74,7 +93,7 @@
 // Expired reports whether the latest statement is a limit that no response has confirmed for too long.
 func (e *Endpoint) Expired(now time.Time) bool {
 	s := e.latest()
-	return s.perSecond > 0 && !s.holds(now)
+	return s.perSecond > 0 && !e.holds(s, now)
 }
 
 // latest returns the newer of the two statements.
@@ -116,7 +135,7 @@
 // Own returns what the endpoint has said to this instance, and false if that is not worth telling. What others have said is left out, or it
 // would become younger by the time on the way whenever an instance passes it on.
 func (e *Endpoint) Own(now time.Time) (Statement, bool) {
-	told := e.own.holds(now) || !e.endAt.IsZero() && e.own.perSecond == 0 && now.Sub(e.endAt) < endRetention
+	told := e.holds(e.own, now) || !e.endAt.IsZero() && e.own.perSecond == 0 && now.Sub(e.endAt) < endRetention
 	return Statement{e.own.perSecond, now.Sub(e.own.at)}, told
 }
 
--- a/internal/core/requestlimit/endpoint_test.go
+++ b/internal/core/requestlimit/endpoint_test.go
@@ -188,6 +188,17 @@
 	own := func(at time.Duration, limit float64) func(*Endpoint) {
 		return func(e *Endpoint) { e.RecordResponse(start.Add(at), start.Add(at), limit) }
 	}
+	reports := func(l ...time.Duration) func(*Endpoint) {
+		return func(e *Endpoint) {
+			for _, at := range l {
+				e.RecordReports(start.Add(at))
+			}
+		}
+	}
+	var often []time.Duration // more often than a limit expires, for longer than it counts
+	for at := time.Duration(0); at < 620*s; at += 20 * s {
+		often = append(often, at)
+	}
 	slow := func(at, took time.Duration, limit float64) func(*Endpoint) {
 		return func(e *Endpoint) { e.RecordResponse(start.Add(at), start.Add(at-took), limit) }
 	}
@@ -220,6 +231,12 @@
 		"slow response, told of a limit":   {[]func(*Endpoint){told(3*s, 2, 0), slow(4*s, 2*s, 0)}, 4 * s, 2, false},
 		"slow response before being told":  {[]func(*Endpoint){own(0, 2), own(s, 0), slow(4*s, 2*s, 0), told(4*s, 3, s)}, 4 * s, 3, true},
 		"over in a slow response":          {[]func(*Endpoint){own(s, 2), slow(4*s, 2*s, 0)}, 4 * s, 0, true},
+		"not confirmed, others would tell": {[]func(*Endpoint){own(0, 2), reports(25*s, 50*s)}, 79 * s, 2, true},
+		"no reports for long":              {[]func(*Endpoint){own(0, 2), reports(25*s, 56*s)}, 57 * s, 0, false},
+		"reports after expiry":             {[]func(*Endpoint){own(0, 2), reports(31*s, 32*s)}, 33 * s, 0, false},
+		"reports for long":                 {[]func(*Endpoint){own(0, 2), reports(often...)}, 629 * s, 2, true},
+		"reports for too long":             {[]func(*Endpoint){own(0, 2), reports(often...)}, 631 * s, 0, false},
+		"others tell of the end":           {[]func(*Endpoint){own(0, 2), reports(25 * s), told(30*s, 0, s), reports(31 * s)}, 32 * s, 0, true},
 		"told of an end, and then a limit": {[]func(*Endpoint){told(s, 0, 0), told(2*s, 3, 0)}, 3 * s, 3, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -218,7 +218,7 @@
 	if report.Loads != nil {
 		b.table.SetRemoteLoads(at, report.Loads)
 		b.table.SetRemotePauses(at, report.Pauses)
-		b.table.SetRemoteLimits(at, report.Limits)
+		b.table.SetRemoteLimits(at, report.Limits, report.Instances)
 	}
 	b.table.SetOtherInstances(at, report.Instances)
 	b.admission.SetRemote(at, report.Usages, report.Instances)
