Measure when all instances know the end of a request limit

The postmortem of the exceeded limit lists this as not measured at size. The replay of TestLimitedFleet now notes when no instance counts with the limit any more, logs it and fails above 8 s.

--- a/internal/core/placement/limit_fleet_test.go
+++ b/internal/core/placement/limit_fleet_test.go
@@ -13,6 +13,7 @@
 	limitSettleTime = 3 * time.Second // from the first response with the limit until the bound holds
 	limitTellTime   = 500 * time.Millisecond
 	limitNamedAt    = 2 * time.Second // in the replay
+	limitEndTime    = 8 * time.Second // until all instances know that a limit is over; 195 instances take up to 7.1 s on 20 seeds
 	limitFirstByte  = 100 * time.Millisecond
 	limitTotal      = 300 * time.Millisecond
 	limitSlow       = 8 * time.Second // until the first byte of a slow response
@@ -32,6 +33,8 @@
 
 	slowShare float64 // of the requests, whose responses begin after limitSlow with what the endpoint said when it got the request
 
+	endKnownAt time.Duration // when no instance counted with the limit any more, since its end; 0 before
+
 	sends    []limitedSend // to the limited endpoint
 	refused  int
 	requests int
@@ -106,6 +109,7 @@
 			f.exchange(now)
 		}
 		f.progress(now)
+		f.checkEnd(at)
 		n := rate(at) * limitStep.Seconds()
 		for ; n > 0; n-- {
 			if n < 1 && rng.Float64() >= n {
@@ -151,6 +155,20 @@
 	})
 }
 
+// checkEnd notes when all instances that are not cut off know that the limit is over.
+func (f *limitedReplay) checkEnd(at time.Duration) {
+	if f.endKnownAt > 0 || at < limitNamedAt || f.limit(at) > 0 {
+		return
+	}
+	limited := newEndpoints(1, "a")[service][0].ID
+	for _, t := range f.tables[:len(f.tables)-f.cutOff] {
+		if t.states[limited].limit.PerSecond(start.Add(at)) > 0 {
+			return
+		}
+	}
+	f.endKnownAt = at
+}
+
 // place sends a request of an instance.
 func (f *limitedReplay) place(now time.Time, instance int, q Request) {
 	f.requests++
@@ -281,8 +299,8 @@
 				f.run(at, end, rng, c.load)
 				all, told := f.most(limitNamedAt+limitSettleTime, over)
 				under, after := f.count(limitNamedAt+limitSettleTime, over), f.count(over+2*time.Second, end)
-				t.Logf("at most %d in %v, %d of instances that were told, %d allowed; %d in %v, then %d in %v; %d of %d refused",
-					all, limitPeriod, told, allowed, under, over-limitNamedAt-limitSettleTime, after, end-over-2*time.Second, f.refused, f.requests)
+				t.Logf("at most %d in %v, %d of instances that were told, %d allowed; %d in %v, then %d in %v; end known after %v; %d of %d refused",
+					all, limitPeriod, told, allowed, under, over-limitNamedAt-limitSettleTime, after, end-over-2*time.Second, f.endKnownAt-over, f.refused, f.requests)
 				if told > allowed || all > allowed && c.cutOff == 0 {
 					t.Errorf("at most %d in %v, %d of instances that were told, %d allowed", all, limitPeriod, told, allowed)
 				}
@@ -292,6 +310,9 @@
 				if after < 40 {
 					t.Errorf("%d requests in %v after the limit", after, end-over-2*time.Second)
 				}
+				if f.endKnownAt == 0 || f.endKnownAt > over+limitEndTime {
+					t.Errorf("end known after %v, want at most %v", f.endKnownAt-over, limitEndTime)
+				}
 				if f.refused > 0 {
 					t.Errorf("%d requests were refused", f.refused)
 				}
