Log headers of the platform that are not known here

Callers saw nothing; operators did not either: the platform began to state request limits in a new response header, and the product passed it on without a trace, so that the limit was exceeded for as long as nobody compared the traffic with it. New statements of endpoints will come again.

The platform's decoder now names response headers in its own namespace (Cassiaspoke-, Server-) that it does not know, at most four for each response. The ingress logs the first signed response with each of up to eight names, then one line for all others, and counts responses by name (the rest as "other"). Names are cut at 64 bytes, values are not logged. Documented headers, those of requests that an endpoint may repeat, and the standard Server-Timing are known.

TestUnknownHeaderInLog sends 31 requests to an endpoint that invents a name for each: 8 lines and one about the others, none for an unsigned response. TestUnknownHeaderCounts: 9 counters for 103 names.

--- a/internal/core/attributes/attributes.go
+++ b/internal/core/attributes/attributes.go
@@ -60,6 +60,8 @@
 	RequestLimit float64
 	// WarmUpRemaining is for how much longer the endpoint is cold; negative if not stated.
 	WarmUpRemaining time.Duration
+	// UnknownHeaders holds names of the protocol's headers that the protocol's decoder does not know, at most a few.
+	UnknownHeaders []string
 }
 
 // UnknownWarmUp is the WarmUpRemaining of a response that states none.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -177,6 +177,7 @@
 	if genuine {
 		c := x.handler.balancer.recordResponse(now, a.sentAt, a.choice.Endpoint, a.attributes.WarmUpRemaining, a.statedLimit())
 		x.handler.noteLimit(id, x.request.ID, limitFromResponse, c)
+		x.handler.unknownHeaders.note(id, x.request.ID, a.attributes.UnknownHeaders)
 	}
 	if genuine && a.attributes.Leaving && x.handler.balancer.markLeaving(now, id) {
 		x.handler.noteUnwilling(id, x.request.ID, unwillingLeaving, 0)
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -30,18 +30,19 @@
 
 // handler serves clients' requests.
 type handler struct {
-	options      Options
-	snapshot     *atomic.Pointer[snapshot]
-	balancer     *balancer
-	pool         *forward.Pool
-	coordinator  *coordinator
-	metrics      *metrics
-	log          *requestLog
-	stopping     *atomic.Bool
-	serverClosed *atomic.Bool               // the grace period is over, and connections with requests under way were closed
-	stopDeadline *atomic.Pointer[time.Time] // end of the grace period; set once the load balancer has noticed the stop
-	stopDue      context.Context            // ends when requests under way have to end
-	startedAt    time.Time
+	options        Options
+	snapshot       *atomic.Pointer[snapshot]
+	balancer       *balancer
+	pool           *forward.Pool
+	coordinator    *coordinator
+	metrics        *metrics
+	log            *requestLog
+	unknownHeaders *unknownHeaders
+	stopping       *atomic.Bool
+	serverClosed   *atomic.Bool               // the grace period is over, and connections with requests under way were closed
+	stopDeadline   *atomic.Pointer[time.Time] // end of the grace period; set once the load balancer has noticed the stop
+	stopDue        context.Context            // ends when requests under way have to end
+	startedAt      time.Time
 	// abandonedProbes limits the probes of endpoints whose requests were given up.
 	abandonedProbes *rate.Limiter
 	ready           <-chan struct{} // closed once the configuration and the endpoints are known
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -65,7 +65,7 @@
 	i.publisher = newPublisher(o, i.balancer, i.coordinator)
 	i.handler = &handler{
 		options: o, snapshot: &i.snapshot, balancer: i.balancer, pool: i.pool, coordinator: i.coordinator, metrics: newMetrics(o.MetricsScope),
-		log: newRequestLog(o.Logger), stopping: &i.stopping, serverClosed: &i.serverClosed, stopDeadline: &i.stopDeadline,
+		log: newRequestLog(o.Logger), unknownHeaders: newUnknownHeaders(o.Logger, o.MetricsScope), stopping: &i.stopping, serverClosed: &i.serverClosed, stopDeadline: &i.stopDeadline,
 		stopDue: i.stopDue, startedAt: time.Now(), ready: i.controller.ready,
 		abandonedProbes: rate.NewLimiter(abandonedProbesPerSecond, abandonedProbeBurst),
 	}
