--- a/internal/core/placement/limit.go
+++ b/internal/core/placement/limit.go
@@ -14,13 +14,14 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
-// RecordLimit records the limit that an endpoint states in a response, 0 if it states none, and returns how it has changed.
-func (t *Table) RecordLimit(now time.Time, e routing.Endpoint, perSecond float64) requestlimit.Change {
+// RecordLimit records the limit that an endpoint states in the response to a request that was sent at sentAt, 0 if it states none, and
+// returns how it has changed.
+func (t *Table) RecordLimit(now, sentAt time.Time, e routing.Endpoint, perSecond float64) requestlimit.Change {
 	s := t.states[e.ID]
 	if s == nil || s.startedAtMS != e.StartedAtMS || s.address != e.Address || perSecond == attributes.UnknownRequestLimit {
 		return requestlimit.Change{}
 	}
-	c := s.limit.RecordResponse(now, perSecond)
+	c := s.limit.RecordResponse(now, sentAt, perSecond)
 	t.hasLimits = t.hasLimits || perSecond > 0
 	if c.Changed() {
 		t.forgetUnwilling(now)
@@ -41,6 +42,9 @@
 func (t *Table) LimitChanges(now time.Time) ([]LimitChange, map[string]int) {
 	var changes []LimitChange
 	counts := make(map[string]int, len(t.services))
+	if t.cold.fleet.CoveredBy(now, 0) {
+		t.recordLimitReports(now) // there are no other instances
+	}
 	t.hasLimits = false
 	for _, s := range t.states {
 		t.hasLimits = t.hasLimits || s.limit.PerSecond(now) > 0
@@ -141,15 +145,27 @@
 	return out
 }
 
-// SetRemoteLimits records what endpoints have said to other instances.
-func (t *Table) SetRemoteLimits(now time.Time, l Limits) {
-	if len(l) == 0 {
+// SetRemoteLimits records what endpoints have said to a number of other instances.
+func (t *Table) SetRemoteLimits(now time.Time, l Limits, others int) {
+	if len(l) > 0 {
+		for _, s := range t.states {
+			if r, ok := l[s.process]; ok {
+				s.limit.RecordOthers(now, r)
+				s.askedAt, t.hasLimits = now, true
+			}
+		}
+	}
+	if t.cold.fleet.CoveredBy(now, others) {
+		t.recordLimitReports(now)
+	}
+}
+
+// recordLimitReports records that most other instances have told what endpoints have said to them.
+func (t *Table) recordLimitReports(now time.Time) {
+	if !t.hasLimits {
 		return
 	}
 	for _, s := range t.states {
-		if r, ok := l[s.process]; ok {
-			s.limit.RecordOthers(now, r)
-			s.askedAt, t.hasLimits = now, true
-		}
+		s.limit.RecordReports(now)
 	}
 }
