Keep a silent response while other endpoints fail at once

A stream or a call whose endpoint was silent for some time was given up as soon as another endpoint had not refused the request. An endpoint that answered at once with a server error, an answer without its signature, a 503 without the mark of a refusal, or something that can't go on with the stream counted as having taken it. The stream that was alive was closed, and if no further endpoint or attempt was left, the client's stream was cut.

Such an answer now counts like a refusal: the next endpoint is tried, or the response that was silent goes on.

TestSilentStreamFailsElsewhere failed before in all six cases: the stream was cut after event 1 of 2. It holds now.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -40,6 +40,7 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	stopOnStop   func() bool     // undoes the cancellation at the stop of the instance
+	tentative    bool            // failed at once, while the response of the attempt before is kept
 	sent         chan sendResult // receives the result of a send in the background; nil if it is not sent so
 }
 
@@ -154,11 +155,11 @@
 	case response.Status >= http.StatusInternalServerError:
 		x.mayHaveRun = true
 		return a.handleServerError()
-	case x.headSent && (!a.isStream() || response.Status != x.status):
+	case x.headSent && !x.continuesStream(response):
 		x.mayHaveRun = true
 		next, _ := a.rejectResponse(fmt.Errorf("status %d and content type %q instead of the rest of the stream", response.Status, response.Header.Get("Content-Type")))
 		return next, fmt.Sprintf("not resumed (%d)", response.Status)
-	case a.isStream():
+	case x.isStream(response):
 		x.mayHaveRun = true
 		return a.forwardStream()
 	}
@@ -274,7 +275,7 @@
 func (a *attempt) handleServerError() (nextStep, string) {
 	x := a.exchange
 	outcome := strconv.Itoa(a.response.Status)
-	body, err := a.readResponseBody()
+	body, err := a.readServerError()
 	if err != nil {
 		return a.rejectResponse(err)
 	}
@@ -282,7 +283,7 @@
 	a.recordResult(false)
 	a.recordCompletion()
 	x.excludedEndpoints[a.choice.Endpoint.ID] = true
-	if !x.headSent {
+	if !x.headSent && !a.tentative {
 		x.lastFailure = &bufferedResponse{status: a.response.Status, header: x.handler.options.Protocol.ClientResponseHeader(a.response.Header), body: body}
 	}
 	if !x.route.Repeatable() {
@@ -291,6 +292,17 @@
 	return stepRetry, outcome
 }
 
+// readServerError returns the body of a 5xx response. A response that is kept meanwhile must not wait for it, so it is not needed then.
+func (a *attempt) readServerError() ([]byte, error) {
+	if !a.tentative {
+		return a.readResponseBody()
+	}
+	if !a.response.Drain(drainTimeout) {
+		return nil, fmt.Errorf("status %d without its body", a.response.Status)
+	}
+	return nil, nil
+}
+
 // brokeOff reports whether the connection ended before the response did, rather than that it fell silent.
 func brokeOff(err error) bool {
 	return forward.KindOf(err) == forward.ErrTruncated && !forward.IsTimeout(err)
--- a/internal/ingress/next_attempt.go
+++ b/internal/ingress/next_attempt.go
@@ -2,17 +2,19 @@
 
 import (
 	"maps"
+	"net/http"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
 // refusalWindow is how long a stalled response is kept after the request was sent to another endpoint. An endpoint that can't take a
 // request refuses it at once. The first endpoint must have stopped 400 ms after the second one began.
 const refusalWindow = 150 * time.Millisecond
 
-// beginNext begins attempts at other endpoints until one of them isn't refused at once, and reports whether there is one. It is called
+// beginNext begins attempts at other endpoints until one of them doesn't fail at once, and reports whether there is one. It is called
 // by the request's goroutine.
 func (a *attempt) beginNext(reserve float64) bool {
 	x := a.exchange
@@ -24,10 +26,11 @@
 		}
 		b := x.newAttempt(now, c, inFlight)
 		b.sendInBackground()
-		if !b.refusedAtOnce() {
+		if !b.failedAtOnce() {
 			x.begun = b
 			return true
 		}
+		b.tentative = true
 		if next := b.complete(); next != stepRetry {
 			x.noRetryReason = "" // the response that has stalled goes on
 			return false
@@ -36,19 +39,26 @@
 	return false
 }
 
-// refusedAtOnce reports whether the attempt has failed within refusalWindow.
-func (a *attempt) refusedAtOnce() bool {
+// failedAtOnce reports whether the attempt has failed within refusalWindow.
+func (a *attempt) failedAtOnce() bool {
 	t := time.NewTimer(refusalWindow)
 	defer t.Stop()
 	select {
 	case r := <-a.sent:
 		a.sent <- r
-		return r.err != nil || a.exchange.handler.options.Protocol.DecodeResponse(r.response.Status, r.response.Header).NotExecuted
+		return r.err != nil || a.exchange.isFailure(r.response)
 	case <-t.C:
 		return false
 	}
 }
 
+// isFailure reports whether the head of a response shows that the response can't be the one that the client gets.
+func (x *exchange) isFailure(r *forward.Response) bool {
+	a := x.handler.options.Protocol.DecodeResponse(r.Status, r.Header)
+	return a.NotExecuted || !a.Signed || a.UnrequestedEncoding || impliesNotExecuted(r.Status) || r.Status >= http.StatusInternalServerError ||
+		x.headSent && !x.continuesStream(r)
+}
+
 // discardBegun ends an attempt that is under way and whose response nobody waits for, as the client has left or the instance stops.
 func (x *exchange) discardBegun() {
 	b := x.begun
--- a/internal/ingress/silent_stream_test.go
+++ b/internal/ingress/silent_stream_test.go
@@ -32,7 +32,7 @@
 func (p refusingProtocol) DecodeResponse(status int, h http.Header) attributes.Response {
 	r := p.headerProtocol.DecodeResponse(status, h)
 	r.NotExecuted = h.Get("Refused") != ""
-	r.Signed = !r.NotExecuted
+	r.Signed = !r.NotExecuted && h.Get("Unsigned") == ""
 	if n, err := strconv.Atoi(h.Get("Confidence")); err == nil {
 		r.Confidence = n
 	}
@@ -46,9 +46,10 @@
 	return p.headerProtocol.ClientResponseHeader(h)
 }
 
-// streamEngines serves streams: the first request gets the events as they are released, further ones are refused.
+// streamEngines serves streams: the first request gets the events as they are released, further ones are refused unless others is set.
 type streamEngines struct {
 	release chan int // number of the event to send next
+	others  http.HandlerFunc
 
 	mu       sync.Mutex
 	requests int
@@ -62,6 +63,10 @@
 	first := e.requests == 1
 	e.mu.Unlock()
 	w.Header().Set("Id", r.Header.Get("Id"))
+	if !first && e.others != nil {
+		e.others(w, r)
+		return
+	}
 	if !first {
 		w.Header().Set("Refused", "full")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -149,9 +154,9 @@
 }
 
 // beginStream starts an instance and a stream of which the client has the first event.
-func beginStream(t *testing.T) (*Ingress, *streamEngines, <-chan result) {
+func beginStream(t *testing.T, others http.HandlerFunc) (*Ingress, *streamEngines, <-chan result) {
 	t.Helper()
-	e := &streamEngines{release: make(chan int)}
+	e := &streamEngines{release: make(chan int), others: others}
 	i, url := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, e.ServeHTTP)
 	done, parts := startStream(t, url)
 	e.release <- 1
@@ -175,7 +180,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			i, e, done := beginStream(t)
+			i, e, done := beginStream(t, nil)
 			prepare(t, i)
 			time.Sleep(stallTestGap + 300*time.Millisecond)
 			e.release <- 2
@@ -185,10 +190,41 @@
 	}
 }
 
+// TestSilentStreamFailsElsewhere guards against ending a stream whose endpoint was silent for some time, for another endpoint that answers
+// at once, but with something that can't go on with the stream.
+func TestSilentStreamFailsElsewhere(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"server error": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"no signature": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Unsigned", "yes") },
+		"503 without the mark of a refusal": func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"no stream": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Type", "text/plain") },
+		"other status": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusCreated)
+		},
+		"server error without its body": func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			_, e, done := beginStream(t, answer)
+			time.Sleep(stallTestGap + 300*time.Millisecond)
+			e.release <- 2
+			close(e.release)
+			expectStream(t, done, e, 2)
+		})
+	}
+}
+
 // TestEventCrossesStallTimeout guards against giving up a stream whose next event arrives while the timeout for it is being handled.
 func TestEventCrossesStallTimeout(t *testing.T) {
 	t.Parallel()
-	i, e, done := beginStream(t)
+	i, e, done := beginStream(t, nil)
 	i.balancer.mu.Lock() // the timeout looks for another endpoint
 	time.Sleep(stallTestGap + 50*time.Millisecond)
 	e.release <- 2
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -14,10 +14,14 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
-// isStream reports whether the response is forwarded event by event.
-func (a *attempt) isStream() bool {
-	return a.exchange.route.Kind == routing.Stream && a.response.Status < http.StatusMultipleChoices &&
-		strings.HasPrefix(a.response.Header.Get("Content-Type"), "text/event-stream")
+// isStream reports whether a response is forwarded event by event.
+func (x *exchange) isStream(r *forward.Response) bool {
+	return x.route.Kind == routing.Stream && r.Status < http.StatusMultipleChoices && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// continuesStream reports whether a response may go on with the stream that the client has begun to get.
+func (x *exchange) continuesStream(r *forward.Response) bool {
+	return x.isStream(r) && r.Status == x.status
 }
 
 // forwardStream forwards whole events as they arrive. If the model's confidence is too low, it has the request sent to a
