Keep an attempt without a response until another endpoint has taken it

When an endpoint did not begin to respond in time, its attempt was cancelled first and the next endpoint was asked after that. If that one and all others refused the request, the caller got a 502 although the first endpoint was about to answer. If an earlier endpoint had begun the stream and broken off, so that the client already had events, the client's stream was cut.

The request's goroutine now waits for the response and for the timeout, and begins the next attempt as it already did for streams: the silent attempt is kept until another endpoint has not refused it for 150 ms. If its response comes first, the other attempt is ended. The timer's goroutine and the atomic result that settled which of them came first are gone.

TestSilentEndpoint failed before in all three cases: 502 for the call and the stream, the rest of a stream cut after event 1 of 2. TestSilentEndpointGivenUp bounds the time for which a request may be at two endpoints, for either order of the responses.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -69,18 +69,18 @@
 }
 
 // sendInBackground begins to send the request, for which complete waits.
-func (a *attempt) sendInBackground() {
-	send := a.prepareSend()
+func (a *attempt) sendInBackground(newConn bool) {
+	send := a.prepareSend(newConn)
 	a.sent = make(chan sendResult, 1)
 	go func() { a.sent <- send() }()
 }
 
 // prepareSend returns a function that sends the request and waits for the head of the response. The function doesn't use the
-// exchange, so that it may run beside the request's goroutine.
-func (a *attempt) prepareSend() func() sendResult {
+// exchange, so that it may run beside the request's goroutine. NewConn opens a connection for it in any case.
+func (a *attempt) prepareSend(newConn bool) func() sendResult {
 	x := a.exchange
 	// A retry may be the last attempt, so it does not risk a pooled connection that the endpoint may have closed.
-	newConn := !x.route.Repeatable() || x.attempts > 0
+	newConn = newConn || !x.route.Repeatable() || x.attempts > 0
 	pool, protocol, address, q := x.handler.pool, x.handler.options.Protocol, a.choice.Endpoint.Address, x.outboundRequest(a.choice, a.sentAt)
 	return func() sendResult {
 		r, err := pool.Send(a.ctx, address, q, newConn, func(h http.Header) bool {
@@ -111,21 +111,11 @@
 // sendRequest sends the request and handles the response. It returns the outcome for the log.
 func (a *attempt) sendRequest() (nextStep, string) {
 	x, id := a.exchange, a.choice.Endpoint.ID
-	stopTimer := a.watchFirstByte()
-	var result sendResult
-	if a.sent != nil {
-		result = <-a.sent
-	} else {
-		result = a.prepareSend()()
-	}
-	response, err := result.response, result.err
-	if abandoned := stopTimer(); abandoned && err == nil {
-		response.Close(false)
-		err = &forward.Error{Op: "send", Kind: forward.ErrCancelled, Err: errStalled}
-	}
-	if err != nil {
-		return a.handleSendError(err)
+	result := a.awaitResponse()
+	if result.err != nil {
+		return a.handleSendError(result.err)
 	}
+	response := result.response
 	a.response = response
 	a.attributes = x.handler.options.Protocol.DecodeResponse(response.Status, response.Header)
 	a.recordEndpointState()
@@ -227,7 +217,6 @@
 		if !errors.Is(err, errStalled) {
 			return x.giveUpCancelled(err)
 		}
-		x.retryReserved = true
 		a.logRolloutStop(x.handler.balancer.recordSlowness(a.choice.Endpoint, x.route.Name, a.inFlight.SlownessAt(now)))
 	}
 	if kind == forward.ErrNoResponse || kind == forward.ErrStale {
--- a/internal/ingress/next_attempt.go
+++ b/internal/ingress/next_attempt.go
@@ -10,7 +10,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
-// refusalWindow is how long a stalled response is kept after the request was sent to another endpoint. An endpoint that can't take a
+// refusalWindow is how long a stalled attempt is kept after the request was sent to another endpoint. An endpoint that can't take a
 // request refuses it at once. The first endpoint must have stopped 400 ms after the second one began.
 const refusalWindow = 150 * time.Millisecond
 
@@ -18,21 +18,21 @@
 // by the request's goroutine.
 func (a *attempt) beginNext(reserve float64) bool {
 	x := a.exchange
-	for x.mayMove() && a.reserveRetry(reserve) && !a.response.HasUnread() {
+	for a.mayMove() && a.reserveRetry(reserve) && !a.hasUnread() {
 		now := time.Now()
 		c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, a.nextRequest())
 		if !ok {
 			return false
 		}
 		b := x.newAttempt(now, c, inFlight)
-		b.sendInBackground()
+		b.sendInBackground(true)
 		if !b.failedAtOnce() {
 			x.begun = b
 			return true
 		}
 		b.tentative = true
 		if next := b.complete(); next != stepRetry {
-			x.noRetryReason = "" // the response that has stalled goes on
+			x.noRetryReason = "" // the attempt that has stalled goes on
 			return false
 		}
 	}
@@ -74,10 +74,10 @@
 }
 
 // mayMove reports whether the request may be sent to another endpoint now.
-func (x *exchange) mayMove() bool {
-	now := time.Now()
+func (a *attempt) mayMove() bool {
+	x, now := a.exchange, time.Now()
 	verdict, _ := x.handler.coordinator.prompts.verdict(now, x.inputIDs)
-	return now.Before(x.deadline) && x.attemptsLeft() && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
+	return now.Before(x.deadline) && a.countAttempts() < x.route.MaxAttempts && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
 }
 
 // nextRequest returns the properties of the request for the choice of another endpoint.
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -1,10 +1,9 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"io"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/stall"
@@ -14,31 +13,16 @@
 // stallRetryReserve is the share of the retry budget that is kept for failed requests and not spent on stalled ones.
 const stallRetryReserve = 0.3
 
-// stallTimer bounds the wait for the next bytes of a response. When it expires, it abandons the attempt only if another
-// attempt is certain to be made.
+// stallTimer bounds the wait for the next bytes of a response. When it expires, the attempt is given up only if another one has been
+// begun or is certain to be made. It is used by the request's goroutine only.
 type stallTimer struct {
 	attempt         *attempt
 	timeout         time.Duration
 	responseStarted bool    // the head of the response has arrived
 	retryReserve    float64 // share of the retry budget that this request may not use
-
-	// result tells which came first, the end of the wait or the timeout. It is not protected by mu, so that a response that arrives
-	// while the timeout is being handled counts.
-	result atomic.Int32
-
-	mu           sync.Mutex // serialises the timer's goroutine and the request's
-	elapsedWaits int        // timeouts that have passed in a row
-	deadline     time.Time  // when the timer expires
-	timer        *time.Timer
+	elapsedWaits    int     // timeouts that have passed in a row
 }
 
-// Results of a wait for a response.
-const (
-	waitPending   int32 = iota
-	waitEnded           // the response has arrived or the attempt has failed
-	waitAbandoned       // the timeout has cancelled the attempt
-)
-
 // continueWait returns how much longer to wait, or 0 if the request is to be sent to another endpoint. TimerDelay is the
 // delay between the end of the wait and this call.
 func (s *stallTimer) continueWait(timerDelay time.Duration) time.Duration {
@@ -56,11 +40,11 @@
 	return d
 }
 
-// moveOn reports whether another attempt is to be made. A response that has started is kept until that attempt is under way, unless a
-// new configuration has to be applied first.
+// moveOn reports whether another attempt is to be made. This one is kept until that one is under way, unless a new configuration has to
+// be applied first.
 func (s *stallTimer) moveOn() bool {
 	x := s.attempt.exchange
-	if s.responseStarted && (x.headSent || x.handler.snapshot.Load().configuration == x.snapshot.configuration) {
+	if x.headSent || x.handler.snapshot.Load().configuration == x.snapshot.configuration {
 		return s.attempt.beginNext(s.retryReserve)
 	}
 	return s.attempt.reserveRetry(s.retryReserve)
@@ -87,55 +71,79 @@
 	if x.headSent || latest == x.snapshot.configuration {
 		return true
 	}
-	attempts := x.attempts
+	route, _, localErr := x.findRoute(latest)
+	return localErr == nil && a.countAttempts() < route.MaxAttempts
+}
+
+// countAttempts returns the number of attempts that may have reached an endpoint, this one included.
+func (a *attempt) countAttempts() int {
 	if a.response == nil {
-		attempts++ // this attempt is not counted yet
+		return a.exchange.attempts + 1 // it is not counted yet
 	}
-	route, _, localErr := x.findRoute(latest)
-	return localErr == nil && attempts < route.MaxAttempts
+	return a.exchange.attempts
 }
 
-// watchFirstByte moves a repeatable request to another endpoint if this one does not begin to respond in time. The
-// returned function stops the timer and reports whether the attempt was cancelled before.
-func (a *attempt) watchFirstByte() (stop func() (abandoned bool)) {
+// awaitResponse sends the request, unless it is sent already, and returns its result. It moves a repeatable request to another endpoint
+// if this one does not begin to respond in time.
+func (a *attempt) awaitResponse() sendResult {
 	x := a.exchange
-	if !x.route.Repeatable() || x.attempts+1 >= x.route.MaxAttempts {
-		return func() bool { return false }
+	mayMove := x.route.Repeatable() && x.attempts+1 < x.route.MaxAttempts
+	switch {
+	case !mayMove && a.sent == nil:
+		return a.prepareSend(false)()
+	case !mayMove:
+		return <-a.sent
+	case a.sent == nil:
+		a.sendInBackground(false)
 	}
 	d := max(firstByteFactor*a.choice.TimeToFirstByte+firstByteMargin, time.Duration(firstByteObjectiveShare*float64(x.route.LatencyObjective)))
-	s := &stallTimer{attempt: a, timeout: d, retryReserve: stallRetryReserve, deadline: a.sentAt.Add(d)}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(time.Until(s.deadline), s.onTimer)
-	return s.stop
+	s := &stallTimer{attempt: a, timeout: d, retryReserve: stallRetryReserve}
+	deadline := a.sentAt.Add(d)
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	for {
+		select {
+		case r := <-a.sent:
+			return r
+		case <-t.C:
+		}
+		if a.hasUnread() {
+			return <-a.sent // it came while this process was busy
+		}
+		now := time.Now()
+		d := s.continueWait(now.Sub(deadline))
+		if d == 0 {
+			return a.giveUpStalled()
+		}
+		deadline = now.Add(d)
+		t.Reset(time.Until(deadline))
+	}
 }
 
-// onTimer extends the wait or cancels the attempt.
-func (s *stallTimer) onTimer() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.result.Load() != waitPending {
-		return
-	}
-	now := time.Now()
-	d := s.continueWait(now.Sub(s.deadline))
-	if d == 0 {
-		if s.result.CompareAndSwap(waitPending, waitAbandoned) {
-			s.attempt.cancel(errStalled)
-		}
-		return
+// giveUpStalled cancels the attempt for the next one, unless a response has come while that was begun. It returns the result.
+func (a *attempt) giveUpStalled() sendResult {
+	x := a.exchange
+	if !a.hasUnread() {
+		a.cancel(errStalled)
+	}
+	r := <-a.sent
+	switch {
+	case r.err != nil:
+	case a.ctx.Err() != nil:
+		r.response.Close(false)
+		return sendResult{err: &forward.Error{Op: "send", Kind: forward.ErrCancelled, Err: context.Cause(a.ctx)}}
+	case !x.isFailure(r.response):
+		x.discardBegun()
 	}
-	s.deadline = now.Add(d)
-	s.timer.Reset(d)
+	return r
 }
 
-// stop stops the timer and reports whether the attempt was cancelled before.
-func (s *stallTimer) stop() bool {
-	s.result.CompareAndSwap(waitPending, waitEnded)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer.Stop()
-	return s.result.Load() == waitAbandoned
+// hasUnread reports whether bytes of the response, or its end, have arrived that were not read yet.
+func (a *attempt) hasUnread() bool {
+	if a.response == nil {
+		return len(a.sent) > 0
+	}
+	return a.response.HasUnread()
 }
 
 // watchEvents resumes a resumable stream at another endpoint when no event arrives in time. The returned function
