Keep a stream whose next event comes before another endpoint responds

The stream that was alive was closed for an endpoint that had shown nothing yet; when that one failed later, the client's stream was cut.

The stream now goes on if bytes of it have arrived, and the attempt at the other endpoint is ended. Only the end of the connection does not count. The attempt that was ended counts towards the attempts of the route, as its endpoint may have run it; this also holds for one that is ended because the response of an attempt without one came first.

TestEventWhileNextBegins failed before: the request stayed at the second endpoint and the stream was cut after event 1. Without the count it fails with a fourth attempt on a route that allows three.

--- a/internal/forward/idle.go
+++ b/internal/forward/idle.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -13,20 +14,37 @@
 
 // IsIdle reports whether a connection is open and has no bytes to read.
 func IsIdle(c net.Conn) bool {
+	if _, ok := c.(syscall.Conn); !ok {
+		return true
+	}
+	n, err := peek(c)
+	return n <= 0 && (errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR))
+}
+
+// hasBytes reports whether a connection has bytes to read, rather than only its end.
+func hasBytes(c net.Conn) bool {
+	n, err := peek(c)
+	return n > 0 && err == nil
+}
+
+// peek returns how many bytes, up to one, can be read from a connection without waiting.
+func peek(c net.Conn) (int, error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
+	var n int
+	var readErr error
 	// Unlike Read, Control also works after the connection's deadline.
-	err = raw.Control(func(fd uintptr) {
+	if err := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = n <= 0 && (e == unix.EAGAIN || e == unix.EINTR)
-	})
-	return err == nil && open
+		n, _, readErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); err != nil {
+		return 0, err
+	}
+	return n, readErr
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -198,6 +198,9 @@
 // HasUnread reports whether bytes of the response, or its end, have arrived that were not read yet.
 func (r *Response) HasUnread() bool { return !IsIdle(r.conn.Conn) }
 
+// HasBytes reports whether bytes of the response have arrived that were not read yet.
+func (r *Response) HasBytes() bool { return hasBytes(r.conn.Conn) }
+
 // SetTimeoutHandler sets the function that is called when a wait for bytes has ended, with the delay of the timer.
 // The function returns how much longer to wait, or 0 to give up.
 func (r *Response) SetTimeoutHandler(f func(delay time.Duration) time.Duration) { r.conn.onTimeout = f }
--- a/internal/ingress/next_attempt.go
+++ b/internal/ingress/next_attempt.go
@@ -28,6 +28,10 @@
 		b.sendInBackground(true)
 		if !b.failedAtOnce() {
 			x.begun = b
+			if a.response != nil && a.response.HasBytes() {
+				x.discardBegun() // the response that has stalled goes on
+				return false
+			}
 			return true
 		}
 		b.tentative = true
@@ -59,13 +63,15 @@
 		x.headSent && !x.continuesStream(r)
 }
 
-// discardBegun ends an attempt that is under way and whose response nobody waits for, as the client has left or the instance stops.
+// discardBegun ends an attempt that is under way and whose response nobody waits for, as the client has left, the instance stops or the
+// attempt before goes on.
 func (x *exchange) discardBegun() {
 	b := x.begun
 	if b == nil {
 		return
 	}
 	x.begun = nil
+	x.attempts++ // an endpoint may have run it
 	b.release()
 	if r := <-b.sent; r.response != nil {
 		r.response.Close(false)
--- a/internal/ingress/silent_stream_test.go
+++ b/internal/ingress/silent_stream_test.go
@@ -221,6 +221,35 @@
 	}
 }
 
+// TestEventWhileNextBegins guards against giving up a stream whose next event arrives before another endpoint has begun to respond, and
+// against more attempts than the route allows then.
+func TestEventWhileNextBegins(t *testing.T) {
+	t.Parallel()
+	moved, ended := make(chan struct{}, 10), make(chan struct{}, 10)
+	_, e, done := beginStream(t, func(_ http.ResponseWriter, r *http.Request) {
+		moved <- struct{}{}
+		<-r.Context().Done()
+		ended <- struct{}{}
+	})
+	for n := 2; n <= 3; n++ {
+		<-moved
+		time.Sleep(refusalWindow / 3)
+		e.release <- n
+		select {
+		case <-ended:
+		case <-time.After(2 * refusalWindow):
+			t.Error("the request goes on at the second endpoint")
+		}
+	}
+	time.Sleep(stallTestGap + 300*time.Millisecond)
+	if len(moved) > 0 {
+		t.Error("a fourth attempt on a route that allows three")
+	}
+	e.release <- 4
+	close(e.release)
+	expectStream(t, done, e, 4)
+}
+
 // TestEventCrossesStallTimeout guards against giving up a stream whose next event arrives while the timeout for it is being handled.
 func TestEventCrossesStallTimeout(t *testing.T) {
 	t.Parallel()
