Read refusals that arrived while the process had no processor

An endpoint that is asked to go on with a silent response has 150 ms to refuse. If this process got no processor at the end of that time, as on a machine whose core has a quota, its timer and the refusal became due together, and the timer could be handled first: the request counted as accepted and the response that was alive was closed.

A timer that is more than 10 ms late now leaves 30 ms to read what has arrived. The 400 ms for which a request may run at two endpoints leave room for that.

TestLateRefusal failed before the second wait was added: the refusal that was read 10 ms after a late timer was not noticed.

--- a/internal/ingress/next_attempt.go
+++ b/internal/ingress/next_attempt.go
@@ -14,6 +14,13 @@
 // request refuses it at once. The first endpoint must have stopped 400 ms after the second one began.
 const refusalWindow = 150 * time.Millisecond
 
+// A timer that is later than maxRefusalDelay shows that this process had no processor. Refusals that have arrived meanwhile are read
+// within refusalReadTime.
+const (
+	maxRefusalDelay = 10 * time.Millisecond
+	refusalReadTime = 30 * time.Millisecond
+)
+
 // beginNext begins attempts at other endpoints until one of them doesn't fail at once, and reports whether there is one. It is called
 // by the request's goroutine.
 func (a *attempt) beginNext(reserve float64) bool {
@@ -26,7 +33,7 @@
 		}
 		b := x.newAttempt(now, c, inFlight)
 		b.sendInBackground(true)
-		if !b.failedAtOnce() {
+		if !b.failedAtOnce(time.Now().Add(refusalWindow)) {
 			x.begun = b
 			if a.response != nil && a.response.HasBytes() {
 				x.discardBegun() // the response that has stalled goes on
@@ -43,16 +50,21 @@
 	return false
 }
 
-// failedAtOnce reports whether the attempt has failed within refusalWindow.
-func (a *attempt) failedAtOnce() bool {
-	t := time.NewTimer(refusalWindow)
+// failedAtOnce reports whether the attempt fails before a time.
+func (a *attempt) failedAtOnce(end time.Time) bool {
+	t := time.NewTimer(time.Until(end))
 	defer t.Stop()
-	select {
-	case r := <-a.sent:
-		a.sent <- r
-		return r.err != nil || a.exchange.isFailure(r.response)
-	case <-t.C:
-		return false
+	for late := false; ; late = true {
+		select {
+		case r := <-a.sent:
+			a.sent <- r
+			return r.err != nil || a.exchange.isFailure(r.response)
+		case <-t.C:
+		}
+		if late || time.Since(end) < maxRefusalDelay {
+			return false
+		}
+		t.Reset(refusalReadTime)
 	}
 }
 
--- a/internal/ingress/silent_stream_test.go
+++ b/internal/ingress/silent_stream_test.go
@@ -13,6 +13,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/core/attributes"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/suspect"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
 // stallTestGap is the timeout of watchEvents for the routes of newServingIngress.
@@ -250,6 +251,19 @@
 	expectStream(t, done, e, 4)
 }
 
+// TestLateRefusal guards against taking a request for accepted when the refusal has arrived, but this process had no processor to read it
+// before the time for a refusal was over.
+func TestLateRefusal(t *testing.T) {
+	i, _ := newServingIngress(t, refusingProtocol{headerProtocol: headerProtocol{func() {}}}, func(http.ResponseWriter, *http.Request) {})
+	a := &attempt{exchange: &exchange{handler: i.handler}, sent: make(chan sendResult, 1)}
+	time.AfterFunc(10*time.Millisecond, func() {
+		a.sent <- sendResult{response: &forward.Response{Status: http.StatusServiceUnavailable, Header: http.Header{"Refused": {"full"}}}}
+	})
+	if !a.failedAtOnce(time.Now().Add(-refusalWindow)) {
+		t.Error("the refusal is not noticed")
+	}
+}
+
 // TestEventCrossesStallTimeout guards against giving up a stream whose next event arrives while the timeout for it is being handled.
 func TestEventCrossesStallTimeout(t *testing.T) {
 	t.Parallel()
