Wake the reader of an idle connection again at a stop

At a stop, the reader of an idle connection is woken by a read deadline. After a response, net/http removes the deadline when it begins to wait for the next request. A wake-up between the end of a response and that moment was lost but stayed noted, so that the connection was not woken again: it stayed open, and the stop waited for it until the grace period ended.

Each pass over the connections now sets the deadline, as long as the connection is idle and no bytes of a request have come.

TestWakeUpCrossesIdleDeadline failed before: the connection was still open 2 s after the second pass.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -275,11 +275,12 @@
 	return true, c.SetReadDeadline(time.Time{}) // the timer bounds the head
 }
 
-// closeIfIdle wakes the reader to close the connection if no request is under way or expected.
+// closeIfIdle wakes the reader to close the connection if no request is under way or expected. It may have to be called again, as
+// net/http removes the deadline that wakes the reader when it begins to wait for a request.
 func (c *clientConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.headBegun || c.closing || c.unused && time.Since(c.acceptedAt) < unusedConnGrace {
+	if !c.idle || c.headBegun || c.unused && time.Since(c.acceptedAt) < unusedConnGrace {
 		return
 	}
 	c.closing = true
--- a/internal/ingress/clientconn_crossing_test.go
+++ b/internal/ingress/clientconn_crossing_test.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// TestWakeUpCrossesIdleDeadline guards against a stop that waits for an idle connection until the grace period ends: the reader was woken to
+// close it, but net/http then removed the read deadline, as it does after each response.
+func TestWakeUpCrossesIdleDeadline(t *testing.T) {
+	l, s, a := newTestServer(t, echoPath)
+	woken := make(chan struct{})
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		l.connState(c, state)
+		if state == http.StateIdle {
+			l.closeIdle()
+			close(woken)
+		}
+	}
+	go func() { _ = s.Serve(l) }()
+	conn, r := dialServer(t, a)
+	sendGet(t, conn, "/first")
+	expectBody(t, r, "/first")
+	<-woken
+	time.Sleep(50 * time.Millisecond) // net/http waits for the next request
+	l.closeIdle()
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("the connection is not closed: %v", err)
+	}
+}
+
 // notedListener is a listener whose connections call onTimeout when a timeout of theirs is about to be carried out.
 type notedListener struct {
 	net.Listener
