Pass OPTIONS requests for the whole server to the handler

Callers that sent "OPTIONS *" got 200 from net/http itself, before any route or key was checked: a success that no endpoint had given. Such a request now goes through the handler like any other, and gets a 404 as no route has its path.

TestGeneralOptions failed before with status 200.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -106,7 +106,7 @@
 	start(i.sweepPeriodically)
 	l := newClientListener(i.options.RequestListener, &i.snapshot)
 	requests := &http.Server{ //nolint:gosec // clientListener enforces the configured timeout for a request's head.
-		Handler: i.countActive(i.handler), MaxHeaderBytes: maxHeaderBytes, ConnContext: l.connContext,
+		Handler: i.countActive(i.handler), MaxHeaderBytes: maxHeaderBytes, ConnContext: l.connContext, DisableGeneralOptionsHandler: true,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			l.connState(c, s)
 			connlimit.ConnState(c, s)
