--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -40,6 +40,7 @@
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	stopOnStop   func() bool     // undoes the cancellation at the stop of the instance
+	tentative    bool            // failed at once, while the response of the attempt before is kept
 	sent         chan sendResult // receives the result of a send in the background; nil if it is not sent so
 }
 
@@ -68,18 +69,18 @@
 }
 
 // sendInBackground begins to send the request, for which complete waits.
-func (a *attempt) sendInBackground() {
-	send := a.prepareSend()
+func (a *attempt) sendInBackground(newConn bool) {
+	send := a.prepareSend(newConn)
 	a.sent = make(chan sendResult, 1)
 	go func() { a.sent <- send() }()
 }
 
 // prepareSend returns a function that sends the request and waits for the head of the response. The function doesn't use the
-// exchange, so that it may run beside the request's goroutine.
-func (a *attempt) prepareSend() func() sendResult {
+// exchange, so that it may run beside the request's goroutine. NewConn opens a connection for it in any case.
+func (a *attempt) prepareSend(newConn bool) func() sendResult {
 	x := a.exchange
 	// A retry may be the last attempt, so it does not risk a pooled connection that the endpoint may have closed.
-	newConn := !x.route.Repeatable() || x.attempts > 0
+	newConn = newConn || !x.route.Repeatable() || x.attempts > 0
 	pool, protocol, address, q := x.handler.pool, x.handler.options.Protocol, a.choice.Endpoint.Address, x.outboundRequest(a.choice, a.sentAt)
 	return func() sendResult {
 		r, err := pool.Send(a.ctx, address, q, newConn, func(h http.Header) bool {
@@ -110,21 +111,11 @@
 // sendRequest sends the request and handles the response. It returns the outcome for the log.
 func (a *attempt) sendRequest() (nextStep, string) {
 	x, id := a.exchange, a.choice.Endpoint.ID
-	stopTimer := a.watchFirstByte()
-	var result sendResult
-	if a.sent != nil {
-		result = <-a.sent
-	} else {
-		result = a.prepareSend()()
-	}
-	response, err := result.response, result.err
-	if abandoned := stopTimer(); abandoned && err == nil {
-		response.Close(false)
-		err = &forward.Error{Op: "send", Kind: forward.ErrCancelled, Err: errStalled}
-	}
-	if err != nil {
-		return a.handleSendError(err)
+	result := a.awaitResponse()
+	if result.err != nil {
+		return a.handleSendError(result.err)
 	}
+	response := result.response
 	a.response = response
 	a.attributes = x.handler.options.Protocol.DecodeResponse(response.Status, response.Header)
 	a.recordEndpointState()
@@ -154,11 +145,11 @@
 	case response.Status >= http.StatusInternalServerError:
 		x.mayHaveRun = true
 		return a.handleServerError()
-	case x.headSent && (!a.isStream() || response.Status != x.status):
+	case x.headSent && !x.continuesStream(response):
 		x.mayHaveRun = true
 		next, _ := a.rejectResponse(fmt.Errorf("status %d and content type %q instead of the rest of the stream", response.Status, response.Header.Get("Content-Type")))
 		return next, fmt.Sprintf("not resumed (%d)", response.Status)
-	case a.isStream():
+	case x.isStream(response):
 		x.mayHaveRun = true
 		return a.forwardStream()
 	}
@@ -227,7 +218,6 @@
 		if !errors.Is(err, errStalled) {
 			return x.giveUpCancelled(err)
 		}
-		x.retryReserved = true
 		a.logRolloutStop(x.handler.balancer.recordSlowness(a.choice.Endpoint, x.route.Name, a.inFlight.SlownessAt(now)))
 	}
 	if kind == forward.ErrNoResponse || kind == forward.ErrStale {
@@ -275,7 +265,7 @@
 func (a *attempt) handleServerError() (nextStep, string) {
 	x := a.exchange
 	outcome := strconv.Itoa(a.response.Status)
-	body, err := a.readResponseBody()
+	body, err := a.readServerError()
 	if err != nil {
 		return a.rejectResponse(err)
 	}
@@ -283,7 +273,7 @@
 	a.recordResult(false)
 	a.recordCompletion()
 	x.excludedEndpoints[a.choice.Endpoint.ID] = true
-	if !x.headSent {
+	if !x.headSent && !a.tentative {
 		x.lastFailure = &bufferedResponse{status: a.response.Status, header: x.handler.options.Protocol.ClientResponseHeader(a.response.Header), body: body}
 	}
 	if !x.route.Repeatable() {
@@ -292,6 +282,17 @@
 	return stepRetry, outcome
 }
 
+// readServerError returns the body of a 5xx response. A response that is kept meanwhile must not wait for it, so it is not needed then.
+func (a *attempt) readServerError() ([]byte, error) {
+	if !a.tentative {
+		return a.readResponseBody()
+	}
+	if !a.response.Drain(drainTimeout) {
+		return nil, fmt.Errorf("status %d without its body", a.response.Status)
+	}
+	return nil, nil
+}
+
 // brokeOff reports whether the connection ended before the response did, rather than that it fell silent.
 func brokeOff(err error) bool {
 	return forward.KindOf(err) == forward.ErrTruncated && !forward.IsTimeout(err)
