Send followers only the records of the store that they lack

All 298 followers start at the one seed that accepts connections first. Its first 799 endpoints are 278 kB for each, 83 MB or more than 3 s on its link. The seed's own reads of the store wait behind them and time out after 0.7 s, so it confirms nothing. After three checks all followers leave, 111 and 108 to the other two seeds, and each gets the whole registry (0.84 MB, 93 MB a seed). These seeds then fail to read, too. To the end of the trace each seed sends full registries of 10 to 65 MB a second and no seed reads the store again; loads take at most 0.5 MB/s.

Three changes, each for one step of the loop: - a follower states the offset up to which it knows each topic, and gets only later records if the seed still keeps them all; - records of 4 KiB and more are compressed, once for all followers that lack the same ones, for followers that say that they read this; - at the start of a fleet, a follower tries the first seed of its own order for a quarter of the time for which it may wait for records, half a second. After a restart that quarter is 15 ms, so the second try goes to the next seed as before.

Fields are only added: a follower of an older release gets what it got before, and a seed of an older release ignores the new fields. What makes records count as recent is unchanged; only confirmations do.

TestFollowRequests covers older releases and faulty offsets, TestExpandRecords faulty compressed records.

--- a/internal/relay/error.go
+++ b/internal/relay/error.go
@@ -10,6 +10,7 @@
 	ErrGap    ErrorKind = "gap"        // records between two messages are missing
 	ErrStale  ErrorKind = "stale"      // the other instance does not confirm recent records
 	ErrStream ErrorKind = "broken off" // the stream between two instances failed or ended
+	ErrFormat ErrorKind = "format"     // compressed records that cannot be read or are too long
 )
 
 // Error describes a failed exchange with another instance.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,7 @@
 	// retryInterval because instances often start together, before the seeds accept connections.
 	startupRetryInterval = 20 * time.Millisecond
 	startupPhase         = time.Second            // after the start of an instance
+	firstSeedPart        = 4                      // part of a startup wait in which only the first seed is tried; the others still have time to respond
 	retryInterval        = 500 * time.Millisecond // from a failed stream to the next one
 	keepAliveInterval    = 10 * time.Second       // between probes of an idle connection; gRPC allows no shorter one
 	keepAliveTimeout     = 3 * time.Second        // for the response to a probe
@@ -130,53 +131,6 @@
 	return nil
 }
 
-// Follow sends the newest records of each topic to another instance, and then all changes.
-func (h *Hub) Follow(r *relaypb.FollowRequest, s grpc.ServerStreamingServer[relaypb.Batch]) error {
-	h.options.Logger.Info("relay: Another instance follows this one.", zap.String("follower", r.GetInstance()))
-	sent := make([]struct {
-		next     int64 // offset after the last record sent, 0 before the snapshot is sent
-		readAsOf instant
-	}, len(h.topics))
-	for {
-		changed := h.notifier.nextChange()
-		for i, t := range h.topics {
-			t.mu.Lock()
-			var m *relaypb.Batch
-			if l := &sent[i]; t.loaded && (t.next > l.next || t.readAsOf > l.readAsOf) {
-				m = h.newBatch(t, l.next, i)
-				l.next, l.readAsOf = t.next, t.readAsOf
-			}
-			t.mu.Unlock()
-			if m == nil {
-				continue
-			}
-			if err := s.Send(m); err != nil {
-				return &Error{Op: "send", Kind: ErrStream, Err: err}
-			}
-		}
-		select {
-		case <-s.Context().Done():
-			return &Error{Op: "follow", Kind: ErrStream, Err: s.Context().Err()}
-		case <-changed:
-		}
-	}
-}
-
-// newBatch returns the records of a topic from an offset on, or a snapshot if these are not all kept. The caller must hold
-// the topic's lock.
-func (h *Hub) newBatch(t *topic, from int64, index int) *relaypb.Batch {
-	b := t.recordsFrom(from)
-	m := &relaypb.Batch{Topic: uint32(index), From: from, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds()}
-	if from == 0 || b.Trimmed {
-		b, m.Full = t.snapshot(), true
-	}
-	m.Next = b.NextOffset
-	for _, r := range b.Records {
-		m.Records = append(m.Records, &relaypb.Record{Key: []byte(r.Key), Value: r.Value, Offset: r.Offset})
-	}
-	return m
-}
-
 // Run receives records from a seed until the context ends. If this instance is a seed itself, Run only exchanges loads with
 // the other seeds.
 func (h *Hub) Run(ctx context.Context) {
@@ -193,7 +147,7 @@
 		}
 		return 1
 	})
-	for i := 0; ctx.Err() == nil; i++ {
+	for i := 0; ctx.Err() == nil; {
 		a := l[i%len(l)]
 		err := h.followSeed(ctx, a)
 		h.seed.Store(nil)
@@ -211,7 +165,21 @@
 			delay = startupRetryInterval
 		}
 		_ = sleep(ctx, delay, nil) // the loop checks the context
+		if i > 0 || h.startupTimeLeft(h.firstSeedPatience()) <= 0 {
+			i++
+		}
+	}
+}
+
+// firstSeedPatience returns how long after its start an instance tries only the first seed of its order: a part of the time
+// for which it can do without records. When a whole fleet starts, the first seed that accepts connections would otherwise get
+// all followers.
+func (h *Hub) firstSeedPatience() time.Duration {
+	d := startupPhase
+	for _, t := range h.topics {
+		d = min(d, t.policy.StartupWait/firstSeedPart)
 	}
+	return d
 }
 
 // exchangeLoads receives the loads that the other seeds have added up, and passes the loads of all other instances to the
@@ -261,7 +229,7 @@
 	return h.withClient(ctx, a, func(ctx context.Context, r relaypb.RelayClient) error {
 		streamCtx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
-		s, err := r.Follow(streamCtx, &relaypb.FollowRequest{Instance: h.options.Instance})
+		s, err := r.Follow(streamCtx, h.newFollowRequest())
 		if err != nil {
 			return &Error{Op: "follow", Kind: ErrStream, Err: err}
 		}
@@ -288,6 +256,9 @@
 			if int(m.GetTopic()) >= len(h.topics) {
 				continue // a topic of a newer release
 			}
+			if err := expandRecords(m); err != nil {
+				return err
+			}
 			if !h.mergeBatch(m) {
 				return &Error{Op: "merge", Kind: ErrGap}
 			}
@@ -301,17 +272,3 @@
 		}
 	})
 }
-
-// mergeBatch adds the records of a message to their topic; it reports false if records before them are missing.
-func (h *Hub) mergeBatch(m *relaypb.Batch) bool {
-	b := changefeed.Batch{NextOffset: m.GetNext()}
-	for _, r := range m.GetRecords() {
-		b.Records = append(b.Records, changefeed.Record{Key: string(r.GetKey()), Value: r.GetValue(), Offset: r.GetOffset()})
-	}
-	t := h.topics[m.GetTopic()]
-	if m.GetFull() {
-		t.setSnapshot(b, unknown)
-		return true
-	}
-	return t.addBatch(m.GetFrom(), b, unknown)
-}
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -26,6 +26,8 @@
 	readAsOf      instant      // the records include all that the store had then, by calls of this instance; unknown after a failed call
 	confirmedAsOf instant      // the same, by confirmations of a seed
 	waiting       confirmation // covers records that have not arrived; zero if there is none
+
+	encodings encodings // of records for followers; its lock is taken before mu
 }
 
 // confirmation says that the records of a topic before an offset were all of them at a time.
@@ -146,6 +148,13 @@
 	}
 }
 
+// knownOffset returns the offset after the last known record, 0 if none is known.
+func (t *topic) knownOffset() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next
+}
+
 // recordFailure records that a call of this instance to the store failed, so the records no longer count as recent here.
 func (t *topic) recordFailure() {
 	t.mu.Lock()
