Reserve what the elements of a decoded list take

An instance of serve with the smallest memory may hold 4 MiB for one list of instances (half of the budget of 8 MiB). A list of 2 bytes an element ("[0,0,...]") took 14,846 KiB of live heap while it was decoded, one of nulls 11,999 KiB, and a page of records 19,048 KiB of 16 MiB.

Cause: 64 bytes were reserved for each comma and brace. encoding/json gives each element a place in the slice, whatever the element is, also if decoding fails in the end: 128 bytes for an instance and 56 for an entry. While the slice grows, the old and the new array exist, so that an instance takes up to 288 bytes. A page beside the budget was bounded by twice its limit.

The reservation now counts the elements of the list and of the lists in its elements, each with three times its size. Fields no longer count, so that a list of 3,000 instances still fits into the smallest budget (TestLargeList). The records of a page beside the budget may take as much as the page.

--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -1,13 +1,17 @@
 package platform_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +99,57 @@
 	}
 }
 
+// TestManyElements guards against a reply that takes more memory when it is decoded than was reserved for it. One reply may reserve
+// half of the budget, and half as much again is for the buffer that a growing one replaces. A page beside the budget may take as much
+// again for its records, and once more while text with escapes is decoded.
+func TestManyElements(t *testing.T) {
+	const list, read = 3 * endlessMemory / 2 / 2, 2 * maxSinglePage
+	for name, c := range map[string]struct {
+		operation, form, element string
+		most                     int64
+	}{
+		"list/null":     {"list", "[%snull]", "null,", list},
+		"list/number":   {"list", "[%s0]", "0,", list},
+		"list/object":   {"list", "[%s{}]", "{},", list},
+		"list/versions": {"list", `[{"versions":[%s""]}]`, `"",`, list},
+		"list/short":    {"list", `[%s{}]`, `{"versions":["",""]},`, list},
+		"read/null":     {"read", `{"entries":[%snull]}`, "null,", read},
+		"read/number":   {"read", `{"entries":[%s0]}`, "0,", read},
+		"read/object":   {"read", `{"entries":[%s{}]}`, "{},", read},
+		"read/data":     {"read", `{"entries":[{"data":"%s"}]}`, "AAAA", read},
+		"read/escaped":  {"read", `{"entries":[{"data":"%s"}]}`, strings.Repeat(`\/`, 4), 3 * maxSinglePage},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int64
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				size := 1 << 14 * math.Pow(1.25, float64(requests.Add(1)%29)) // 16 KiB to 8.3 MB
+				_, _ = fmt.Fprintf(w, c.form, strings.Repeat(c.element, int(size)/len(c.element)))
+			}))
+			defer s.Close()
+			calls := clientCalls{Base: s.URL, Operation: c.operation, Calls: 1, Rounds: 29}
+			checkBounded(t, calls, runClientProcess(t, calls), c.most)
+		})
+	}
+}
+
+// TestLargeList guards against a list of instances that finds no room in the smallest budget.
+func TestLargeList(t *testing.T) {
+	const instances = 3000
+	list := make([]platform.Instance, instances)
+	for i := range list {
+		list[i] = platform.Instance{
+			ID: fmt.Sprintf("i-%010d", i), Role: platform.RoleEngine, AvailabilityZone: "north-1a", Versions: []string{"model-large@12", "model-small@7"},
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), 8080),
+		}
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(list) }))
+	defer s.Close()
+	c, _ := newBoundedClient(s.URL, 20*time.Second)
+	if l, err := c.Instances(t.Context()); err != nil || len(l) != instances {
+		t.Errorf("%d instances, error %v", len(l), err)
+	}
+}
+
 // TestLargePages guards against a reader that never gets past records that do not fit into its memory together.
 func TestLargePages(t *testing.T) {
 	const records, size = 10, 4<<20 - 1<<10
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -18,8 +18,6 @@
 const (
 	maxReplyBytes      = 64 << 20 // of a page of records or the list of instances
 	maxSmallReplyBytes = 16 << 10 // of all other replies, which hold one number, and of errors
-	// bytesPerElement is what an element of a list takes at most when it is decoded, beside its text, for each comma and each brace.
-	bytesPerElement = 64
 	// smallerPage divides the number of records that a read asks for when there is no memory for a page.
 	smallerPage = 8
 	// maxRecordReplyBytes is the maximum size of a page of one record, which may have 4 MiB before its encoding.
@@ -177,8 +175,8 @@
 	}
 	b, err := memory.ReadAll(res.Body, limit, reserve)
 	if err == nil {
-		decoded := int64(len(b) + bytesPerElement*(bytes.Count(b, []byte(","))+bytes.Count(b, []byte("{"))))
-		if err = reserve(decoded); budget == nil && decoded > 2*max(limit, 1<<20) {
+		decoded := decodedSize(b)
+		if err = reserve(decoded); budget == nil && decoded > max(limit, 1<<20) {
 			err = fmt.Errorf("the decoded reply takes %d bytes", decoded)
 		}
 	}
