Bound what replies over HTTP/2 may send before they are read

With an https address of the platform's services, the transport of serve takes part in HTTP/2. 20 replies that were not read yet brought 82,000 KiB, 4 MiB each, into the process beside all budgets; the defaults of net/http allow 1 GiB a connection.

The windows of flow control are now 1 MiB a connection and 256 KiB a reply, so that a service waits for the reader instead. The transport moves to the package of the client, so that its tests use the one of the program.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -216,8 +216,6 @@
 	platformMemoryShare = 1. / 16
 	// minPlatformMemory has room for the lists of some thousand endpoints and for pages of usual records.
 	minPlatformMemory = 8 << 20
-	// maxPlatformHeaderBytes bounds the head of a reply of the platform's services. The shortest fields of that size take 120 KiB.
-	maxPlatformHeaderBytes = 8 << 10
 )
 
 // bytesPerField is the size from which the number of fields that a head may have is derived: what a field takes at least on the wire.
@@ -260,7 +258,7 @@
 // instanceOptions converts settings to the options of an instance.
 func instanceOptions(s settings.Settings) instance.Options {
 	o := instance.DefaultOptions(s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.Region)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxPlatformHeaderBytes}}
+	client := &http.Client{Transport: platform.NewTransport()}
 	replies := memory.NewBudget(max(minPlatformMemory, int64(platformMemoryShare*float64(s.Limits.Memory))))
 	newClient := func(u settings.URL) *platform.Client {
 		c := platform.NewClient(string(u), client, s.Platform.Timeout)
--- a/internal/platform/client_process_test.go
+++ b/internal/platform/client_process_test.go
@@ -27,6 +27,7 @@
 	Operation string // read, list or rate
 	Calls     int    // at once
 	Rounds    int    // of each of them, one after another
+	CertFile  string // of the authority that the client trusts, for a service with TLS
 }
 
 // clientResult is what the process saw.
@@ -59,6 +60,9 @@
 	}
 	cmd := exec.CommandContext(t.Context(), os.Args[0])
 	cmd.Env = append(os.Environ(), clientCallsEnv+"="+string(s), "GODEBUG=gcstoptheworld=1")
+	if c.CertFile != "" {
+		cmd.Env = append(cmd.Env, "SSL_CERT_FILE="+c.CertFile)
+	}
 	cmd.Stderr = os.Stderr
 	out, err := cmd.Output()
 	if err != nil {
@@ -106,7 +110,7 @@
 // newBoundedClient returns a client with a budget.
 func newBoundedClient(base string, timeout time.Duration) (*platform.Client, *memory.Budget) {
 	b := memory.NewBudget(endlessMemory)
-	c := platform.NewClient(base, &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: 8 << 10, IdleConnTimeout: time.Second}}, timeout)
+	c := platform.NewClient(base, &http.Client{Transport: platform.NewTransport()}, timeout)
 	c.LimitMemory(b)
 	return c, b
 }
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"math"
@@ -9,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -23,6 +26,7 @@
 	endlessCalls  = 50 // at once
 	endlessMemory = 8 << 20
 	maxSinglePage = 8 << 20
+	maxUnread     = 1 << 20   // of all replies of a connection of HTTP/2
 	maxHeadMemory = 128 << 10 // of the shortest fields that fit into 8 KiB
 )
 
@@ -99,6 +103,37 @@
 	}
 }
 
+// TestEndlessStreamsOfHTTP2 guards against replies without end over HTTP/2 whose bytes are kept before they are read, beside the budget.
+func TestEndlessStreamsOfHTTP2(t *testing.T) {
+	text := []byte(strings.Repeat("x", 1<<20))
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor != 2 {
+			t.Errorf("a request with %s", r.Proto)
+		}
+		for err := error(nil); err == nil; {
+			_, err = w.Write(text)
+		}
+	}))
+	s.EnableHTTP2 = true
+	s.StartTLS()
+	defer s.Close()
+	cert := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: s.Certificate().Raw}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for operation, most := range map[string]int64{"read": 3 * (endlessMemory + maxSinglePage) / 2, "list": 3 * endlessMemory / 2, "rate": 0} {
+		most += maxUnread
+		t.Run(operation, func(t *testing.T) {
+			calls := clientCalls{Base: s.URL, Operation: operation, Calls: endlessCalls, Rounds: 1, CertFile: cert}
+			r := runClientProcess(t, calls)
+			checkBounded(t, calls, r, most)
+			if r.Failed < calls.Calls*calls.Rounds {
+				t.Errorf("%d replies were taken for valid ones", calls.Calls*calls.Rounds-r.Failed)
+			}
+		})
+	}
+}
+
 // TestManyElements guards against a reply that takes more memory when it is decoded than was reserved for it. One reply may reserve
 // half of the budget, and half as much again is for the buffer that a growing one replaces. A page beside the budget may take as much
 // again for its records, and once more while text with escapes is decoded.
