Keep suspects from the endpoint that failed under them

Callers: an answer that an engine had cut off was refused for good with request-refused-as-suspect, although two sound engines were there.

Cause: a suspect gets an endpoint on which no other suspect runs. While others occupied the sound ones, none was available, so the endpoints that had failed were no longer excluded. The one that had cut off the answers returned after its ejection, was the least loaded, and got the request again. A second death of an endpoint refuses a request, if it comes more than three seconds after the first. The log entries of the two were 2.7 s apart; the first is written only once peers have been told of the death.

Change: endpoints stay excluded as long as another one accepts requests that are not suspects. The suspect waits for it, at most for the time that any request waits for an endpoint.

--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -36,6 +36,8 @@
 	stale    atomic.Bool
 	engines  []*standin.Engine
 	memory   *memory.Budget // for the text that is kept
+	policy   answer.SuspectPolicy
+	occupied func(endpoint string) bool // whether a suspect runs on an endpoint; nil if none does
 
 	mu    sync.Mutex
 	table *endpoint.Table
@@ -74,8 +76,8 @@
 func (f *fixture) AcceptsVersion(string) bool                 { return true }
 func (f *fixture) RaterAvailable() bool                       { return false }
 func (f *fixture) Observe(cascade.Outcome)                    {}
-func (f *fixture) Policy(answer.Content) answer.SuspectPolicy { return answer.RunAnywhere }
-func (f *fixture) RunsSuspect(string) bool                    { return false }
+func (f *fixture) Policy(answer.Content) answer.SuspectPolicy { return f.policy }
+func (f *fixture) RunsSuspect(id string) bool                 { return f.occupied != nil && f.occupied(id) }
 func (f *fixture) StartRequest(answer.Content, string) bool   { return true }
 func (f *fixture) EndRequest(answer.Content, string, bool)    {}
 func (f *fixture) RecordFirstToken(answer.Content, string)    {}
--- a/internal/answer/attempt.go
+++ b/internal/answer/attempt.go
@@ -187,7 +187,7 @@
 		if !ok && policy != AwaitDecision && a.executor.deps.Pool.View().AllEvacuated(a.step.Version, "") {
 			return endpoint.Choice{}, &Error{Op: "choose", Kind: ErrEvacuated, Err: fmt.Errorf("all endpoints of %s are in evacuated availability zones", a.step.Version)}
 		}
-		if !ok && policy != AwaitDecision && a.failures > 0 {
+		if !ok && policy != AwaitDecision && a.failures > 0 && !a.awaitsSuspects(q, policy) {
 			a.exclude = [6]endpoint.Handle{} // no other endpoint is available, and one that failed may have recovered
 		}
 		select {
@@ -206,6 +206,16 @@
 	return a.executor.deps.Pool.View().Choose(q)
 }
 
+// awaitsSuspects reports whether a suspect only has to wait until other suspects leave an endpoint. It must not go back to one that failed
+// under it: a second death would refuse it.
+func (a *attempt) awaitsSuspects(q endpoint.Query, policy SuspectPolicy) bool {
+	if policy != RunExclusively {
+		return false
+	}
+	_, ok := a.executor.deps.Pool.View().Choose(q)
+	return ok
+}
+
 // engineRequest returns the request for the engine. The text that has arrived so far becomes the beginning of the answer.
 func (a *attempt) engineRequest() engine.ChatRequest {
 	req := a.r.Chat
