Set the endpoints once for many changes of the registry

Timeouts are applied at the end of the batch, at the same time as before.

TestRegistrationOrder holds before and after. The roster's event carries a list of changes; its tests build it with one entry.

--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -17,7 +17,7 @@
 
 // Event is an update from the registry or its store; at most one field is set. Without one, Apply only applies timeouts.
 type Event struct {
-	Change       *routing.EndpointChange
+	Changes      []routing.EndpointChange // changes in their order
 	Snapshot     []routing.EndpointChange // snapshot of all entries; entries that it lacks have been removed
 	StoreFailed  bool                     // a call to the store failed
 	StoreReached bool                     // a call to the store succeeded
@@ -70,8 +70,10 @@
 		if r.storeDown {
 			r.storeDown, r.storeUpAt = false, now
 		}
-	case e.Change != nil:
-		out = r.applyChange(now, *e.Change, out)
+	case e.Changes != nil:
+		for _, c := range e.Changes {
+			out = r.applyChange(now, c, out)
+		}
 	case e.Snapshot != nil:
 		seen := make(map[string]bool, len(e.Snapshot))
 		for _, c := range e.Snapshot {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -11,13 +11,13 @@
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func registration(id string, startedAt, sequence int64, leaving bool) Event {
-	return Event{Change: &routing.EndpointChange{ID: id, Endpoint: &routing.Endpoint{
+	return Event{Changes: []routing.EndpointChange{{ID: id, Endpoint: &routing.Endpoint{
 		ID: id, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Version: "v1",
 		StartedAtMS: startedAt, Sequence: sequence, Leaving: leaving,
-	}}}
+	}}}}
 }
 
-func removal(id string) Event { return Event{Change: &routing.EndpointChange{ID: id}} }
+func removal(id string) Event { return Event{Changes: []routing.EndpointChange{{ID: id}}} }
 
 // TestAvailableEndpoints guards against requests to endpoints that have left, and against the removal of healthy endpoints.
 func TestAvailableEndpoints(t *testing.T) {
--- a/internal/ingress/controller.go
+++ b/internal/ingress/controller.go
@@ -173,8 +173,19 @@
 		c.applyRosterEvent(now, roster.Event{Snapshot: changes})
 		return
 	}
-	for i := range changes {
-		c.applyRosterEvent(now, roster.Event{Change: &changes[i]})
+	// The endpoints are set once for many changes, as this takes time for each endpoint. Changes of the same endpoint are set one
+	// after another, so that a process which has replaced another one is not taken for it.
+	first, seen := 0, map[string]bool{}
+	for i, change := range changes {
+		if seen[change.ID] {
+			c.applyRosterEvent(now, roster.Event{Changes: changes[first:i]})
+			first = i
+			clear(seen)
+		}
+		seen[change.ID] = true
+	}
+	if first < len(changes) {
+		c.applyRosterEvent(now, roster.Event{Changes: changes[first:]})
 	}
 }
 
