Claim the next endpoint before a slow one is given up

Callers got 502 without need. When an endpoint did not begin to respond in time, each request there looked whether another endpoint could take it, was given up, and only then was the endpoint chosen. With a limit on the other endpoint (or a cold one, whose pace works alike) several requests found the same permission; one got it, and the others, given up already, had no endpoint left, although the slow one would have served them.

The endpoint is now chosen, and its permission taken, before the attempt is given up. The next attempt uses that choice unless a new configuration came in between; a choice that is not needed, as the response arrived at the last moment or the client left, is given back. Attempts beside a stalled response were chosen before already and don't change.

--- /dev/null
+++ b/internal/ingress/claim.go
@@ -0,0 +1,56 @@
+package ingress
+
+import (
+	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
+	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
+)
+
+// claim is an endpoint chosen for the next attempt, with the record of the request as sent to it, before the present attempt is given up.
+// Without it, several attempts could be given up for an endpoint that then takes only one of the requests, for instance because of its limit.
+type claim struct {
+	choice        placement.Choice
+	inFlight      *placement.InFlightRequest
+	configuration *routing.Configuration // with which the endpoint was chosen
+}
+
+// claimNext reports whether the request may be sent again and another endpoint takes it, and claims that endpoint. If a new
+// configuration has to be applied first, the endpoint is chosen afterwards.
+func (a *attempt) claimNext(reserve float64) bool {
+	x := a.exchange
+	if !a.reserveRetry(reserve) {
+		return false
+	}
+	if !x.headSent && x.handler.snapshot.Load().configuration != x.snapshot.configuration {
+		return true
+	}
+	c, inFlight, ok := x.handler.balancer.chooseEndpoint(time.Now(), a.nextRequest())
+	if ok {
+		x.dropClaim()
+		x.claimed = &claim{c, inFlight, x.snapshot.configuration}
+	}
+	return ok
+}
+
+// takeClaim returns the claimed endpoint, or false if there is none or the configuration has changed since.
+func (x *exchange) takeClaim() (placement.Choice, *placement.InFlightRequest, bool) {
+	c := x.claimed
+	if c == nil {
+		return placement.Choice{}, nil, false
+	}
+	if c.configuration != x.snapshot.configuration && !x.headSent {
+		x.dropClaim()
+		return placement.Choice{}, nil, false
+	}
+	x.claimed = nil
+	return c.choice, c.inFlight, true
+}
+
+// dropClaim gives back an endpoint that was claimed and is not needed.
+func (x *exchange) dropClaim() {
+	if c := x.claimed; c != nil {
+		x.claimed = nil
+		x.handler.balancer.recordEnd(time.Now(), c.inFlight, false)
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -65,6 +65,7 @@
 	connectFailures   int                 // attempts that could not connect
 	retryReserved     bool                // the retry budget was already charged for the next attempt
 	begun             *attempt            // next attempt, which is under way already; nil if none is
+	claimed           *claim              // endpoint for the next attempt; nil if none is claimed
 	mayHaveRun        bool                // an endpoint may have run the request
 	lastFailure       *bufferedResponse   // the endpoint's latest 5xx response
 	bodyMemory        *memory.Reservation // for the body of the request
@@ -119,6 +120,7 @@
 	x.ctx = ctx
 	x.excludedEndpoints = map[string]bool{}
 	defer x.discardBegun()
+	defer x.dropClaim()
 	x.service = x.route.PickService(rand.Float64())
 	x.handler.balancer.countRequest(time.Now(), x.service)
 	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
@@ -180,7 +182,10 @@
 	if x.connectFailures >= maxConnectFailures {
 		return x.giveUp("unreachable endpoints"), nil
 	}
-	c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, x.placementRequest())
+	c, inFlight, ok := x.takeClaim()
+	if !ok {
+		c, inFlight, ok = x.handler.balancer.chooseEndpoint(now, x.placementRequest())
+	}
 	if !ok {
 		return x.giveUp("no endpoint"), nil
 	}
--- a/internal/ingress/stall.go
+++ b/internal/ingress/stall.go
@@ -63,7 +63,7 @@
 	if s.responseStarted && (x.headSent || x.handler.snapshot.Load().configuration == x.snapshot.configuration) {
 		return s.attempt.beginNext(s.retryReserve)
 	}
-	return s.attempt.reserveRetry(s.retryReserve)
+	return s.attempt.claimNext(s.retryReserve)
 }
 
 // reserveRetry reports whether the newest configuration allows the request to be sent again and another endpoint can take it,
@@ -122,6 +122,8 @@
 	if d == 0 {
 		if s.result.CompareAndSwap(waitPending, waitAbandoned) {
 			s.attempt.cancel(errStalled)
+		} else {
+			s.attempt.exchange.dropClaim() // the response has just arrived
 		}
 		return
 	}
