Claim an endpoint before an answer is dropped for a larger model

Callers got 502 ("no whole answer") although a small model had answered. An answer with a low confidence was dropped once an endpoint was found for the larger model, and the endpoint was chosen only afterwards. With limits on the endpoints, other requests could take the permission in between, and the request had neither answer.

The endpoint is now claimed before the answer is dropped, as for slow endpoints. If none can be claimed, the small model's answer is kept.

--- a/internal/ingress/claim.go
+++ b/internal/ingress/claim.go
@@ -25,7 +25,12 @@
 	if !x.headSent && x.handler.snapshot.Load().configuration != x.snapshot.configuration {
 		return true
 	}
-	c, inFlight, ok := x.handler.balancer.chooseEndpoint(time.Now(), a.nextRequest())
+	return x.claimEndpoint(time.Now(), a.nextRequest())
+}
+
+// claimEndpoint reports whether an endpoint takes the request, and claims it.
+func (x *exchange) claimEndpoint(now time.Time, q placement.Request) bool {
+	c, inFlight, ok := x.handler.balancer.chooseEndpoint(now, q)
 	if ok {
 		x.dropClaim()
 		x.claimed = &claim{c, inFlight, x.snapshot.configuration}
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -161,7 +161,11 @@
 		}
 		return ""
 	}
+	if q.Model = model; !x.claimEndpoint(now, q) {
+		return ""
+	}
 	if !x.handler.balancer.takeRetry(now, x.service, 0) {
+		x.dropClaim()
 		x.handler.metrics.countEscalation(x.service, "retry-budget")
 		return ""
 	}
