--- a/internal/relay/batch_test.go
+++ b/internal/relay/batch_test.go
@@ -54,8 +54,8 @@
 // endpointRecord returns a record as long and as varied as the registry entry of an endpoint.
 func endpointRecord(i int, offset int64) changefeed.Record {
 	id := xxhash.Sum64String(fmt.Sprint(i))
-	return changefeed.Record{Key: fmt.Sprintf("servers/i-%010x", id%(1<<40)), Offset: offset, Value: fmt.Appendf(nil,
-		`{"address":"10.%d.%d.%d:8389","born":%d,"coldRemainingMs":0,"models":[{"adapters":[],"name":"daka510000","version":1}],"sequence":%d,"service":"dele69a","slots":32,"stage":"combined","state":"ready","version":"v1","zone":"bilbao-a"}`,
+	return changefeed.Record{Key: fmt.Sprintf("members/i-%010x", id%(1<<40)), Offset: offset, Value: fmt.Appendf(nil,
+		`{"location":"10.%d.%d.%d:8389","start":%d,"warm-up-milliseconds":0,"variants":[{"parts":[],"name":"daka510000","version":1}],"number":%d,"group":"dele69a","capacity":32,"kind":"combined","condition":"ready","release":"v1","site":"bilbao-a"}`,
 		id%4, id>>8%250, id>>16%250, 1767471980000+id%5000, id>>24%100)}
 }
 
