Follow no redirects of engines

An engine that answered a chat request, a probe or a command with 307 could send it on, prompt included, to any address: net/http followed up to ten redirects. Calls to services followed none already.

A redirect is now the engine's answer with that status, and counts as a failed attempt.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -83,7 +83,12 @@
 	}
 	pooled := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes}
 	fresh := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 2 * maxHeaderBytes}
-	return &Client{s: s, pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+	return &Client{s: s, pooled: newHTTPClient(pooled), fresh: newHTTPClient(fresh)}
+}
+
+// newHTTPClient returns a client that follows no redirects: an endpoint may not send a prompt on to another address.
+func newHTTPClient(t http.RoundTripper) *http.Client {
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Close closes the idle connections.
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -104,8 +104,7 @@
 		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
 	}
 	c.s.Propagator.InjectHeader(req.Header)
-	hc := &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
-	res, err := hc.Do(req)
+	res, err := newHTTPClient(t).Do(req)
 	if err != nil {
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, head.explain(err))
 	}
