Start no goroutine of the peer service once it stops

Cause: copies and releases of bills and records for a batcher start a goroutine of the peer service when its callers ask for one. A caller that was late did so while Stop waited for the last ones, or after: the race detector reports it, and the goroutine outlives the service. Seen once in 48 race runs of TestEndpointFailsMidway (subtest errors) on a busy machine (load 46 to 60): a release of bills during the stop of an instance. Change: Stop closes the outbox and the relay, both under their locks, before it waits. Calls after that fail with the kind stopped; releases are dropped, as a witness finds the bills in the log.

--- a/internal/peer/groupcommit.go
+++ b/internal/peer/groupcommit.go
@@ -199,6 +199,14 @@
 type batchRelay struct {
 	lock        sync.Mutex
 	openBatches map[string]*relayBatch // by stream and batcher
+	closed      bool                   // the service is stopping; no goroutine may be started
+}
+
+// close keeps further records from starting goroutines.
+func (r *batchRelay) close() {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.closed = true
 }
 
 // relayBatch is a batch of records for one call to a batcher; offsets and err are set before done is closed.
@@ -212,6 +220,10 @@
 func (r *batchRelay) appendThrough(ctx context.Context, s *Service, to membership.Member, stream string, record []byte) (platform.Offset, error) {
 	key := stream + "\x00" + to.ID
 	r.lock.Lock()
+	if r.closed {
+		r.lock.Unlock()
+		return 0, &Error{Op: "append", Kind: ErrStopped}
+	}
 	if r.openBatches == nil {
 		r.openBatches = map[string]*relayBatch{}
 	}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -223,6 +223,8 @@
 		<-done
 	}
 	s.cancel()
+	s.outbox.close()
+	s.relay.close()
 	s.pool.close()
 	s.wg.Wait()
 	s.log.Info("peer: Stopped.")
--- a/internal/peer/witness.go
+++ b/internal/peer/witness.go
@@ -58,6 +58,14 @@
 	formerWitnesses  []membership.Member
 	releases         map[string][]BillID // by witness
 	releaseScheduled bool                // a goroutine is waiting to send releases
+	closed           bool                // the service is stopping; no goroutine may be started
+}
+
+// close keeps further bills and releases from starting goroutines.
+func (o *outbox) close() {
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	o.closed = true
 }
 
 // billBatch is a batch of copies for one call; err is set before done is closed.
@@ -70,6 +78,11 @@
 func (o *outbox) addBill(s *Service, b record.Bill) *billBatch {
 	o.lock.Lock()
 	defer o.lock.Unlock()
+	if o.closed {
+		batch := &billBatch{done: make(chan struct{}), err: &Error{Op: "hold bill", Kind: ErrStopped}}
+		close(batch.done)
+		return batch
+	}
 	if o.openBatch == nil || len(o.openBatch.bills) >= maxBillBatch {
 		batch := &billBatch{done: make(chan struct{})}
 		o.openBatch = batch
@@ -83,6 +96,9 @@
 func (o *outbox) queueRelease(s *Service, ids []BillID) {
 	o.lock.Lock()
 	defer o.lock.Unlock()
+	if o.closed {
+		return
+	}
 	if o.releases == nil {
 		o.releases = map[string][]BillID{}
 	}
