Keep a closed connection until the client has its last answer

A client that had sent its next request before it had the whole answer, to an instance that stops or after a request with a chunked body, got only the beginning of the answer and a reset. The connection is closed after the first answer. A close with unread bytes, and bytes that arrive after it, make the kernel reset the connection, which discards what it has not sent yet.

Close now closes only the sending side while the client has not confirmed all bytes of a whole answer. A planned stop counts these connections as open, until its deadline. They count towards the limits on connections and are the first to be evicted. Connections with a request under way, a cut answer, a failed write or a timeout are closed at once as before, and those that need a reset are reset.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -59,9 +59,10 @@
 type phase int
 
 const (
-	phaseIdle   phase = iota // the first byte of a request
-	phaseHead                // the rest of a head
-	phaseActive              // the end of a request whose head is complete
+	phaseIdle    phase = iota // the first byte of a request
+	phaseHead                 // the rest of a head
+	phaseActive               // the end of a request whose head is complete
+	phaseClosing              // the client to take the rest of the last answer, after which the connection is closed
 )
 
 // Conn is the connection of a client.
@@ -156,6 +157,14 @@
 	}
 }
 
+// NoteClosing records that no further request is served and the connection is kept only until the client has the rest of an answer.
+func (c *Conn) NoteClosing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = phaseClosing, time.Now()
+	c.releaseHead()
+}
+
 // retryHead reserves memory for a head after that of others was released.
 func (c *Conn) retryHead() Reason {
 	c.mu.Lock()
@@ -172,8 +181,8 @@
 	switch {
 	case c.evicted:
 		return "", false
-	case c.closed:
-		return "", true // the server notices by its next read or write
+	case c.closed, c.phase == phaseClosing:
+		return "", true // the server notices by its next read or write, or expects nothing
 	case c.listener.options.Opaque:
 		c.noteOpaque(len(b))
 		return "", true
--- a/internal/connlimit/eviction.go
+++ b/internal/connlimit/eviction.go
@@ -32,7 +32,10 @@
 // request in its buffer, or in hand, that it has not reported as begun.
 func (c *Conn) progressLocked(now time.Time) (rank int, wait time.Duration) {
 	switch {
-	case c.evicted || !c.reading:
+	case c.evicted:
+	case c.phase == phaseClosing:
+		return 1, now.Sub(c.since)
+	case !c.reading:
 	case c.listener.options.Opaque && c.unproven != nil, c.phase == phaseHead, c.phase == phaseIdle && c.unused && !c.listener.options.Opaque:
 		return 1, now.Sub(c.since)
 	case c.phase == phaseIdle && (!c.listener.options.Opaque || !c.unused):
--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -32,8 +32,11 @@
 	stopping atomic.Bool
 	closed   atomic.Bool // no further connection will be accepted, and all that were are tracked
 
-	mu    sync.Mutex
-	conns map[*clientConn]struct{}
+	closeTimeout time.Duration // for the client to take the rest of its last answer
+
+	mu      sync.Mutex
+	conns   map[*clientConn]struct{}
+	closing int // connections that are not in conns any more, but kept for the rest of an answer
 }
 
 // clientConn is the connection of a client. While it is idle, only the goroutine that reads from it closes it: the reader
@@ -54,12 +57,16 @@
 	resetOnClose bool        // Close resets the connection
 	timedOut     bool        // the timeout for the head of a request closed the connection; what it sends from then on is dropped
 	reading      bool        // net/http waits for bytes, so it has no whole head that it has not reported
+	// The last answer is kept from being cut by the close only if it was written whole and no other request has begun to arrive.
+	answered      bool
+	writeFailed   bool
+	keptForAnswer bool // Close has begun to wait for the client to take the answer
 }
 
 type clientConnKey struct{}
 
 func newClientListener(l net.Listener, v *atomic.Pointer[snapshot]) *clientListener {
-	return &clientListener{Listener: l, snapshot: v, conns: map[*clientConn]struct{}{}}
+	return &clientListener{Listener: l, snapshot: v, closeTimeout: defaultCloseTimeout, conns: map[*clientConn]struct{}{}}
 }
 
 // Accept returns the next connection. While the instance stops, it fails once the accept queue is empty.
@@ -170,7 +177,7 @@
 	for c := range l.conns {
 		c.closeIfIdle()
 	}
-	return len(l.conns)
+	return len(l.conns) + l.closing
 }
 
 // hasBusy reports whether a request is under way on any connection. Net/http writes the last bytes of an answer after the handler has
@@ -249,6 +256,7 @@
 		return false
 	}
 	if c.idle && !c.headBegun {
+		c.answered = false
 		header, _ := c.listener.timeouts()
 		c.resetTimer(header)
 	}
@@ -329,19 +337,6 @@
 	}
 }
 
-// Close closes the connection, with a reset if resetOnClose was called.
-func (c *clientConn) Close() error {
-	c.mu.Lock()
-	reset := c.resetOnClose
-	c.mu.Unlock()
-	if t, ok := c.Conn.(interface{ SetLinger(int) error }); ok && reset {
-		if err := t.SetLinger(0); err != nil {
-			return err
-		}
-	}
-	return c.Conn.Close()
-}
-
 // startIdle starts the timeout between requests.
 func (c *clientConn) startIdle(d time.Duration) {
 	c.mu.Lock()
@@ -354,7 +349,7 @@
 func (c *clientConn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.timerArmed, c.idle, c.unused, c.closing = false, false, false, false
+	c.timerArmed, c.idle, c.unused, c.closing, c.answered = false, false, false, false, false
 	c.timer.Stop()
 }
 
--- a/internal/ingress/clientconn_test.go
+++ b/internal/ingress/clientconn_test.go
@@ -27,6 +27,7 @@
 		func(w http.ResponseWriter, r *http.Request) {
 			requestBegun(r.Context())
 			h.ServeHTTP(w, r)
+			requestEnded(r.Context())
 		})}
 	t.Cleanup(func() { _ = s.Close() })
 	return l, s, n.Addr().String()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -215,6 +215,7 @@
 		i.activeRequests.Add(1)
 		defer i.activeRequests.Add(-1)
 		h.ServeHTTP(w, r)
+		requestEnded(r.Context()) // not after a panic, which cuts the answer
 	})
 }
 
