--- a/internal/ingress/clientconn_close.go
+++ b/internal/ingress/clientconn_close.go
@@ -88,7 +88,7 @@
 		if dropped >= maxDroppedBytes {
 			time.Sleep(interval)
 		} else {
-			if c.Conn.SetReadDeadline(time.Now().Add(interval)) != nil {
+			if c.SetReadDeadline(time.Now().Add(interval)) != nil {
 				return
 			}
 			n, err := c.Conn.Read(b)
