--- a/internal/core/placement/inflight.go
+++ b/internal/core/placement/inflight.go
@@ -57,7 +57,7 @@
 	// What is learned is the time without the passing speed, which the next estimate takes from the endpoint's figures.
 	ms /= meanSlowdown(k.slowdown, s.speed.slowdown(now, t.settings.Speed))
 	k.model.observeFirstByte(max(0, ms-k.queueMS), k.uncachedTokens, s.latencyFactor)
-	// The factor may have changed since the request was sent: responses to requests that ran at the same time tell of the same moment.
+	// The expected time has the factor of when the request was sent. Responses to requests that ran at the same time may have changed it.
 	s.updateLatencyFactor(ms, (k.expectedMS-k.passingMS)*s.latencyFactor/k.latencyFactor)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -165,16 +165,16 @@
 			delay = startupRetryInterval
 		}
 		_ = sleep(ctx, delay, nil) // the loop checks the context
-		if i > 0 || h.startupTimeLeft(h.firstSeedPatience()) <= 0 {
+		if i > 0 || h.startupTimeLeft(h.firstSeedTimeout()) <= 0 {
 			i++
 		}
 	}
 }
 
-// firstSeedPatience returns how long after its start an instance tries only the first seed of its order: a part of the time
+// firstSeedTimeout returns how long after its start an instance tries only the first seed of its order: a part of the time
 // for which it can do without records. When a whole fleet starts, the first seed that accepts connections would otherwise get
 // all followers.
-func (h *Hub) firstSeedPatience() time.Duration {
+func (h *Hub) firstSeedTimeout() time.Duration {
 	d := startupPhase
 	for _, t := range h.topics {
 		d = min(d, t.policy.StartupWait/firstSeedPart)
