Show that a completion overrides a roll-back

Cause: a roll-back waits for a random time before it is published, and a published completion replaces it.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -12,12 +12,14 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/platform"
 	"github.com/cassiaspoke/cassiaspoke/platform/standin"
 )
 
@@ -40,7 +42,7 @@
 		fmt.Fprintln(os.Stderr, "usage: rig-2 CASE RECORD")
 		os.Exit(failed)
 	}
-	cases := map[string]func(*rig) int{"tainted-part": taintedPart, "limit-after-lull": limitAfterLull}
+	cases := map[string]func(*rig) int{"tainted-part": taintedPart, "limit-after-lull": limitAfterLull, "overridden-rollback": overriddenRollback}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -56,7 +58,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
-	r := &rig{dir: dir, record: f, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), beats: map[string]*standin.Endpoint{}}
+	r := &rig{dir: dir, record: f, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), dropped: map[*standin.Endpoint]bool{}}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		r.stop()
+		os.Exit(failed)
+	}()
 	code := play(r)
 	r.stop()
 	_ = f.Close()
@@ -73,10 +82,10 @@
 
 	instances []*instance
 
-	mu     sync.Mutex
-	record io.Writer
-	beats  map[string]*standin.Endpoint // endpoints that renew their registration
-	ended  bool
+	mu      sync.Mutex
+	record  io.Writer
+	dropped map[*standin.Endpoint]bool // engines that were stopped
+	ended   bool
 }
 
 // instance is one process of the system.
@@ -160,7 +169,7 @@
 			return err
 		}
 		x.cmd = exec.Command("target/cassiaspoke", "ingress")
-		x.cmd.Env = append(os.Environ(), "CASSIASPOKE_NODE_FILE="+path)
+		x.cmd.Env = append(os.Environ(), platform.SettingsFileEnv+"="+path)
 		x.cmd.Stdout, x.cmd.Stderr = out, out
 		if err := x.cmd.Start(); err != nil {
 			return err
@@ -186,7 +195,7 @@
 func ready(a netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return standin.Do(ctx, a, standin.Request{Method: "GET", Path: "/api/readiness"}).Status == 200
+	return standin.Do(ctx, a, standin.Request{Method: "GET", Path: platform.ReadinessPath}).Status == 200
 }
 
 // kill ends an instance with SIGKILL for good.
@@ -234,6 +243,31 @@
 	}
 }
 
+// drop stops an engine at once and removes its registration.
+func (r *rig) drop(e *standin.Endpoint) {
+	r.mu.Lock()
+	r.dropped[e] = true
+	r.mu.Unlock()
+	e.Close()
+	r.store.RemoveEndpoint(e)
+}
+
+// quote copies the lines of an instance's log that have one of the messages to the record.
+func (r *rig) quote(x *instance, messages ...string) {
+	b, err := os.ReadFile(filepath.Join(r.dir, x.id+".log"))
+	if err != nil {
+		r.log("no log of %s: %v", x.id, err)
+		return
+	}
+	for l := range strings.Lines(string(b)) {
+		for _, m := range messages {
+			if strings.Contains(l, m) {
+				r.log("log of %s: %s", x.id, strings.TrimSpace(l))
+			}
+		}
+	}
+}
+
 // register makes an endpoint write its registration until it is dropped or has crashed. The store removes the entry of one that has
 // been silent for three intervals.
 func (r *rig) register(e *standin.Endpoint) {
@@ -243,7 +277,7 @@
 		for {
 			time.Sleep(heartbeatInterval)
 			r.mu.Lock()
-			ended := r.ended
+			ended := r.ended || r.dropped[e]
 			r.mu.Unlock()
 			switch {
 			case ended:
