Don't take the spread of plain answers for a slow version

Callers kept an old version although the new one was sound: the operator's order was answered by a roll-back for a slow pace.

Cause: the test of the pace expects a good version's idle endpoints to be as fast as the fastest tenth of the old version's answers nearly half of the time. That holds for the gaps of streams, which depend on the load. The time of a plain answer depends on the work of its request, so a good version is only that fast about as often as the old one is.

Change: plain answers are recorded apart, and a version counts as slow only if the Chernoff bound for so few fast answers, at the old version's share of them, is below 0.001.

--- a/internal/core/canary/pace.go
+++ b/internal/core/canary/pace.go
@@ -27,6 +27,11 @@
 	maxIdlePaceRange = 1.6  // ratio of the quartiles of answers of idle endpoints; loaded ones differ by more
 	paceHalfLife     = 6 * time.Second
 	maxIdleShare     = 0.3 // share of requests up to which the new version's endpoints count as idle
+
+	// minPlainPaceEvidence is the negative logarithm of the largest probability at which a good version has as few fast plain
+	// answers. Their times differ by the work of the requests, on idle endpoints too, so a good version is only known to be as
+	// fast as often as the old one is.
+	minPlainPaceEvidence = 6.9
 )
 
 // PaceSum sums answers of one kind, or in one bin of relative paces. Sums of several instances add up.
@@ -52,6 +57,7 @@
 	old       [paceBins]float64
 	target    [paceBins]float64 // decaying counts of the new version
 	decayedAt time.Time
+	plain     bool // the answers are not streams
 }
 
 func newPaceEvidence() *paceEvidence { return &paceEvidence{kinds: map[string]*PaceSum{}} }
@@ -81,8 +87,12 @@
 // paceKeys derives the keys of one roll-out in PacesByKey.
 type paceKeys uint64
 
-func newPaceKeys(service, target string) paceKeys {
-	return paceKeys(xxhash.Sum64String(service + "\x00" + target + "\x00pace"))
+func newPaceKeys(service, target string, plain bool) paceKeys {
+	s := service + "\x00" + target + "\x00pace"
+	if plain {
+		s += "\x00plain"
+	}
+	return paceKeys(xxhash.Sum64String(s))
 }
 
 func (k paceKeys) kind(kind string) uint64 { return bitmix.Mix(uint64(k) ^ xxhash.Sum64String(kind)) }
@@ -91,13 +101,26 @@
 
 func (k paceKeys) target(bin int) uint64 { return bitmix.Mix(uint64(k) ^ uint64(targetBinKey+bin)) }
 
-// RecordPace records the pace of an answer.
+// RecordPace records the pace of a stream: the mean time between its events.
 func (r *Rollout) RecordPace(now time.Time, service, version, kind string, d time.Duration) {
+	r.recordPace(now, service, version, kind, d)
+}
+
+// RecordPlainPace records the time of a plain answer.
+func (r *Rollout) RecordPlainPace(now time.Time, service, version, kind string, d time.Duration) {
+	if r.Running() {
+		r.evidence.paces.plain = true
+		r.recordPace(now, service, version, kind, d)
+	}
+}
+
+// recordPace records the pace of an answer.
+func (r *Rollout) recordPace(now time.Time, service, version, kind string, d time.Duration) {
 	if !r.Running() {
 		return
 	}
 	p, x := r.evidence.paces, math.Log(max(float64(d)/float64(time.Millisecond), minGapMS))
-	isTarget, keys := version == r.order.target, newPaceKeys(service, r.order.target)
+	isTarget, keys := version == r.order.target, newPaceKeys(service, r.order.target, p.plain)
 	own := p.kinds[kind]
 	if own == nil {
 		if len(p.kinds) >= maxRoutes {
@@ -127,7 +150,7 @@
 	if !r.Running() {
 		return out
 	}
-	p, keys := r.evidence.paces, newPaceKeys(service, r.order.target)
+	p, keys := r.evidence.paces, newPaceKeys(service, r.order.target, r.evidence.paces.plain)
 	p.decay(now)
 	for k, s := range p.kinds {
 		out[keys.kind(k)] = *s
@@ -163,6 +186,8 @@
 	Baseline   float64 // answers of the old version
 	Answers    float64 // answers of the new version, older ones less
 	Fast       float64 // of these, answers as fast as those of idle endpoints of the old version
+	OldFast    float64 // of Baseline, the same
+	Plain      bool    // the answers are not streams
 	RangeRatio float64 // third quartile of the new version's paces over the first one
 	TimesIdle  float64 // median of the new version's paces over the pace of idle endpoints of the old version
 }
@@ -173,8 +198,9 @@
 	if r.order == nil {
 		return out
 	}
-	p, peers, keys := r.evidence.paces, r.recentPeerPaces(now), newPaceKeys(service, r.order.target)
+	p, peers, keys := r.evidence.paces, r.recentPeerPaces(now), newPaceKeys(service, r.order.target, r.evidence.paces.plain)
 	p.decay(now)
+	out.Plain = p.plain
 	old, target := p.old, p.target
 	for i := range paceBins {
 		old[i] += peers[keys.old(i)].Answers
@@ -190,6 +216,7 @@
 	for i := range paceBins {
 		if float64(i) <= limit {
 			out.Fast += target[i]
+			out.OldFast += old[i]
 		}
 	}
 	out.RangeRatio = math.Pow(paceBinRatio, quantileBin(&target, 0.75)-quantileBin(&target, 0.25))
@@ -215,9 +242,29 @@
 
 // isSlow reports whether the new version never reaches the pace of an idle endpoint of the old one.
 func (s PaceSummary) isSlow() bool {
+	if s.Plain {
+		return s.Baseline >= minPaceBaseline && s.RangeRatio <= maxIdlePaceRange && s.plainEvidence() >= minPlainPaceEvidence
+	}
 	return s.Baseline >= minPaceBaseline && s.Answers >= minPaceSamples && s.Fast <= maxFastShare*s.Answers && s.RangeRatio <= maxIdlePaceRange
 }
 
+// plainEvidence returns a lower bound of the negative logarithm of the probability that a version as fast as the old one has as
+// few fast answers: the Chernoff bound of a binomial distribution.
+func (s PaceSummary) plainEvidence() float64 {
+	if s.Answers == 0 || s.Baseline == 0 {
+		return 0
+	}
+	share, oldShare := s.Fast/s.Answers, min(s.OldFast/s.Baseline, 0.99)
+	if share >= oldShare {
+		return 0
+	}
+	out := (1 - share) * math.Log((1-share)/(1-oldShare))
+	if share > 0 {
+		out += share * math.Log(share/oldShare)
+	}
+	return s.Answers * out
+}
+
 // EvaluatePace compares the paces at all instances and reports whether it rolled the version back. It needs endpoints of the
 // new version that are idle, as they are until all requests shift.
 func (r *Rollout) EvaluatePace(now time.Time, service string) bool {
--- a/internal/core/canary/pace_test.go
+++ b/internal/core/canary/pace_test.go
@@ -103,3 +103,37 @@
 		}
 	}
 }
+
+// TestPlainAnswersOfGoodVersion guards against a good version of a plain service that counts as slow. The times of plain answers differ
+// by the work of each request, so that few of a good version's answers are as fast as the fastest ones of the old version.
+func TestPlainAnswersOfGoodVersion(t *testing.T) {
+	const instances, rate, share, seeds, falseAlarms = 9, 35, 0.3, 100, 2
+	rolledBack := 0
+	for seed := range uint64(seeds) {
+		g := rand.New(rand.NewPCG(seed, 37))
+		var l []*Rollout
+		for range instances {
+			l = append(l, newOrderedRollout())
+		}
+		exchangedAt := time.Duration(0)
+		for at := time.Duration(0); at < duration*9/10; at += time.Second / rate {
+			now := start.Add(at)
+			if at-exchangedAt >= 400*time.Millisecond {
+				exchangedAt = at
+				exchangePaces(l, now)
+			}
+			r, v := l[g.IntN(instances)], "v1"
+			if at > duration/2 && g.Float64() < share {
+				v = "v2"
+			}
+			r.RecordPlainPace(now, "s", v, fmt.Sprint("route-", g.IntN(3)), time.Duration(15*math.Exp(0.5*g.NormFloat64())*float64(time.Millisecond)))
+			if r.EvaluatePace(now, "s") {
+				rolledBack++
+				break
+			}
+		}
+	}
+	if rolledBack > falseAlarms {
+		t.Errorf("rolled back on %d of %d seeds", rolledBack, seeds)
+	}
+}
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -334,7 +334,7 @@
 	a.recordResult(true)
 	a.recordHarmless(time.Now())
 	a.recordCompletion()
-	a.logRolloutStop(x.handler.balancer.recordPace(a.choice.Endpoint, x.route.Name, time.Since(a.sentAt)))
+	a.logRolloutStop(x.handler.balancer.recordPlainPace(a.choice.Endpoint, x.route.Name, time.Since(a.sentAt)))
 	x.writeResponse(&bufferedResponse{status: a.response.Status, header: x.handler.options.Protocol.ClientResponseHeader(a.response.Header), body: body})
 	return stepDone, strconv.Itoa(a.response.Status)
 }
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -359,9 +359,18 @@
 	return reason
 }
 
-// recordPace records the time of a plain answer or the mean time between the events of a stream. It returns the reason if
-// that stopped a roll-out.
+// recordPace records the mean time between the events of a stream. It returns the reason if that stopped a roll-out.
 func (b *balancer) recordPace(e routing.Endpoint, kind string, d time.Duration) string {
+	return b.recordPaceBy((*canary.Rollout).RecordPace, e, kind, d)
+}
+
+// recordPlainPace records the time of a plain answer. It returns the reason if that stopped a roll-out.
+func (b *balancer) recordPlainPace(e routing.Endpoint, route string, d time.Duration) string {
+	return b.recordPaceBy((*canary.Rollout).RecordPlainPace, e, route, d)
+}
+
+// recordPaceBy records a pace by a method of the roll-out.
+func (b *balancer) recordPaceBy(record func(*canary.Rollout, time.Time, string, string, string, time.Duration), e routing.Endpoint, kind string, d time.Duration) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -369,7 +378,7 @@
 		return ""
 	}
 	r := b.rolloutOf(e.Service)
-	r.RecordPace(now, e.Service, e.Version, kind, d)
+	record(r, now, e.Service, e.Version, kind, d)
 	if !r.EvaluatePace(now, e.Service) {
 		return ""
 	}
