Blame no version for requests that fail on any version

Cause: a request that an endpoint answers with a 5xx status was repeated on the same version, and each answer counted against it. Requests that fail by themselves fail at each endpoint and come again from their client, so one of them counted up to four times, and hid the failures of a bad version among them.

Change: a request without a session that may be repeated goes to the version in use after a new one has failed it. Its failure counts only if the repeat succeeds; two failures tell nothing about a version.

--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -225,7 +225,7 @@
 	}
 	if kind != forward.ErrStale {
 		x.excludedEndpoints[id] = true
-		x.handler.balancer.recordResult(now, a.choice.Endpoint, x.route.Name, false, false)
+		x.handler.balancer.recordOutcome(now, a.choice.Endpoint, false)
 	}
 	if !x.route.Repeatable() {
 		return stepGiveUp, string(kind)
@@ -270,7 +270,7 @@
 		return a.rejectResponse(err)
 	}
 	a.finishResponse(true, true)
-	a.recordResult(false)
+	a.recordServerError()
 	a.recordCompletion()
 	x.excludedEndpoints[a.choice.Endpoint.ID] = true
 	if !x.headSent && !a.tentative {
@@ -342,8 +342,36 @@
 // recordResult records whether the endpoint's response was good.
 func (a *attempt) recordResult(ok bool) {
 	x := a.exchange
-	reason := x.handler.balancer.recordResult(time.Now(), a.choice.Endpoint, x.route.Name, ok, true)
-	a.logRolloutStop(reason)
+	x.handler.balancer.recordOutcome(time.Now(), a.choice.Endpoint, ok)
+	x.settleServerError()
+	a.recordVersionResult(ok)
+}
+
+// recordVersionResult records the result of the endpoint's version.
+func (a *attempt) recordVersionResult(ok bool) {
+	x := a.exchange
+	a.logRolloutStop(x.handler.balancer.recordResult(time.Now(), a.choice.Endpoint, x.route.Name, ok))
+}
+
+// recordServerError records a 5xx response. A request may fail at any endpoint, which tells nothing about a version. So a request
+// without a session is repeated on the version in use, and its failure counts against the version only if the repeat succeeds.
+func (a *attempt) recordServerError() {
+	x := a.exchange
+	x.handler.balancer.recordOutcome(time.Now(), a.choice.Endpoint, false)
+	switch {
+	case x.request.Session != "" || x.headSent || !x.route.Repeatable():
+		a.recordVersionResult(false)
+	case x.failsAnywhere:
+	case x.serverError != nil:
+		x.serverError, x.failsAnywhere = nil, true
+	case !x.attemptsLeft():
+		a.recordVersionResult(false)
+	default:
+		x.serverError = a
+		if v := x.handler.balancer.fallbackVersion(x.service, a.choice.Endpoint.Version); v != "" {
+			x.version = v
+		}
+	}
 }
 
 // logRolloutStop logs that a response stopped a roll-out, unless the reason is empty.
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -400,15 +400,18 @@
 	return reason
 }
 
-// recordResult records whether an endpoint succeeded. The result counts for a roll-out only if the endpoint responded. It
-// returns the reason if that stopped the roll-out.
-func (b *balancer) recordResult(now time.Time, e routing.Endpoint, route string, ok, responded bool) string {
+// recordOutcome records whether an endpoint succeeded.
+func (b *balancer) recordOutcome(now time.Time, e routing.Endpoint, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table.RecordOutcome(now, e.ID, ok)
-	if !responded {
-		return ""
-	}
+}
+
+// recordResult records the result of a version, as far as it tells something about the version. It returns the reason if that
+// stopped the roll-out.
+func (b *balancer) recordResult(now time.Time, e routing.Endpoint, route string, ok bool) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	r := b.rolloutOf(e.Service)
 	if g, regressed := r.RecordCompleted(now, e.Version, !ok); regressed {
 		b.options.Logger.Warn("roll-out: The version in use fails more often than the one before did.", zap.String("service", e.Service),
@@ -421,3 +424,10 @@
 	_, _, reason := r.Status()
 	return reason
 }
+
+// fallbackVersion returns the version that a request is repeated on after a version has failed it, or "" if that is the same.
+func (b *balancer) fallbackVersion(service, version string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rolloutOf(service).FallbackVersion(version)
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -68,6 +68,8 @@
 	claimed           *claim              // endpoint for the next attempt; nil if none is claimed
 	mayHaveRun        bool                // an endpoint may have run the request
 	lastFailure       *bufferedResponse   // the endpoint's latest 5xx response
+	serverError       *attempt            // attempt that got a 5xx response, while the repeat hasn't shown whether the version is to blame
+	failsAnywhere     bool                // the request has got 5xx responses from two endpoints, so no version is to blame
 	bodyMemory        *memory.Reservation // for the body of the request
 	responseMemory    *memory.Reservation // for endpoints' responses
 
@@ -121,6 +123,7 @@
 	x.excludedEndpoints = map[string]bool{}
 	defer x.discardBegun()
 	defer x.dropClaim()
+	defer x.settleServerError()
 	x.service = x.route.PickService(rand.Float64())
 	x.handler.balancer.countRequest(time.Now(), x.service)
 	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
@@ -144,6 +147,14 @@
 	}
 }
 
+// settleServerError counts a 5xx response against its version, as no other endpoint has given one.
+func (x *exchange) settleServerError() {
+	if a := x.serverError; a != nil {
+		x.serverError = nil
+		a.recordVersionResult(false)
+	}
+}
+
 // pickModel keeps the model that was picked for the request if the route has it, and picks the smallest one otherwise.
 func (x *exchange) pickModel() {
 	switch {
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -240,7 +240,7 @@
 		a.probeEndpoint(err)
 	}
 	x.excludedEndpoints[a.choice.Endpoint.ID] = true
-	x.handler.balancer.recordResult(time.Now(), a.choice.Endpoint, x.route.Name, false, false)
+	x.handler.balancer.recordOutcome(time.Now(), a.choice.Endpoint, false)
 	if !x.route.Resumable {
 		return stepGiveUp, "broken"
 	}
