Tell other instances of a roll-back with the reports of load

Cause: a roll-back reaches the other instances by the store only, and is written after a random delay like a completion.

Change: the reports that instances exchange several times a second tell which roll-outs an instance has rolled back. One that has decided so itself writes the state within an eighth of the usual delay.

Result: TestRollbackReachesOtherInstances failed before and passes now.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -48,6 +48,7 @@
 
 // activeOrder is the operator's latest order and what this instance knows of it.
 type activeOrder struct {
+	service     string
 	target      string
 	duration    time.Duration
 	startedAt   time.Time
@@ -91,7 +92,7 @@
 	if r.state == routing.RolloutCompleted && r.order != nil {
 		r.currentVersion = r.order.target
 	}
-	r.order = &activeOrder{target: o.Target, duration: o.Duration, startedAt: now, observed: observed}
+	r.order = &activeOrder{service: o.Service, target: o.Target, duration: o.Duration, startedAt: now, observed: observed}
 	if observed {
 		r.order.startedAt = now.Add(-orderDelay)
 	}
@@ -359,9 +360,17 @@
 		return 0
 	}
 	remaining := time.Duration((1 - r.settings.Completion) * float64(r.order.duration))
-	return min(maxSpread, remaining/4)
+	spread := min(maxSpread, remaining/4)
+	if r.state == routing.RolloutRolledBack && r.reason != stoppedElsewhere {
+		return spread / ownStopFactor
+	}
+	return spread
 }
 
+// ownStopFactor is how much sooner an instance publishes a roll-back that it has decided on than other states, so that no
+// other instance completes the roll-out before.
+const ownStopFactor = 8
+
 // maxSpread is several times the delay of a record on its way through the store to all instances.
 const maxSpread = time.Second
 
--- a/internal/core/canary/pool.go
+++ b/internal/core/canary/pool.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
 )
 
 const (
@@ -86,6 +88,9 @@
 // LocalCounts returns this instance's answer counts of the new version, to be sent to other instances.
 func (r *Rollout) LocalCounts(now time.Time, service string) CountsByKey {
 	out := CountsByKey{}
+	if r.order != nil && r.state == routing.RolloutRolledBack {
+		out[r.stopKey()] = AnswerCounts{Answers: 1, Bad: 1}
+	}
 	if !r.Running() {
 		return out
 	}
@@ -102,6 +107,15 @@
 	return out
 }
 
+// stoppedElsewhere is the reason for a roll-back that another instance has decided on.
+const stoppedElsewhere = "stopped at another instance"
+
+// stopKey returns the key in CountsByKey by which an instance tells the others that it has rolled the version back. The state in
+// the store takes longer, and another instance may publish a completion until then.
+func (r *Rollout) stopKey() uint64 {
+	return xxhash.Sum64String(r.order.service + "\x00" + r.order.target + "\x00stopped\x00" + r.order.duration.String())
+}
+
 // EvaluatePooled tests the answer counts of all instances together and reports whether it rolled the version back. The
 // limit on bad answers applies to all instances together, and the more instances there are, the fewer bad answers each
 // one sees.
@@ -109,6 +123,9 @@
 	if !r.Running() || !r.order.stateRead {
 		return false
 	}
+	if others[r.stopKey()].Answers > 0 {
+		return r.rollBack(stoppedElsewhere)
+	}
 	for m, d := range r.evidence.recent {
 		s, o := d.value(now), others[m.key(service, r.order.target)]
 		s.Answers, s.Bad = s.Answers+o.Answers, s.Bad+o.Bad
--- a/internal/core/canary/pool_test.go
+++ b/internal/core/canary/pool_test.go
@@ -130,3 +130,22 @@
 		t.Errorf("%+v after many good answers long ago", s)
 	}
 }
+
+// TestRollbackReachesOtherInstances guards against a completion by an instance that hasn't read the roll-back of another one in the
+// store yet.
+func TestRollbackReachesOtherInstances(t *testing.T) {
+	stopped, other := newOrderedRollout(), newOrderedRollout()
+	at := start.Add(duration / 2)
+	for range 10 {
+		stopped.RecordOutcome(at, "v2", "a", true)
+	}
+	if !other.EvaluatePooled(at, "s", stopped.LocalCounts(at, "s")) {
+		t.Error("not told to the other instance")
+	}
+	if s, _ := other.StateToPublish(start.Add(duration)); s != routing.RolloutRolledBack {
+		t.Errorf("the other instance would publish %s", s)
+	}
+	if a, b := stopped.PublishSpread(), other.PublishSpread(); a >= b {
+		t.Errorf("the decision is published within %v, and what was told within %v", a, b)
+	}
+}
