Compare versions route by route and end the trial with a decision

Cause: a service with few requests showed four answers of the kind that fails, and they were compared with the mean rate of all routes. The setting exposure-slack, which allows a larger share, reached no code. A version was completed unless a test had said no.

Change: all instances count the answers of both versions by route. A route that needs more answers gets a larger share of its requests without a session, within the exposure limit. When all requests shift, a closing test with a lower threshold decides. The slack is divided by the instances.

--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -224,7 +224,7 @@
 		Escalation:      escalation.DefaultSettings(),
 		Admission:       admission.DefaultSettings(),
 		Retries:         retry.Settings{Window: b.RetryWindow, Ratio: retryRatioShare * b.RetryRatio, MinRetries: max(minRetrySlack, b.RetrySlack/maxFleetSize)},
-		BadVersionShare: b.MaxExposure, GracePeriod: b.StopGrace, MaxIdleConnsPerEndpoint: maxIdleConns, Stall: stall.DefaultSettings(),
+		BadVersionShare: b.MaxExposure, BadVersionSlack: b.ExposureSlack, GracePeriod: b.StopGrace, MaxIdleConnsPerEndpoint: maxIdleConns, Stall: stall.DefaultSettings(),
 		RequestMemory: requestMemory, ResponseMemory: responseMemory,
 		MaxRequestBytes: min(int64(s.Limits.MaxBody), requestMemory.MaxBodySize()), MaxResponseBytes: min(int64(s.Limits.MaxAnswer), responseMemory.MaxBodySize()),
 	}
--- a/internal/command/ingress_test.go
+++ b/internal/command/ingress_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// TestExposureSlack guards against a limit on the exposure to bad versions that is read from the settings and used nowhere.
+func TestExposureSlack(t *testing.T) {
+	s := settings.DefaultIngress()
+	s.Bounds.ExposureSlack = 30
+	if o := ingressOptions(s, zap.NewNop(), tally.NoopScope); o.BadVersionSlack != 30 {
+		t.Errorf("slack %v", o.BadVersionSlack)
+	}
+}
+
 // TestCheckIngress guards against invalid settings that are accepted, and against reported problems without their
 // position in the file.
 func TestCheckIngress(t *testing.T) {
--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -19,7 +19,7 @@
 	SteadyShift   float64 // time at which all requests may shift if the request rate is steady
 	Completion    float64 // time at which the roll-out is completed
 	MaxExposure   float64 // largest share of all requests that a bad version may receive by the end
-	ExposureSlack float64 // requests of this instance that a bad version may receive beyond MaxExposure
+	ExposureSlack float64 // requests of all instances that a bad version may receive beyond MaxExposure
 }
 
 // Fractions of the exposure limit that are spent in each phase of a roll-out.
@@ -69,18 +69,34 @@
 	state          routing.RolloutState
 	reason         string
 	evidence       *evidence
-	traffic        trafficStats // since the order
-	canaryShare    float64      // share of requests for the new version until all shift; 0 before CanaryStart
-	shifted        bool         // all requests go to the new version
-	shiftedAt      float64      // progress at which all requests shifted
-	peerPaces      PacesByKey   // sums of all other instances
-	peerPacesAt    time.Time    // when these were collected
+	traffic        trafficStats       // since the order
+	canaryShare    float64            // share of requests for the new version until all shift; 0 before CanaryStart
+	routeShares    map[string]float64 // the same of routes that have a larger one
+	instances      int                // instances that share ExposureSlack; 0 if not known
+	peerCounts     CountsByKey        // answers at all other instances
+	rates          routeRates         // of failures of the old version
+	shifted        bool               // all requests go to the new version
+	shiftedAt      float64            // progress at which all requests shifted
+	peerPaces      PacesByKey         // sums of all other instances
+	peerPacesAt    time.Time          // when these were collected
 	completed      completedVersion
 }
 
 // New returns the roll-out state of a service that has no order yet.
 func New(s Settings) *Rollout {
-	return &Rollout{settings: s}
+	return &Rollout{settings: s, instances: 1}
+}
+
+// SetInstances sets the number of instances that share the exposure slack. It is 1 at first, and 0 if it isn't known; no slack
+// is used then.
+func (r *Rollout) SetInstances(n int) { r.instances = n }
+
+// exposureSlack returns this instance's part of the exposure slack.
+func (r *Rollout) exposureSlack() float64 {
+	if r.instances == 0 {
+		return 0
+	}
+	return r.settings.ExposureSlack / float64(r.instances)
 }
 
 // ApplyOrder starts a roll-out and reports whether the order is new; a repeated order changes nothing. The argument
@@ -97,7 +113,8 @@
 		r.order.startedAt = now.Add(-orderDelay)
 	}
 	r.state, r.reason, r.evidence = routing.RolloutRunning, "ordered", newEvidence()
-	r.traffic, r.canaryShare, r.shifted, r.completed = trafficStats{since: now}, 0, false, completedVersion{}
+	r.traffic, r.canaryShare, r.routeShares, r.shifted, r.completed = trafficStats{since: now}, 0, nil, false, completedVersion{}
+	r.rates = routeRates{}
 	r.updateCurrentVersion()
 	return true
 }
@@ -188,7 +205,7 @@
 	return v.OldestStart.Before(other.OldestStart)
 }
 
-// TargetShare returns the share of requests that go to the new version.
+// TargetShare returns the share of requests that go to the new version, besides those of routes with a larger share.
 func (r *Rollout) TargetShare(now time.Time) float64 {
 	if r.order == nil {
 		return 0
@@ -205,8 +222,7 @@
 		return 0
 	}
 	if r.canaryShare == 0 {
-		// A service with few requests needs a larger share of them to show a failure. The slack allows this.
-		r.canaryShare = min(maxCanaryShare, s.CanaryShare+canarySlack*s.ExposureSlack/(r.traffic.meanRate(now)*(1-s.CanaryStart)*r.order.duration.Seconds()))
+		r.planShares(now)
 	}
 	if r.updateShifted(p, now) {
 		return 1
@@ -227,7 +243,7 @@
 		if p < s.SteadyShift {
 			remaining *= burstFactor
 		}
-		limit := exposureMargin * (s.MaxExposure*(1+remaining) + s.ExposureSlack/float64(max(1, r.traffic.total)))
+		limit := exposureMargin * (s.MaxExposure*(1+remaining) + r.exposureSlack()/float64(max(1, r.traffic.total)))
 		r.shifted = p >= 1-forcedShiftFraction*(1-s.SteadyShift) || r.traffic.targetShare()+remaining <= limit
 		r.shiftedAt = p
 	}
@@ -250,7 +266,24 @@
 // requests of a session, so a session that has moved to the new version stays there as the share grows. The version is
 // empty while no endpoint is known.
 func (r *Rollout) PickVersion(now time.Time, u float64) string {
+	return r.countPick(now, r.versionAt(now, u))
+}
+
+// PickVersionOnRoute returns the version for a request without a session, like PickVersion. A route that needs a larger share
+// of its requests to show a failure has one.
+func (r *Rollout) PickVersionOnRoute(now time.Time, u float64, route string) string {
 	v := r.versionAt(now, u)
+	if r.Running() {
+		r.evidence.addSessionless(route)
+	}
+	if r.order != nil && r.canaryShare > 0 && v == r.CurrentVersion() && u < r.routeShare(route) {
+		v = r.versionAt(now, 0)
+	}
+	return r.countPick(now, v)
+}
+
+// countPick counts a request for a version and returns the version.
+func (r *Rollout) countPick(now time.Time, v string) string {
 	if r.order != nil {
 		r.traffic.add(now, v == r.order.target)
 	}
@@ -286,15 +319,19 @@
 	if r.order == nil || r.state != routing.RolloutRunning {
 		return false
 	}
-	if r.progress(now) >= r.settings.CanaryStart {
+	goodRate := r.goodRate(now, route)
+	if r.progress(now) >= r.settings.CanaryStart && goodRate <= maxRouteRate {
 		r.evidence.totals.countTotal(version == r.order.target, failed) // earlier answers had other conditions
 	}
+	if t := r.evidence.routeTotals(route); t != nil {
+		t.countTotal(version == r.order.target, failed)
+	}
 	if version != r.order.target {
 		r.evidence.baseline.addOutcome(failed)
 		return false
 	}
 	r.evidence.countRecent(now, false, failed, route)
-	return r.rollBack(r.evidence.addOutcome(route, failed))
+	return r.rollBack(r.evidence.addOutcome(route, failed, goodRate))
 }
 
 // RecordFirstByte records the time to an answer's first byte, or until the request was given up, and reports whether
@@ -349,7 +386,7 @@
 	if !r.updateShifted(p, now) {
 		return false
 	}
-	return p >= r.shiftedAt+(s.Completion-s.SteadyShift)/2
+	return p >= r.shiftedAt+(s.Completion-s.SteadyShift)/2 && r.closingReason() == ""
 }
 
 // PublishSpread returns the time over which instances that reach a state together spread their writes of it. The first
--- a/internal/core/canary/evidence.go
+++ b/internal/core/canary/evidence.go
@@ -38,7 +38,9 @@
 	slowBaseline tally                          // streams of the old version; a slow one counts as failed
 	recent       map[failureMode]*decayingCount // decaying counts of the new version's answers, for EvaluatePooled
 	paces        *paceEvidence
-	totals       Totals // this instance's answers
+	totals       Totals             // this instance's answers
+	routes       map[string]*Totals // the same by route, since the order
+	sessionless  map[string]bool    // routes that have had requests without a session
 }
 
 // gapStats sums the logarithms of the gaps of one kind of stream on the old version. The gap of a stream is the mean time
@@ -64,7 +66,7 @@
 }
 
 func newEvidence() *evidence {
-	return &evidence{byRoute: map[string]*tally{}, baselineGaps: map[string]*gapStats{}, recent: map[failureMode]*decayingCount{}, paces: newPaceEvidence()}
+	return &evidence{byRoute: map[string]*tally{}, baselineGaps: map[string]*gapStats{}, recent: map[failureMode]*decayingCount{}, routes: map[string]*Totals{}, sessionless: map[string]bool{}, paces: newPaceEvidence()}
 }
 
 // addOutcome counts an answer.
@@ -101,12 +103,15 @@
 	return math.Exp(t.latencyLogSum / float64(t.latencies))
 }
 
-// addOutcome records an answer of the new version and returns the reason for a roll-back, or "".
-func (e *evidence) addOutcome(route string, failed bool) string {
-	goodRate := e.goodRate(false)
+// addOutcome records an answer of the new version, which a good version fails at a rate, and returns the reason for a roll-back,
+// or "".
+func (e *evidence) addOutcome(route string, failed bool, goodRate float64) string {
 	t := e.routeTally(route)
 	t.addOutcome(failed)
 	e.total.addOutcome(failed)
+	if goodRate > maxRouteRate {
+		return ""
+	}
 	routeFails, totalFails := t.testOutcome(failed, goodRate), e.total.testOutcome(failed, goodRate)
 	switch {
 	case totalFails:
@@ -117,13 +122,10 @@
 	return ""
 }
 
-// goodRate returns the rate of failures, or of slow streams, that is expected of a good version.
-func (e *evidence) goodRate(slow bool) float64 {
-	t := e.baseline
-	if slow {
-		t = e.slowBaseline
-	}
-	return min(0.6, max(minGoodRate, (float64(t.failed)+0.5)/float64(t.n+10)))
+// goodSlowRate returns the rate of slow streams that is expected of a good version.
+func (e *evidence) goodSlowRate() float64 {
+	t := e.slowBaseline
+	return min(maxRouteRate, max(minGoodRate, (float64(t.failed)+0.5)/float64(t.n+10)))
 }
 
 // routeTally returns the tally of a route. Beyond maxRoutes it returns one that is not kept, so the answers of further
--- a/internal/core/canary/pool.go
+++ b/internal/core/canary/pool.go
@@ -104,6 +104,14 @@
 			out[k.key(service, r.order.target)] = c
 		}
 	}
+	for route, t := range r.evidence.routes {
+		if t.Old.Answers > 0 {
+			out[routeKey(service, r.order.target, route, false)] = t.Old
+		}
+		if t.Target.Answers > 0 {
+			out[routeKey(service, r.order.target, route, true)] = t.Target
+		}
+	}
 	return out
 }
 
@@ -123,13 +131,22 @@
 	if !r.Running() || !r.order.stateRead {
 		return false
 	}
+	r.peerCounts = others
 	if others[r.stopKey()].Answers > 0 {
 		return r.rollBack(stoppedElsewhere)
 	}
-	for m, d := range r.evidence.recent {
-		s, o := d.value(now), others[m.key(service, r.order.target)]
-		s.Answers, s.Bad = s.Answers+o.Answers, s.Bad+o.Bad
-		if s.logLikelihoodRatio(r.evidence.goodRate(m.slow)) >= pooledRollbackThreshold {
+	if r.progress(now) >= r.settings.SteadyShift {
+		if reason := r.closingReason(); reason != "" {
+			return r.rollBack(reason)
+		}
+	}
+	for m := range r.evidence.recent {
+		answers, goodRate := r.recentAnswers(now, m)
+		threshold := pooledRollbackThreshold
+		if !m.slow {
+			threshold += math.Log(float64(max(1, len(r.evidence.routes))))
+		}
+		if answers.logLikelihoodRatio(goodRate) >= threshold {
 			reason := "failures"
 			if m.slow {
 				reason = "slow streams"
@@ -137,12 +154,50 @@
 			return r.rollBack(reason + " at all instances together")
 		}
 	}
-	if r.Totals(service, others).logLikelihoodRatio() >= rareRollbackThreshold {
+	if r.comparableTotals(service).logLikelihoodRatio() >= rareRollbackThreshold {
 		return r.rollBack("rare failures at all instances together")
 	}
 	return false
 }
 
+// pooledRecent returns the recent answers of the new version at all instances.
+func (r *Rollout) pooledRecent(now time.Time, m failureMode) AnswerCounts {
+	s, o := r.evidence.recent[m].value(now), r.peerCounts[m.key(r.order.service, r.order.target)]
+	return AnswerCounts{s.Answers + o.Answers, s.Bad + o.Bad}
+}
+
+// recentAnswers returns the recent answers of the new version at all instances that are compared, and the share of them that
+// is bad in this way if the version is good. Routes on which the old version nearly always fails aren't compared.
+func (r *Rollout) recentAnswers(now time.Time, m failureMode) (answers AnswerCounts, goodRate float64) {
+	answers = r.pooledRecent(now, m)
+	if m.slow {
+		return answers, r.evidence.goodSlowRate()
+	}
+	if m.route != "" {
+		goodRate = r.goodRate(now, m.route)
+		if goodRate > maxRouteRate {
+			return AnswerCounts{}, maxRouteRate
+		}
+		return answers, goodRate
+	}
+	compared, bad := 0.0, 0.0 // of known routes; the bad ones as expected
+	for o := range r.evidence.recent {
+		if o.slow || o.route == "" {
+			continue
+		}
+		s, rate := r.pooledRecent(now, o), r.goodRate(now, o.route)
+		if rate > maxRouteRate {
+			answers.Answers, answers.Bad = answers.Answers-s.Answers, answers.Bad-s.Bad
+			continue
+		}
+		compared, bad = compared+s.Answers, bad+rate*s.Answers
+	}
+	if compared == 0 {
+		return AnswerCounts{}, maxRouteRate
+	}
+	return answers, max(minGoodRate, bad/compared)
+}
+
 // logLikelihoodRatio compares the hypothesis of a bad version with that of a good one, whose answers are bad at goodRate.
 func (s AnswerCounts) logLikelihoodRatio(goodRate float64) float64 {
 	return s.likelihoodRatio(goodRate, max(minBadRate, min(2*goodRate, 0.9)))
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -31,6 +31,7 @@
 	warmAt       map[string]time.Time // when an endpoint that is slow after its start has warmed up
 	evacuations  *evacuation.Set
 	services     map[string][]routing.Endpoint // registered endpoints
+	instances    int                           // largest number of instances so far; 0 if it isn't known
 
 	admission              *admission.Controller
 	admissionConfiguration *routing.Configuration // whose organisations admission knows
@@ -57,6 +58,7 @@
 		options: o, evacuations: evacuation.NewSet(), admission: admission.New(o.Admission),
 	}
 	if o.PeerListener == nil {
+		b.instances = 1
 		b.table.SetAlone()
 	}
 	return b
@@ -138,6 +140,7 @@
 	r := b.rollouts[service]
 	if r == nil {
 		r = canary.New(canary.DefaultSettings(b.options.BadVersionShare, b.options.BadVersionSlack))
+		r.SetInstances(b.instances)
 		b.rollouts[service] = r
 	}
 	return r
@@ -153,9 +156,9 @@
 	return r
 }
 
-// pickVersion returns the version for a request, chosen by a hash of its session or, without a session, of its
+// pickVersion returns the version for a request on a route, chosen by a hash of its session or, without a session, of its
 // identifier.
-func (b *balancer) pickVersion(now time.Time, service string, req *attributes.ClientRequest) string {
+func (b *balancer) pickVersion(now time.Time, service, route string, req *attributes.ClientRequest) string {
 	key := req.Session
 	if key == "" {
 		key = req.ID
@@ -163,7 +166,11 @@
 	u := float64(xxhash.Sum64String(service+"\x00"+key)>>11) / (1 << 53)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.rolloutOf(service).PickVersion(now, u)
+	r := b.rolloutOf(service)
+	if req.Session == "" {
+		return r.PickVersionOnRoute(now, u, route)
+	}
+	return r.PickVersion(now, u)
 }
 
 // chooseEndpoint chooses an endpoint for a request and records the request as sent to it.
@@ -223,7 +230,11 @@
 	b.table.SetOtherInstances(at, report.Instances)
 	b.admission.SetRemote(at, report.Usages, report.Instances)
 	b.peerCounts, b.peerCountsAt = report.Trials, at
+	if report.Instances > 0 {
+		b.instances = max(b.instances, report.Instances+1)
+	}
 	for s, r := range b.rollouts {
+		r.SetInstances(b.instances)
 		r.SetPeerPaces(at, report.Paces)
 		if r.EvaluatePooled(at, s, report.Trials) || r.EvaluatePace(at, s) {
 			v, _, reason := r.Status()
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -126,7 +126,7 @@
 	defer x.settleServerError()
 	x.service = x.route.PickService(rand.Float64())
 	x.handler.balancer.countRequest(time.Now(), x.service)
-	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
+	x.version = x.handler.balancer.pickVersion(time.Now(), x.service, x.route.Name, &x.request)
 	x.pickModel()
 	if localErr := x.admit(); localErr != nil {
 		x.finishUnserved(localErr)
@@ -303,7 +303,7 @@
 	x.pickModel()
 	if !x.route.SendsTo(x.service) {
 		x.service = x.route.PickService(rand.Float64())
-		x.version = x.handler.balancer.pickVersion(time.Now(), x.service, &x.request)
+		x.version = x.handler.balancer.pickVersion(time.Now(), x.service, x.route.Name, &x.request)
 	}
 	return nil
 }
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -86,7 +86,7 @@
 	Stall           stall.Settings
 	Retries         retry.Settings
 	BadVersionShare float64 // largest share of a roll-out's requests that may reach a bad version
-	// BadVersionSlack is how many requests of this instance may reach a bad version beyond that share.
+	// BadVersionSlack is how many requests of all instances together may reach a bad version beyond that share.
 	BadVersionSlack         float64
 	GracePeriod             time.Duration // from the stop signal until the platform kills the process
 	MaxIdleConnsPerEndpoint int           // maximum idle connections to each endpoint
