Blame a part that different repeated requests have in common

Cause: the deaths that a repeated request met were attributed to its content instead of the parts of its prompt, whatever other requests with these parts had met. If each request is repeated by its client, nothing is left against the part.

Change: deaths are attributed to a content only if no request with another content and the same part has met a further death.

--- a/internal/core/suspect/content_verdict.go
+++ b/internal/core/suspect/content_verdict.go
@@ -226,21 +226,33 @@
 	return m.Deaths[slices.IndexFunc(m.Deaths, func(d EndpointDeath) bool { return d.Process == process })]
 }
 
-// attributeDeaths attributes the deaths that repeated requests met to their contents instead of the parts of their prompts.
+// attributeDeaths attributes the deaths that a repeated request met to its content instead of the parts of its prompt. It does not if
+// a request with another content and the same part met a further death: they have only the part in common.
 func (r *PartRegistry) attributeDeaths(parts []*partState) {
 	for _, p := range parts {
 		p.attributed = nil
-		for _, d := range p.Deaths {
-			c := r.marks[PartHash(d.Request)] // the content of a request with the part
-			if c == nil || !c.Content || len(c.Deaths) < minContentDeaths || c.contentEvidence(nil).requests < r.settings.MinRequests {
-				continue
-			}
-			if p.attributed == nil {
-				p.attributed = map[uint64]bool{}
-			}
-			explain(p.attributed, c)
+		c := r.repeatedContent(p)
+		if c == nil || slices.ContainsFunc(p.Deaths, func(d EndpointDeath) bool { return !c.hasMet(d.Process) }) {
+			continue
+		}
+		p.attributed = map[uint64]bool{}
+		explain(p.attributed, c)
+	}
+}
+
+// repeatedContent returns the repeated content with most deaths among those of the requests with a part, or nil if there is none.
+func (r *PartRegistry) repeatedContent(p *partState) *partState {
+	var best *partState
+	for _, d := range p.Deaths {
+		c := r.marks[PartHash(d.Request)]
+		if c == nil || !c.Content || len(c.Deaths) < minContentDeaths || c.contentEvidence(nil).requests < r.settings.MinRequests {
+			continue
+		}
+		if best == nil || len(c.Deaths) > len(best.Deaths) {
+			best = c
 		}
 	}
+	return best
 }
 
 // hasMet reports whether the mark has the death of a process.
--- a/internal/core/suspect/part_simulation_test.go
+++ b/internal/core/suspect/part_simulation_test.go
@@ -28,6 +28,7 @@
 	clockError         time.Duration // largest difference between an instance's clock and true time
 	popular            float64       // share of the sound requests that have one of three contents
 	resends            bool          // clients send sound requests once more after three failed attempts
+	resendsDeadly      bool          // clients send requests that crash engines once more after they have failed or been refused
 	duration           time.Duration
 }
 
@@ -219,6 +220,7 @@
 // send sends a request to an engine, unless it is refused.
 func (s *partSimulation) send(q *simRequest) {
 	if q.attempts >= 3 {
+		s.resendDeadly(q)
 		if s.resends && q.deadly < 0 && !q.resent {
 			s.requests++
 			s.send(&simRequest{instance: s.rand.IntN(len(s.instances)), content: q.content, ids: q.ids, deadly: -1, id: fmt.Sprint(s.requests), resent: true})
@@ -237,6 +239,7 @@
 		if q.deadly < 0 {
 			s.soundRefused++
 		}
+		s.resendDeadly(q)
 		return
 	}
 	for range 4 {
@@ -254,6 +257,14 @@
 	}
 }
 
+// resendDeadly lets the client of a request that crashes engines send it once more.
+func (s *partSimulation) resendDeadly(q *simRequest) {
+	if s.resendsDeadly && q.deadly >= 0 && !q.resent {
+		s.requests++
+		s.send(&simRequest{instance: s.rand.IntN(len(s.instances)), content: q.content, ids: q.ids, deadly: q.deadly, id: fmt.Sprint(s.requests), resent: true})
+	}
+}
+
 // crash ends an engine. Requests that it had not begun count as candidates, and all are sent again.
 func (s *partSimulation) crash(i int) {
 	e := s.engines[i]
@@ -419,6 +430,31 @@
 	}
 }
 
+// TestDeadlyPartOfRepeatedRequests guards against a part that is never refused because each request with it is repeated by its client,
+// so that the ends of the engines are attributed to the contents.
+func TestDeadlyPartOfRepeatedRequests(t *testing.T) {
+	small, middle, large := partScenarios()
+	for name, c := range map[string]struct {
+		load  partScenario
+		share float64
+	}{
+		"3 instances, every 4 s": {with(small, func(c *partScenario) { c.instances, c.engines, c.rate, c.duration = 3, 18, 50, 60*time.Second }), 0.01},
+		"3 instances, every s":   {with(small, func(c *partScenario) { c.instances, c.engines, c.rate = 3, 18, 50 }), 0.04},
+		"6 instances":            {small, 0.01},
+		"6 instances, frequent":  {small, 0.05},
+		"64 instances":           {middle, 0.004},
+		"195 instances":          {large, 0.004},
+		"among other crashes":    {with(small, func(c *partScenario) { c.crashEvery = 1500 * time.Millisecond }), 0.02},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.load.resendsDeadly = true
+			c.load.deadly = []deadlyPart{{id: "dd", share: c.share, from: 4 * time.Second, until: c.load.duration}}
+			checkScenario(t, c.load)
+		})
+	}
+}
+
 // TestRareAndFrequentDeadlyPart guards against a part that goes unnoticed beside another one that soon ends all engines.
 func TestRareAndFrequentDeadlyPart(t *testing.T) {
 	small, _, _ := partScenarios()
