Don't take a reset connection for the end of a response

Callers got a part of a response as a complete one: an endpoint answered a long upload at once without a length, sent part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one call only. If that is the write, or a look at the bytes that have arrived, the next read finds the end of the connection, which marks the end of a body without a length.

Change: at the end of a connection its state in the kernel tells whether it was reset; if the state isn't known, the write of the request decides. The client of the product's own API does the same.

--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -76,3 +76,36 @@
 		}
 	})
 }
+
+// TestReplyResetDuringUpload guards against a reply without a length that is taken for complete although the endpoint has reset the
+// connection: the write of a long body gets the error then, and the read only the end.
+func TestReplyResetDuringUpload(t *testing.T) {
+	const attempts = 50
+	l, a := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart of the body")
+				time.Sleep(time.Millisecond)
+			}
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+	}()
+	defer l.Close()
+	client, complete := newClient(t), 0
+	for range attempts {
+		call := engine.ServiceCall{Method: http.MethodPost, Path: "/", ID: "call", Body: make([]byte, 8<<20)}
+		if r, err := client.CallService(t.Context(), a, call, 5*time.Second); err == nil {
+			complete++
+			r.Release()
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d replies were taken for complete", complete, attempts)
+	}
+}
--- a/internal/engine/headconn.go
+++ b/internal/engine/headconn.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
 const (
@@ -23,6 +27,8 @@
 type headConn struct {
 	net.Conn
 
+	writeFailed atomic.Bool
+
 	mu        sync.Mutex
 	inHead    bool
 	firstLine bool // the current line is a status line
@@ -67,9 +73,13 @@
 	c.inHead, c.firstLine, c.interim, c.column, c.lines, c.bytes = true, true, false, 0, 0, 0
 }
 
-// Read reads bytes of a reply, and fails if its head is too large.
+// Read reads bytes of a reply, and fails if its head is too large. It also fails at the end of a connection that was reset: net/http
+// takes that for the end of a body without a length.
 func (c *headConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && (forward.EndOf(c.Conn) == forward.EndReset || c.writeFailed.Load()) {
+		err = &Error{Op: "read", Kind: ErrConnectionLost, Err: errors.New("the connection was reset")}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := 0; i < n && c.inHead; i++ {
@@ -85,6 +95,15 @@
 	return n, err
 }
 
+// Write writes bytes of a request.
+func (c *headConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
+	return n, err
+}
+
 // scan handles one byte of a head. The caller must hold the lock.
 func (c *headConn) scan(b byte) {
 	c.bytes++
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,6 +41,7 @@
 	// onTimeout is called when the wait for the next bytes has ended, with the delay of the timer. It
 	// returns how much longer to wait, or 0 to give up. It may be nil.
 	onTimeout func(delay time.Duration) time.Duration
+	write     *writeState // of the latest request; nil before it
 }
 
 func newConn(n net.Conn, a netip.AddrPort, s *activity) *conn {
@@ -80,6 +83,9 @@
 			}
 			return n, err
 		}
+		if errors.Is(err, io.EOF) {
+			err = c.checkEnd(err)
+		}
 		if !IsTimeout(err) || c.onTimeout == nil {
 			return n, err
 		}
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -45,7 +45,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := &repeatingReader{text: c.repeated}
 			n := testConn(io.MultiReader(strings.NewReader(c.prefix), r))
-			_, err := n.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+			_, err := n.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, newWriteState())
 			if KindOf(err) != ErrBadResponse || r.bytesRead > 2*maxHeadBytes {
 				t.Errorf("%d bytes read, error %v", r.bytesRead, err)
 			}
@@ -59,7 +59,7 @@
 	body := strings.Repeat("x", 4*maxHeadBytes)
 	text := strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
 	c := testConn(strings.NewReader(text))
-	r, err := c.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+	r, err := c.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, newWriteState())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -178,7 +178,7 @@
 			for n := range len(text) {
 				for _, r := range []io.Reader{strings.NewReader(text[:n]), iotest.OneByteReader(strings.NewReader(text[:n]))} {
 					c := testConn(r)
-					resp, err := c.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+					resp, err := c.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, newWriteState())
 					if err != nil {
 						continue
 					}
@@ -216,7 +216,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := testConn(iotest.HalfReader(strings.NewReader(c.text)))
-			r, err := n.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+			r, err := n.exchange(Request{Method: http.MethodGet, Target: "/", Host: "h"}, isOwnResponse, newWriteState())
 			if !c.ok {
 				if KindOf(err) != ErrBadResponse || n.headLeft < maxHeadBytes-3*readBufferSize {
 					t.Errorf("%d bytes read, error %v", maxHeadBytes-n.headLeft, err)
--- a/internal/forward/fuzz_test.go
+++ b/internal/forward/fuzz_test.go
@@ -37,7 +37,7 @@
 	const limit = 1 << 10
 	f.Fuzz(func(t *testing.T, b []byte) {
 		c := testConn(bytes.NewReader(b))
-		r, err := c.exchange(Request{Method: http.MethodPost, Target: "/", Host: "h"}, isOwnResponse, &writeState{})
+		r, err := c.exchange(Request{Method: http.MethodPost, Target: "/", Host: "h"}, isOwnResponse, newWriteState())
 		if err != nil {
 			return
 		}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -57,7 +57,19 @@
 
 // writeState records whether all bytes of a request have been written.
 type writeState struct {
-	done atomic.Bool
+	done  atomic.Bool
+	ended chan struct{} // closed when the write has ended
+}
+
+// newWriteState returns the state of a write that has not ended.
+func newWriteState() *writeState { return &writeState{ended: make(chan struct{})} }
+
+// end records that the write has ended.
+func (w *writeState) end(err error) {
+	if err == nil {
+		w.done.Store(true)
+	}
+	close(w.ended)
 }
 
 // Send sends a request once and returns its response after reading the head. It skips responses for which isOwn returns
@@ -74,7 +86,7 @@
 		return nil, err
 	}
 	stopCancel := context.AfterFunc(ctx, c.discard)
-	w := &writeState{}
+	w := newWriteState()
 	r, err := c.exchange(q, isOwn, w) //nolint:bodyclose // Response.Close closes the connection or releases it to the pool.
 	if err != nil {
 		endRequest()
@@ -94,6 +106,7 @@
 // exchange writes a request and reads the head of its response.
 func (c *conn) exchange(q Request, isOwn func(http.Header) bool, w *writeState) (*http.Response, error) {
 	b := q.encode()
+	c.write = w
 	if len(b) > longRequest {
 		// The user timeout also counts while the endpoint takes no more bytes, although its host confirms that it is there.
 		if err := c.clearUserTimeout(); err != nil {
@@ -101,16 +114,16 @@
 		}
 	}
 	if len(b) <= maxInlineWrite {
-		if _, err := c.Write(b); err != nil {
+		_, err := c.Write(b)
+		w.end(err)
+		if err != nil {
 			return nil, &Error{Op: "write", Kind: c.failureKind(), Err: err}
 		}
-		w.done.Store(true)
 	} else {
 		// An endpoint may respond before it has read a long body, so reading does not wait for the write.
 		go func() {
-			if _, err := c.Write(b); err == nil {
-				w.done.Store(true)
-			}
+			_, err := c.Write(b)
+			w.end(err)
 		}()
 	}
 	received := false
