Reject responses with a status that HTTP doesn't define

Callers got an answer whose status was 000, or bytes after its head as the answer of the endpoint.

Cause: net/http accepts any three digits. The ingress skipped each status below 200 as an interim response, 000 and 101 too; the client of the product's own API passed them on, and the public client took them for a success.

Change: a status outside 100 to 599 and 101, which nobody asks for, make a response invalid, wherever responses of endpoints, the store or the services are read. The public client asks for 200 to 299.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -22,6 +22,7 @@
 	"github.com/cassiaspoke/cassiaspoke/internal/certificate"
 	"github.com/cassiaspoke/cassiaspoke/internal/connlimit"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/session"
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 	"github.com/cassiaspoke/cassiaspoke/internal/gateway"
 	"github.com/cassiaspoke/cassiaspoke/internal/instance"
 	"github.com/cassiaspoke/cassiaspoke/internal/ledger"
@@ -258,7 +259,7 @@
 // instanceOptions converts settings to the options of an instance.
 func instanceOptions(s settings.Settings) instance.Options {
 	o := instance.DefaultOptions(s.Instance.ID, s.Instance.AvailabilityZone, s.Instance.Region)
-	client := &http.Client{Transport: platform.NewTransport()}
+	client := &http.Client{Transport: forward.NewCheckedTransport(platform.NewTransport())}
 	replies := memory.NewBudget(max(minPlatformMemory, int64(platformMemoryShare*float64(s.Limits.Memory))))
 	newClient := func(u settings.URL) *platform.Client {
 		c := platform.NewClient(string(u), client, s.Platform.Timeout)
--- a/internal/command/store_transport.go
+++ b/internal/command/store_transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
 // freshConnTransport sends calls to the store. After a call that got no response in time it closes the idle connections: the
@@ -14,7 +16,7 @@
 
 // RoundTrip makes one call.
 func (t freshConnTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	resp, err := forward.NewCheckedTransport(t.Transport).RoundTrip(r)
 	if errors.Is(err, context.DeadlineExceeded) {
 		t.CloseIdleConnections()
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
@@ -87,8 +88,8 @@
 }
 
 // newHTTPClient returns a client that follows no redirects: an endpoint may not send a prompt on to another address.
-func newHTTPClient(t http.RoundTripper) *http.Client {
-	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+func newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: forward.NewCheckedTransport(t), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // Close closes the idle connections.
--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -109,3 +109,27 @@
 		t.Errorf("%d of %d replies were taken for complete", complete, attempts)
 	}
 }
+
+// TestInvalidReplyHead guards against a reply that is no HTTP and reaches the caller as an answer.
+func TestInvalidReplyHead(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"status 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t)
+			call := engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}
+			if r, err := c.CallService(t.Context(), serveText(t, text), call, 5*time.Second); err == nil {
+				t.Errorf("call: status %d, header %v, body %q", r.Status, r.Header, r.Body)
+			}
+			conn, err := c.Connect(t.Context(), serveText(t, text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if r, err := conn.Call(t.Context(), call, 5*time.Second); err == nil {
+				t.Errorf("single use: status %d, header %v, body %q", r.Status, r.Header, r.Body)
+			}
+		})
+	}
+}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -46,7 +46,7 @@
 
 // CallService makes a call that may be repeated. ErrRefused means that nothing was sent.
 func (c *Client) CallService(ctx context.Context, a netip.AddrPort, call ServiceCall, timeout time.Duration) (ServiceReply, error) {
-	return c.callService(ctx, c.pooled.Transport, a, call, timeout)
+	return c.callService(ctx, c.pooled, a, call, timeout)
 }
 
 // SingleUseConn is a connection for a single call that must not be repeated.
@@ -84,7 +84,7 @@
 		}
 	}}
 	defer t.CloseIdleConnections()
-	r, err := s.c.callService(ctx, t, s.address, call, timeout)
+	r, err := s.c.callService(ctx, newHTTPClient(t), s.address, call, timeout)
 	var e *Error
 	if errors.As(err, &e) && e.Kind == ErrRefused {
 		e.Kind = ErrConnectionLost
@@ -94,8 +94,8 @@
 
 var errConnUsed = errors.New("the connection was used")
 
-// callService makes a call over the given transport.
-func (c *Client) callService(ctx context.Context, t http.RoundTripper, a netip.AddrPort, call ServiceCall, timeout time.Duration) (ServiceReply, error) {
+// callService makes a call with the given client.
+func (c *Client) callService(ctx context.Context, h *http.Client, a netip.AddrPort, call ServiceCall, timeout time.Duration) (ServiceReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var head headLimit
@@ -104,7 +104,7 @@
 		return ServiceReply{}, &Error{Op: "service", Kind: ErrRefused, Err: err}
 	}
 	c.s.Propagator.InjectHeader(req.Header)
-	res, err := newHTTPClient(t).Do(req)
+	res, err := h.Do(req)
 	if err != nil {
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, head.explain(err))
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -140,6 +140,10 @@
 		switch {
 		case err != nil:
 			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: err}
+		case r.ProtoMajor != 1:
+			return nil, headError("protocol version %q", r.Proto)
+		case CheckHead(r) != nil:
+			return nil, CheckHead(r)
 		case countLines(r.Header) > maxHeadLines:
 			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: fmt.Errorf("response head exceeds %d lines", maxHeadLines)}
 		case r.StatusCode < http.StatusOK:
--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -134,7 +134,7 @@
 	if s := res.Header.Get(HeaderSession); s != "" {
 		c.SetSession(s)
 	}
-	if res.StatusCode < http.StatusMultipleChoices {
+	if res.StatusCode >= http.StatusOK && res.StatusCode < http.StatusMultipleChoices {
 		return res, nil
 	}
 	defer func() { _ = res.Body.Close() }()
