Reject responses with fields that HTTP doesn't allow

Callers got an answer with a line of its head passed on, or with a body that was not the endpoint's: in the head the name of a field held a blank.

Cause: net/http accepts blanks in names and keeps such fields. A length in 'Content-Length : 4' was no length then, and the body was read to the end of the connection.

Change: names and values are checked by golang.org/x/net/http/httpguts, in interim responses and in responses to other requests too.

--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -115,6 +115,8 @@
 	for name, text := range map[string]string{
 		"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
 		"status 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"blank":      "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
+		"NUL":        "HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t)
--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the largest status that HTTP defines a class for.
@@ -14,6 +16,16 @@
 	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return headError("status %q", r.Status)
 	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return headError("field name %.64q", name)
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return headError("value of the field %.64q", name)
+			}
+		}
+	}
 	return nil
 }
 
--- a/internal/forward/head_test.go
+++ b/internal/forward/head_test.go
@@ -33,6 +33,22 @@
 	})
 }
 
+// TestInvalidFieldName guards against a response with a field whose name or value HTTP doesn't allow: the field was passed on, and
+// the body was read without the length that such a field states.
+func TestInvalidFieldName(t *testing.T) {
+	checkHeads(t, map[string]headCase{
+		"blank before the colon":    {"HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", false},
+		"blank in a name":           {"HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 4\r\n\r\nbody", false},
+		"blank in an interim name":  {"HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"control byte in a name":    {"HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 4\r\n\r\nbody", false},
+		"tab in a name":             {"HTTP/1.1 200 OK\r\nX\tY: z\r\nContent-Length: 4\r\n\r\nbody", false},
+		"NUL in a value":            {"HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 4\r\n\r\nbody", false},
+		"carriage return in value":  {"HTTP/1.1 200 OK\r\nX: a\rY: b\r\nContent-Length: 4\r\n\r\nbody", false},
+		"blank in name of a stray":  {"HTTP/1.1 200 OK\r\nStray: 1\r\nContent-Length : 4\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false},
+		"blank after the last line": {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n \r\n\r\nbody", true}, // a folded line
+	})
+}
+
 // checkHeads checks that valid responses are read and others are rejected.
 func checkHeads(t *testing.T, cases map[string]headCase) {
 	t.Helper()
