Tell in logs and metrics what marks the end of a response

The log of a request told how many events an endpoint had sent, but not whether the end of its response was found by a length, by the last chunk or by the end of the connection. Each entry of sends names it now, and cassiaspoke_responses{framing,outcome} counts it.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -55,6 +55,27 @@
 	reusable    bool
 }
 
+// Framing tells how the end of a body is marked; log entries contain its values.
+type Framing string
+
+// Ways to mark the end of a body.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // its end is the end of the body
+)
+
+// Framing returns how the end of the body is marked.
+func (r *Response) Framing() Framing {
+	switch {
+	case r.Unframed:
+		return FramedByConnection
+	case r.Length < 0:
+		return FramedByChunks
+	}
+	return FramedByLength
+}
+
 // writeState records whether all bytes of a request have been written.
 type writeState struct {
 	done  atomic.Bool
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -104,6 +104,10 @@
 	}
 	x.handler.metrics.countAttempt(outcome)
 	record.outcome, record.events, record.took = outcome, a.dataEvents, time.Since(a.sentAt)
+	if a.response != nil {
+		record.framing = a.response.Framing()
+		x.handler.metrics.countResponse(record.framing, outcome)
+	}
 	x.history = append(x.history, record)
 	return next
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -94,7 +94,8 @@
 	model    string
 	version  string
 	outcome  string
-	events   int // events with data that the endpoint sent
+	events   int             // events with data that the endpoint sent
+	framing  forward.Framing // of the response; "" if there is none
 	expected time.Duration
 	took     time.Duration
 }
--- a/internal/ingress/log.go
+++ b/internal/ingress/log.go
@@ -115,6 +115,9 @@
 		if r.events > 0 {
 			line += " after " + strconv.Itoa(r.events) + " events"
 		}
+		if r.framing != "" {
+			line += ", end marked by " + string(r.framing)
+		}
 		e.AppendString(line)
 	}
 	return nil
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
 
 // metrics counts requests by outcome and records their durations.
@@ -41,9 +43,17 @@
 
 // countAttempt counts an attempt by its outcome; a number at the outcome's end is left out.
 func (m *metrics) countAttempt(outcome string) {
-	m.scope.Tagged(map[string]string{"outcome": strings.TrimRight(outcome, " ()0123456789")}).Counter("sends").Inc(1)
+	m.scope.Tagged(map[string]string{"outcome": trimNumber(outcome)}).Counter("sends").Inc(1)
+}
+
+// countResponse counts a response by how its end is marked and by the outcome of the attempt; a number at the outcome's end is left out.
+func (m *metrics) countResponse(f forward.Framing, outcome string) {
+	m.scope.Tagged(map[string]string{"framing": string(f), "outcome": trimNumber(outcome)}).Counter("responses").Inc(1)
 }
 
+// trimNumber returns an outcome without the number at its end.
+func trimNumber(outcome string) string { return strings.TrimRight(outcome, " ()0123456789") }
+
 // countUnwilling counts an endpoint that has asked for no requests.
 func (m *metrics) countUnwilling(reason string) {
 	m.scope.Tagged(map[string]string{"reason": reason}).Counter("endpoints_unwilling").Inc(1)
