Confirm that an endpoint runs before a response without a length counts as complete

The response had neither a length nor chunks, so the end of the connection marked its end, and the kernel closes the connections of a process that was killed in the same way.

An instance now connects to the endpoint once more after such an end. If the connection is refused or not kept for 20 ms, if the first one has been reset meanwhile, or if the request wasn't written whole, the response has been broken off: a resumable stream and a repeatable request go on elsewhere, others are cut or answered 502. The end also counts as the death of the endpoint now, which it didn't when it looked complete. Framed responses pay nothing; an unframed one ends some 20 ms later and opens a connection, which goes to the pool.

--- /dev/null
+++ b/internal/forward/end_test.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// TestConfirmEnd guards against a body without a length that counts as complete although its endpoint has ended or reset the connection.
+func TestConfirmEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		// end ends a connection to a listener. Connections that the listener accepts later are reset if it returns true.
+		end       func(l net.Listener, c *net.TCPConn) bool
+		bodyBytes int
+		complete  bool
+	}{
+		"everything was sent": {end: func(_ net.Listener, c *net.TCPConn) bool { _ = c.Close(); return false }, complete: true},
+		"the process has ended": {end: func(l net.Listener, c *net.TCPConn) bool {
+			_ = l.Close()
+			_ = c.Close()
+			return false
+		}},
+		"new connections are reset": {end: func(_ net.Listener, c *net.TCPConn) bool { _ = c.Close(); return true }},
+		"reset after the end": {end: func(_ net.Listener, c *net.TCPConn) bool {
+			_ = c.CloseWrite()
+			time.Sleep(5 * time.Millisecond)
+			resetClose(c)
+			return false
+		}},
+		"the request was not read": {bodyBytes: 8 << 20, end: func(_ net.Listener, c *net.TCPConn) bool {
+			_ = c.CloseWrite()
+			time.Sleep(time.Second)
+			resetClose(c)
+			return false
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			a, done := netip.MustParseAddrPort(l.Addr().String()), make(chan struct{})
+			go func() {
+				defer close(done)
+				for resets := false; ; {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					tcp := conn.(*net.TCPConn)
+					defer tcp.Close()
+					if resets {
+						resetClose(tcp)
+					} else if _, err := http.ReadRequest(bufio.NewReader(tcp)); err == nil {
+						_, _ = io.WriteString(tcp, "HTTP/1.1 200 OK\r\n\r\nbody")
+						resets = c.end(l, tcp)
+					}
+				}
+			}()
+			t.Cleanup(func() {
+				l.Close()
+				<-done
+			})
+			p := NewPool(Dialer{Timeout: time.Second}, 1)
+			t.Cleanup(p.Close)
+			q := Request{ID: "1", Method: http.MethodPost, Target: "/", Host: "h", HasBody: true, Body: bytes.Repeat([]byte("x"), c.bodyBytes)}
+			resp, err := p.Send(t.Context(), a, q, true, func(http.Header) bool { return true })
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Close(false)
+			if _, err = resp.ReadAll(1<<20, noLimit); err == nil {
+				err = resp.ConfirmEnd()
+			}
+			if (err == nil) != c.complete {
+				t.Errorf("complete: %v, want %v (%v)", err == nil, c.complete, err)
+			}
+		})
+	}
+}
+
+// resetClose closes a connection with a reset.
+func resetClose(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
--- a/internal/forward/reset.go
+++ b/internal/forward/reset.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -45,9 +44,6 @@
 	return EndClosed
 }
 
-// maxWriteWait is how long the end of a response waits for the end of the request's write, if the state of the connection is not known.
-const maxWriteWait = 100 * time.Millisecond
-
 var errReset = errors.New("the connection was reset")
 
 // checkEnd returns an error instead of the end of the connection if the peer has not ended it properly.
@@ -58,16 +54,7 @@
 	case EndClosed:
 		return end
 	}
-	if c.write == nil {
-		return end
-	}
-	t := time.NewTimer(maxWriteWait)
-	defer t.Stop()
-	select {
-	case <-c.write.ended:
-	case <-t.C:
-	}
-	if !c.write.done.Load() {
+	if c.write != nil && !c.write.wait(requestWait) {
 		return errReset
 	}
 	return end
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -93,6 +93,17 @@
 	close(w.ended)
 }
 
+// wait waits up to d for the end of the write and reports whether all bytes have been written.
+func (w *writeState) wait(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-w.ended:
+	case <-t.C:
+	}
+	return w.done.Load()
+}
+
 // Send sends a request once and returns its response after reading the head. It skips responses for which isOwn returns
 // false, as they belong to an earlier request on the connection. If forceNew is set, it opens a new connection. When ctx
 // ends, the connection is closed.
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -399,7 +399,11 @@
 	if err := a.watchBody(); err != nil {
 		return nil, err
 	}
-	return a.response.ReadAll(x.handler.options.MaxResponseBytes, x.responseMemory.Grow)
+	body, err := a.response.ReadAll(x.handler.options.MaxResponseBytes, x.responseMemory.Grow)
+	if err != nil {
+		return nil, err
+	}
+	return body, a.response.ConfirmEnd()
 }
 
 // writeResponse writes a buffered response to the client.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -46,6 +46,9 @@
 		case errors.Is(err, io.EOF) && a.response.Unframed && a.dataEvents == 0:
 			return a.handleBrokenStream(a.response.WrapReadError("read event", errEndedEarly))
 		case errors.Is(err, io.EOF):
+			if err := a.response.ConfirmEnd(); err != nil {
+				return a.handleBrokenStream(err)
+			}
 			if a.dataEvents < gapSampleEvents {
 				a.recordMeanGap(a.dataEvents)
 			}
