--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -110,6 +110,35 @@
 	}
 }
 
+// TestReplyOfEndedEndpoint guards against a reply without a length that is taken for complete although the endpoint's process has ended:
+// its connections end as if it had sent everything.
+func TestReplyOfEndedEndpoint(t *testing.T) {
+	for name, ends := range map[string]bool{"runs on": false, "ends": true} {
+		t.Run(name, func(t *testing.T) {
+			l, a := listen(t)
+			defer l.Close()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart of the body")
+				}
+				if ends {
+					_ = l.Close()
+				}
+				_ = c.Close()
+			}()
+			r, err := newClient(t).CallService(t.Context(), a, engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, 5*time.Second)
+			if (err != nil) != ends {
+				t.Errorf("status %d, body %q, error %v", r.Status, r.Body, err)
+			}
+			r.Release()
+		})
+	}
+}
+
 // TestInvalidReplyHead guards against a reply that is no HTTP and reaches the caller as an answer.
 func TestInvalidReplyHead(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 	"github.com/cassiaspoke/cassiaspoke/internal/memory"
 )
 
@@ -114,7 +115,7 @@
 	}
 	out := ServiceReply{Status: res.StatusCode, Header: res.Header, Report: parseReport(res.Header)}
 	c.s.Propagator.ExtractHeader(res.Header)
-	if err := c.readBody(callCtx, &out, res); err != nil {
+	if err := c.readBody(callCtx, a, &out, res); err != nil {
 		out.Release()
 		return ServiceReply{}, classifyServiceError(ctx, callCtx, err)
 	}
@@ -122,7 +123,7 @@
 }
 
 // readBody reads the body of a reply. A body that states a length above the limit is not read.
-func (c *Client) readBody(ctx context.Context, r *ServiceReply, res *http.Response) error {
+func (c *Client) readBody(ctx context.Context, a netip.AddrPort, r *ServiceReply, res *http.Response) error {
 	if res.ContentLength > c.s.MaxReplyBytes && res.Body != http.NoBody { // a reply to HEAD has none
 		return &Error{Op: "service", Kind: ErrTooLarge, Err: fmt.Errorf("reply of %d bytes, the limit is %d", res.ContentLength, c.s.MaxReplyBytes)}
 	}
@@ -141,10 +142,23 @@
 		return &Error{Op: "service", Kind: ErrNoMemory, Err: err}
 	case err == nil && len(r.Body) == 0 && endsWithConnection(res):
 		return &Error{Op: "service", Kind: ErrConnectionLost, Err: errors.New("the connection ended before the first byte of a body without a length")}
+	case err == nil && endsWithConnection(res):
+		return c.confirmEnd(ctx, a)
 	}
 	return err
 }
 
+// confirmEnd returns an error unless an endpoint runs, as the connections of a process that is killed end like those of one that has sent
+// everything.
+func (c *Client) confirmEnd(ctx context.Context, a netip.AddrPort) error {
+	conn, err := forward.Dialer{Timeout: c.s.DialTimeout}.DialKept(ctx, a)
+	if err != nil {
+		return &Error{Op: "confirm end", Kind: ErrConnectionLost, Err: err}
+	}
+	_ = conn.Close()
+	return nil
+}
+
 // growWait reserves n more bytes and waits a little for room.
 func growWait(ctx context.Context, r *memory.Reservation, n int64) error {
 	ctx, cancel := context.WithTimeout(ctx, maxMemoryWait)
