Reject HTTP/1.0 responses with a transfer coding

net/http drops the field of an HTTP/1.0 response, so its chunks were read as a body without a length. RFC 9112 calls such a framing faulty. TestChunksInHTTP10 failed in three cases before.

--- a/internal/forward/head_test.go
+++ b/internal/forward/head_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -49,6 +50,22 @@
 	})
 }
 
+// TestChunksInHTTP10 guards against an HTTP/1.0 response in chunks whose chunks are taken for a body without a length, so that the sizes of
+// the chunks get to the client and a part of the chunks is complete.
+func TestChunksInHTTP10(t *testing.T) {
+	long := "X: " + strings.Repeat("y", 2*readBufferSize) + "\r\n"
+	checkHeads(t, map[string]headCase{
+		"chunks":                   {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+		"chunks, long head":        {"HTTP/1.0 200 OK\r\n" + long + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false},
+		"chunks and length":        {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\ntransfer-encoding: chunked\r\n\r\nbody", false},
+		"length":                   {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", true},
+		"length, long head":        {"HTTP/1.0 200 OK\r\n" + long + "Content-Length: 4\r\n\r\nbody", true},
+		"neither":                  {"HTTP/1.0 200 OK\r\n\r\nbody", true},
+		"head cut within its line": {"HTTP/1.0 200 OK\r\nContent-Le", false},
+		"line as long as a buffer": {"HTTP/1.0 200 OK\r\nX: " + strings.Repeat("y", readBufferSize-3) + "\r\nContent-Length: 4\r\n\r\nbody", true},
+	})
+}
+
 // checkHeads checks that valid responses are read and others are rejected.
 func checkHeads(t *testing.T, cases map[string]headCase) {
 	t.Helper()
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -168,10 +168,10 @@
 			return nil, &Error{Op: "read", Kind: c.failureKind(), Err: err}
 		}
 		received = true
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: q.Method})
+		r, err := c.readHead(q.Method)
 		switch {
 		case err != nil:
-			return nil, &Error{Op: "read head", Kind: ErrBadResponse, Err: err}
+			return nil, err
 		case r.ProtoMajor != 1:
 			return nil, headError("protocol version %q", r.Proto)
 		case CheckHead(r) != nil:
