--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -142,10 +142,11 @@
 // TestInvalidReplyHead guards against a reply that is no HTTP and reaches the caller as an answer.
 func TestInvalidReplyHead(t *testing.T) {
 	for name, text := range map[string]string{
-		"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
-		"status 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody",
-		"blank":      "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
-		"NUL":        "HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 4\r\n\r\nbody",
+		"status 000":         "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"status 600":         "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks of HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"blank":              "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
+		"NUL":                "HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 4\r\n\r\nbody",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t)
--- a/internal/engine/headconn.go
+++ b/internal/engine/headconn.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +21,8 @@
 	maxHeadLines = 256
 	// statusDigit is the position of the first digit of the status in a status line.
 	statusDigit = len("HTTP/1.1 ")
+	http10      = "HTTP/1.0"
+	codingField = "transfer-encoding:"
 )
 
 // headConn is a connection that fails when the head of a reply is too large. net/http limits only the bytes, and its error does not
@@ -31,10 +34,12 @@
 
 	mu        sync.Mutex
 	inHead    bool
-	firstLine bool // the current line is a status line
-	interim   bool // the current head is that of an interim reply, after which another one follows
-	column    int  // position in the current line
-	lines     int  // of the head so far
+	firstLine bool   // the current line is a status line
+	interim   bool   // the current head is that of an interim reply, after which another one follows
+	http10    bool   // the reply is an HTTP/1.0 one
+	column    int    // position in the current line
+	lineStart []byte // up to len(codingField) bytes of the current line
+	lines     int    // of the head so far
 	bytes     int
 	err       error // set once a head was too large
 }
@@ -71,6 +76,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead, c.firstLine, c.interim, c.column, c.lines, c.bytes = true, true, false, 0, 0, 0
+	c.http10, c.lineStart = false, c.lineStart[:0]
 }
 
 // Read reads bytes of a reply, and fails if its head is too large. It also fails at the end of a connection that was reset: net/http
@@ -111,12 +117,28 @@
 	case b == '\n' && c.column == 0 && !c.firstLine:
 		c.inHead, c.firstLine = c.interim, c.interim
 	case b == '\n':
-		c.lines++
-		c.column, c.firstLine = 0, false
+		c.endLine()
 	case b != '\r':
+		if len(c.lineStart) < len(codingField) {
+			c.lineStart = append(c.lineStart, b)
+		}
 		if c.firstLine && c.column == statusDigit {
 			c.interim = b == '1'
 		}
 		c.column++
 	}
 }
+
+// endLine handles the end of a line that isn't empty. An HTTP/1.0 reply with a transfer coding is an error, as net/http drops the field and
+// would return the chunks as the body. The caller must hold the lock.
+func (c *headConn) endLine() {
+	switch {
+	case c.firstLine:
+		c.http10 = bytes.HasPrefix(c.lineStart, []byte(http10))
+	case c.http10 && bytes.EqualFold(c.lineStart, []byte(codingField)):
+		c.inHead = false
+		c.err = &Error{Op: "read head", Kind: ErrTruncated, Err: errors.New("an HTTP/1.0 reply has a transfer coding")}
+	}
+	c.lines++
+	c.column, c.firstLine, c.lineStart = 0, false, c.lineStart[:0]
+}
