Don't expect a body in a response to HEAD

A response to HEAD without a length counted as one that ended before its body, so it was rejected (TestHeadHasNoUnframedBody, TestReplyToHead; both failed before).

--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// TestReplyToHead guards against a reply to HEAD without a length that is taken for one that ended before its body.
+func TestReplyToHead(t *testing.T) {
+	call := engine.ServiceCall{Method: http.MethodHead, Path: "/", ID: "call"}
+	if _, err := newClient(t).CallService(t.Context(), serveText(t, "HTTP/1.1 200 OK\r\n\r\n"), call, 5*time.Second); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestReplyOfEndedEndpoint guards against a reply without a length that is taken for complete although the endpoint's process has ended:
 // its connections end as if it had sent everything.
 func TestReplyOfEndedEndpoint(t *testing.T) {
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -168,7 +168,7 @@
 
 // endsWithConnection reports whether only the end of the connection marks the end of a reply's body.
 func endsWithConnection(res *http.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed && res.Body != http.NoBody
 }
 
 // newServiceRequest returns the HTTP request of a call. Of the caller's headers, it passes on only those that describe
--- a/internal/forward/end_test.go
+++ b/internal/forward/end_test.go
@@ -85,6 +85,23 @@
 	}
 }
 
+// TestHeadHasNoUnframedBody guards against the rejection of a response to a HEAD request as one that ended before its body.
+func TestHeadHasNoUnframedBody(t *testing.T) {
+	a := serveConn(t, func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+	})
+	p := NewPool(Dialer{Timeout: time.Second}, 1)
+	defer p.Close()
+	resp, err := p.Send(t.Context(), a, Request{ID: "1", Method: http.MethodHead, Target: "/", Host: "h"}, true, func(http.Header) bool { return true })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Close(false)
+	if resp.Unframed {
+		t.Error("the end of the connection marks the end of its body")
+	}
+}
+
 // resetClose closes a connection with a reset.
 func resetClose(c *net.TCPConn) {
 	_ = c.SetLinger(0)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: r.Body, Unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0,
+		Status: r.StatusCode, Header: r.Header, Length: r.ContentLength, Body: r.Body, Unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody,
 		pool: p, conn: c, http: r, writeState: w, stopCancel: stopCancel, endRequest: endRequest, ctx: ctx, reusable: !r.Close,
 	}, nil
 }
