--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,7 @@
 	Announcements bool          // let endpoints announce stops and pauses in their responses
 	Limits        bool          // let endpoints name limits on their requests
 	Crowds        bool          // open crowds of clients that misbehave
+	EndpointKills bool          // kill endpoints while they send responses without a length
 	StopSeries    bool          // restart instances in series, with clients that keep their connections, long streams and short deadlines
 }
 
@@ -70,6 +71,9 @@
 			extra.Go(func() { f.nameLimits(ctx, i, time.Now().Add(o.FaultDuration)) })
 		}
 	}
+	if o.EndpointKills {
+		extra.Go(func() { f.killEndpoints(ctx, time.Now().Add(o.FaultDuration)) })
+	}
 	if o.Crowds {
 		extra.Go(func() { f.openCrowds(ctx, time.Now().Add(o.FaultDuration)) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,11 @@
 	runSeeds(t, map[string]Options{"limits": {Seed: 5000, FaultDuration: 16 * time.Second, Instances: 3, Engines: 4, Limits: true}})
 }
 
+// Guards against responses without a length that look complete although their endpoint was killed or broke off.
+func TestSoakEndpointKills(t *testing.T) {
+	runSeeds(t, map[string]Options{"endpoints are killed": {Seed: 6000, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4, EndpointKills: true}})
+}
+
 // runSeeds builds the program and runs seeds at the same time.
 func runSeeds(t *testing.T, seeds map[string]Options) {
 	t.Helper()
