Don't resume a stream after an event without an identifier

The client got such a stream a second time from its beginning when its endpoint broke off, as no identifier tells the next endpoint where to go on. The connection is closed instead, as for a stream that can't be resumed.

--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -76,6 +76,7 @@
 	headSent      bool // the head of the response was written to the client
 	status        int  // written to the client
 	events        int  // events with data that were written to the client
+	unresumable   bool // the last event that the client has bears no identifier after which an endpoint could go on
 	firstByte     time.Duration
 	history       []attemptRecord
 	localError    *localError
@@ -188,6 +189,9 @@
 	if localErr := x.checkSuspicion(now); localErr != nil {
 		return x.giveUp(refusalReason(x.refusedMark)), localErr
 	}
+	if x.unresumable {
+		return x.giveUp("no event identifier"), nil
+	}
 	if !x.attemptsLeft() {
 		return x.giveUp("attempts"), nil
 	}
--- a/internal/ingress/next_attempt.go
+++ b/internal/ingress/next_attempt.go
@@ -95,7 +95,7 @@
 func (a *attempt) mayMove() bool {
 	x, now := a.exchange, time.Now()
 	verdict, _ := x.handler.coordinator.prompts.verdict(now, x.inputIDs)
-	return now.Before(x.deadline) && a.countAttempts() < x.route.MaxAttempts && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
+	return !x.unresumable && now.Before(x.deadline) && a.countAttempts() < x.route.MaxAttempts && x.connectFailures < maxConnectFailures && verdict == suspect.PartsAllowed
 }
 
 // nextRequest returns the properties of the request for the choice of another endpoint.
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -190,6 +190,7 @@
 	}
 	if event.HasData {
 		x.events++
+		x.unresumable = event.ID == ""
 	}
 	if event.ID != "" {
 		x.request.LastEventID = event.ID
