Reset connections of HTTP/1.0 clients whose response is not complete

Such a client takes the end of the connection for the end of the body. The connection is reset at any close until the response is complete.

--- a/internal/ingress/clientconn.go
+++ b/internal/ingress/clientconn.go
@@ -328,12 +328,12 @@
 	return ""
 }
 
-// resetOnClose makes Close reset a request's connection.
-func resetOnClose(ctx context.Context) {
+// resetOnClose sets whether Close resets a request's connection.
+func resetOnClose(ctx context.Context, reset bool) {
 	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.resetOnClose = true
+		c.resetOnClose = reset
 	}
 }
 
--- a/internal/ingress/clientconn_test.go
+++ b/internal/ingress/clientconn_test.go
@@ -195,7 +195,7 @@
 				_, _ = io.WriteString(w, "part")
 				_ = http.NewResponseController(w).Flush()
 				if truncated {
-					resetOnClose(r.Context())
+					resetOnClose(r.Context(), true)
 					panic(http.ErrAbortHandler)
 				}
 			}))
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -61,6 +61,9 @@
 	if h.stopping.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		resetOnClose(r.Context(), true) // without chunks, only a reset is distinguishable from the end of the body
+	}
 	if localErr := x.prepareRequest(); localErr != nil {
 		x.limitBodyDrain()
 		x.writeLocalError(localErr)
@@ -71,11 +74,9 @@
 	if x.abortConn || x.clientLeft {
 		// Close the connection without terminating the body, so that a truncated response does not look complete, and without the empty
 		// response that net/http sends if there is none. A client that is taken to have left may still read.
-		if !r.ProtoAtLeast(1, 1) {
-			resetOnClose(r.Context()) // without chunks, only a reset is distinguishable from the end of the body
-		}
 		panic(http.ErrAbortHandler)
 	}
+	resetOnClose(r.Context(), false)
 }
 
 // prepareRequest parses the header, matches the route and the organisation, reads the body and sets the deadline.
