Tell a killed endpoint from one that stops, is full or was too late

The instance waits 20 ms before it connects (TestKilledUnderLoad). - An endpoint at its limit on connections resets new ones, and its whole response was lost (TestEndAtConnectionLimit). A reset counts as running now if the next connection isn't refused. - The last response of an endpoint that has announced its stop was lost, and stops counted as crashes, so that sound requests were refused (TestLastResponseOfLeavingEndpoint). The case of TestConfirmEnd in which new connections are reset expects a complete response now: the protocol has it for an endpoint at its limit.

--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -286,6 +286,12 @@
 	}
 }
 
+// IsLeaving reports whether an endpoint has announced its stop in a response.
+func (t *Table) IsLeaving(id string) bool {
+	s := t.states[id]
+	return s != nil && s.leaving
+}
+
 // MarkLeaving records that an endpoint has announced its stop and reports whether that is news. It gets no further request.
 func (t *Table) MarkLeaving(now time.Time, id string) bool {
 	s := t.states[id]
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -151,12 +151,11 @@
 // confirmEnd returns an error unless an endpoint runs, as the connections of a process that is killed end like those of one that has sent
 // everything.
 func (c *Client) confirmEnd(ctx context.Context, a netip.AddrPort) error {
-	conn, err := forward.Dialer{Timeout: c.s.DialTimeout}.DialKept(ctx, a)
-	if err != nil {
-		return &Error{Op: "confirm end", Kind: ErrConnectionLost, Err: err}
+	err := forward.Dialer{Timeout: c.s.DialTimeout}.CheckRunning(ctx, a)
+	if err == nil || ctx.Err() != nil {
+		return err // the caller tells why the context has ended
 	}
-	_ = conn.Close()
-	return nil
+	return &Error{Op: "confirm end", Kind: ErrConnectionLost, Err: err}
 }
 
 // growWait reserves n more bytes and waits a little for room.
--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -4,38 +4,40 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
+	"syscall"
 	"time"
 )
 
-const (
-	keptPeriod  = 20 * time.Millisecond  // for which a running endpoint keeps a new connection at least
-	requestWait = 100 * time.Millisecond // for the rest of the request to be written after the response has ended
-)
+// SettleTime is the time in which the kernel closes all sockets of a process that is killed, and in which a reset follows an end.
+const SettleTime = 20 * time.Millisecond
 
-var (
-	errNotRunning  = errors.New("the endpoint may have ended with the connection")
-	errRequestLeft = errors.New("the endpoint closed the connection before it had the whole request")
-)
+const requestWait = 100 * time.Millisecond // for the rest of the request to be written after the response has ended
+
+var errRequestLeft = errors.New("the endpoint closed the connection before it had the whole request")
 
-// ConfirmEnd returns an error if the end of the connection does not show that an unframed body is complete. The connections of a process
-// that is killed end like those of one that has sent everything, so the endpoint must still accept and keep connections.
+// ConfirmEnd returns an error of kind ErrUnconfirmed if the end of the connection does not show that an unframed body is complete. The
+// connections of a process that is killed end like those of one that has sent everything, so the endpoint must still accept
+// connections.
 func (r *Response) ConfirmEnd() error {
 	if !r.Unframed {
 		return nil
 	}
-	if err := r.confirmEnd(); err != nil {
+	err := r.confirmEnd()
+	switch {
+	case err == nil:
+		return nil
+	case r.ctx.Err() != nil:
 		return r.WrapReadError("confirm end", err)
 	}
-	return nil
+	return &Error{Op: "confirm end", Kind: ErrUnconfirmed, Err: err}
 }
 
 func (r *Response) confirmEnd() error {
 	if !r.writeState.wait(requestWait) {
 		return errRequestLeft
 	}
-	if err := r.pool.confirmRunning(r.ctx, r.conn.address); err != nil {
+	if err := r.pool.dialer.CheckRunning(r.ctx, r.conn.address); err != nil {
 		return err
 	}
 	if EndOf(r.conn.Conn) == EndReset {
@@ -44,30 +46,39 @@
 	return nil
 }
 
-// confirmRunning returns an error unless an endpoint accepts a connection and keeps it open. The connection goes to the pool.
-func (p *Pool) confirmRunning(ctx context.Context, a netip.AddrPort) error {
-	n, err := p.dialer.DialKept(ctx, a)
-	if err != nil {
-		return err
+// CheckRunning returns an error unless an endpoint accepts connections some time after one to it has ended. An endpoint that resets them
+// at once runs, too, but has as many as it takes.
+func (d Dialer) CheckRunning(ctx context.Context, a netip.AddrPort) error {
+	for range 2 {
+		if err := wait(ctx, SettleTime); err != nil {
+			return err
+		}
+		c, err := d.Dial(ctx, a)
+		if errors.Is(err, syscall.ECONNRESET) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("the endpoint may have ended with the connection: %w", err)
+		}
+		// A connection that was opened while the kernel closed the listener stays half open.
+		err = wait(ctx, SettleTime)
+		open := IsIdle(c)
+		_ = c.Close()
+		if err != nil || open {
+			return err
+		}
 	}
-	p.release(newConn(n, a, p.activities.get(a)), 0)
 	return nil
 }
 
-// DialKept opens a connection and returns it if the endpoint keeps it open for a moment, which shows that its process runs.
-func (d Dialer) DialKept(ctx context.Context, a netip.AddrPort) (net.Conn, error) {
-	c, err := d.Dial(ctx, a)
-	if err != nil {
-		return nil, &Error{Op: "dial " + a.String(), Kind: ErrConnect, Err: fmt.Errorf("%w: %w", errNotRunning, err)}
-	}
-	t := time.NewTimer(keptPeriod)
+// wait waits for a time, or returns the cause of the end of the context.
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return nil
 	case <-ctx.Done():
+		return context.Cause(ctx)
 	}
-	if ctx.Err() == nil && IsIdle(c) {
-		return c, nil
-	}
-	return nil, &Error{Op: "dial " + a.String(), Kind: ErrConnect, Err: errors.Join(errNotRunning, context.Cause(ctx), c.Close())}
 }
--- a/internal/forward/end_test.go
+++ b/internal/forward/end_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,7 +26,13 @@
 			_ = c.Close()
 			return false
 		}},
-		"new connections are reset": {end: func(_ net.Listener, c *net.TCPConn) bool { _ = c.Close(); return true }},
+		"it takes no more connections": {end: func(_ net.Listener, c *net.TCPConn) bool { _ = c.Close(); return true }, complete: true},
+		"the process ends a little later": {end: func(l net.Listener, c *net.TCPConn) bool {
+			_ = c.Close()
+			time.Sleep(5 * time.Millisecond)
+			_ = l.Close()
+			return false
+		}},
 		"reset after the end": {end: func(_ net.Listener, c *net.TCPConn) bool {
 			_ = c.CloseWrite()
 			time.Sleep(5 * time.Millisecond)
@@ -102,6 +109,31 @@
 	}
 }
 
+// TestConfirmationHoldsNoWorker guards against a connection that confirms the end of a response and keeps the only worker of an endpoint
+// from the requests of others.
+func TestConfirmationHoldsNoWorker(t *testing.T) {
+	a := serveConn(t, func(c *net.TCPConn, _ *bufio.Reader, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+	}) // serves one connection at a time
+	for n := range 2 {
+		p := NewPool(Dialer{Timeout: time.Second}, 1)
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		resp, err := p.Send(ctx, a, Request{ID: "1", Method: http.MethodGet, Target: "/", Host: "h"}, true, func(http.Header) bool { return true })
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		if _, err := resp.ReadAll(1<<20, noLimit); err != nil {
+			t.Fatal(err)
+		}
+		if err := resp.ConfirmEnd(); err != nil {
+			t.Fatal(err)
+		}
+		resp.Close(true)
+	}
+}
+
 // resetClose closes a connection with a reset.
 func resetClose(c *net.TCPConn) {
 	_ = c.SetLinger(0)
--- a/internal/forward/error.go
+++ b/internal/forward/error.go
@@ -15,6 +15,7 @@
 	ErrNoResponse  ErrorKind = "no answer"     // no response to the request arrived; the request may have run
 	ErrBadResponse ErrorKind = "bad answer"    // the response was invalid or belonged to another request; the request may have run
 	ErrTruncated   ErrorKind = "broken answer" // the response body was incomplete or could not be held
+	ErrUnconfirmed ErrorKind = "unconfirmed"   // the response ended with its connection, and its endpoint may have ended, too
 	ErrCancelled   ErrorKind = "stopped"       // the caller cancelled the request
 )
 
--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -72,6 +72,9 @@
 // CheckHead returns an error if the head of a response is not valid HTTP although net/http accepts it. A recipient that reads such a
 // head in another way may take other bytes for the body.
 func CheckHead(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return headError("protocol version %q", r.Proto)
+	}
 	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return headError("status %q", r.Status)
 	}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -172,8 +172,6 @@
 		switch {
 		case err != nil:
 			return nil, err
-		case r.ProtoMajor != 1:
-			return nil, headError("protocol version %q", r.Proto)
 		case CheckHead(r) != nil:
 			return nil, CheckHead(r)
 		case countLines(r.Header) > maxHeadLines:
--- a/internal/ingress/attempt.go
+++ b/internal/ingress/attempt.go
@@ -313,7 +313,11 @@
 	if forward.KindOf(err) == forward.ErrCancelled {
 		return x.giveUpCancelled(err)
 	}
-	a.recordResult(false)
+	if forward.KindOf(err) == forward.ErrUnconfirmed {
+		x.handler.balancer.recordOutcome(time.Now(), a.choice.Endpoint, false) // it says nothing about the version
+	} else {
+		a.recordResult(false)
+	}
 	if brokeOff(err) {
 		a.probeEndpoint(err)
 	}
@@ -403,7 +407,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return body, a.response.ConfirmEnd()
+	return body, a.confirmEnd()
 }
 
 // writeResponse writes a buffered response to the client.
--- a/internal/ingress/balancer.go
+++ b/internal/ingress/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,13 @@
 	b.warmAt = warmAt
 }
 
+// isAvailable reports whether an endpoint is registered and has not announced that it is about to stop.
+func (b *balancer) isAvailable(e routing.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.table.IsLeaving(e.ID) && slices.ContainsFunc(b.services[e.Service], func(o routing.Endpoint) bool { return o.ID == e.ID && o.StartedAtMS == e.StartedAtMS })
+}
+
 // setServices sets what the configuration says of the services.
 func (b *balancer) setServices(services map[string]routing.Service) {
 	b.mu.Lock()
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -76,6 +76,7 @@
 	headSent      bool // the head of the response was written to the client
 	status        int  // written to the client
 	events        int  // events with data that were written to the client
+	endSeen       bool // an endpoint's stream ended after a whole event, but it isn't certain that it was complete
 	unresumable   bool // the last event that the client has bears no identifier after which an endpoint could go on
 	firstByte     time.Duration
 	history       []attemptRecord
--- a/internal/ingress/stream.go
+++ b/internal/ingress/stream.go
@@ -43,10 +43,11 @@
 	for idleBytes := 0; ; {
 		event, err := events.Next()
 		switch {
-		case errors.Is(err, io.EOF) && a.response.Unframed && a.dataEvents == 0:
+		case errors.Is(err, io.EOF) && a.response.Unframed && a.dataEvents == 0 && !x.endSeen:
 			return a.handleBrokenStream(a.response.WrapReadError("read event", errEndedEarly))
 		case errors.Is(err, io.EOF):
-			if err := a.response.ConfirmEnd(); err != nil {
+			if err := a.confirmEnd(); err != nil {
+				x.endSeen = x.endSeen || forward.KindOf(err) == forward.ErrUnconfirmed
 				return a.handleBrokenStream(err)
 			}
 			if a.dataEvents < gapSampleEvents {
@@ -94,6 +95,27 @@
 	}
 }
 
+// confirmEnd returns an error unless an unframed response is complete. An endpoint stops at the deadline, which ends such a response
+// like any other. One that is known to leave may stop right after its last response, which it sends whole.
+func (a *attempt) confirmEnd() error {
+	x := a.exchange
+	switch {
+	case !a.response.Unframed:
+		return nil
+	case !time.Now().Before(x.deadline.Add(-deadlineMargin)):
+		return &forward.Error{Op: "confirm end", Kind: forward.ErrUnconfirmed, Err: errDeadlinePassed}
+	}
+	err := a.response.ConfirmEnd()
+	resumes := x.headSent && x.route.Resumable && x.attemptsLeft()
+	if forward.KindOf(err) == forward.ErrUnconfirmed && !resumes && !x.handler.balancer.isAvailable(a.choice.Endpoint) {
+		return nil
+	}
+	return err
+}
+
+// deadlineMargin is how much sooner than its deadline a request may end at the endpoint, which counts in whole milliseconds.
+const deadlineMargin = 5 * time.Millisecond
+
 // awaitResponseMemory reserves memory for an event. Other responses may hold it for a moment.
 func (x *exchange) awaitResponseMemory(n int64) error {
 	ctx, cancel := context.WithTimeout(x.ctx, maxAdmissionWait)
