--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -147,11 +149,89 @@
 	}
 }
 
+// TestCancelledConfirmation guards against blaming an endpoint for a call that is cancelled or late while the end of its reply is confirmed.
+func TestCancelledConfirmation(t *testing.T) {
+	for name, cancels := range map[string]bool{"cancelled": true, "late": false} {
+		t.Run(name, func(t *testing.T) {
+			l, a := listen(t)
+			defer l.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			start := time.Now()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+							return
+						}
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+						time.Sleep(time.Until(start.Add(90 * time.Millisecond)))
+						_ = c.Close()
+						time.Sleep(10 * time.Millisecond)
+						if cancels {
+							cancel()
+						}
+					}()
+				}
+			}()
+			timeout, want := 100*time.Millisecond, engine.ErrTimeout
+			if cancels {
+				timeout, want = 5*time.Second, engine.ErrCancelled
+			}
+			_, err := newClient(t).CallService(ctx, a, engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, timeout)
+			var e *engine.Error
+			if !errors.As(err, &e) || e.Kind != want {
+				t.Errorf("error %v, want kind %v", err, want)
+			}
+		})
+	}
+}
+
+// TestReplyResetAfterEnd guards against a reply without a length that counts as complete although its connection is reset 5 ms after its end.
+func TestReplyResetAfterEnd(t *testing.T) {
+	l, a := listen(t)
+	defer l.Close()
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				c := n.(*net.TCPConn)
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart of the body")
+					_ = c.CloseWrite()
+					time.Sleep(5 * time.Millisecond)
+					_ = c.SetLinger(0)
+				}
+				_ = c.Close()
+			}()
+		}
+	}()
+	const attempts = 20
+	complete := 0
+	for range attempts {
+		if r, err := newClient(t).CallService(t.Context(), a, engine.ServiceCall{Method: http.MethodGet, Path: "/", ID: "call"}, 5*time.Second); err == nil {
+			complete++
+			r.Release()
+		}
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d replies that were reset were taken for complete", complete, attempts)
+	}
+}
+
 // TestInvalidReplyHead guards against a reply that is no HTTP and reaches the caller as an answer.
 func TestInvalidReplyHead(t *testing.T) {
 	for name, text := range map[string]string{
 		"status 000":         "HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
 		"status 600":         "HTTP/1.1 600 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks of HTTP/0.9": "HTTP/0.9 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"chunks of HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"blank":              "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody and more",
 		"NUL":                "HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 4\r\n\r\nbody",
--- a/internal/engine/headconn.go
+++ b/internal/engine/headconn.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/forward"
 )
@@ -34,6 +35,7 @@
 
 	mu        sync.Mutex
 	inHead    bool
+	inUse     bool   // by a request, whose reply has not been read to the end
 	firstLine bool   // the current line is a status line
 	interim   bool   // the current head is that of an interim reply, after which another one follows
 	http10    bool   // the reply is an HTTP/1.0 one
@@ -56,6 +58,10 @@
 			c.beginHead()
 			l.conn.Store(c)
 		}
+	}, PutIdleConn: func(error) {
+		if c := l.conn.Load(); c != nil {
+			c.endUse()
+		}
 	}})
 }
 
@@ -76,13 +82,30 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead, c.firstLine, c.interim, c.column, c.lines, c.bytes = true, true, false, 0, 0, 0
-	c.http10, c.lineStart = false, c.lineStart[:0]
+	c.http10, c.inUse, c.lineStart = false, true, c.lineStart[:0]
+}
+
+// endUse records that no request uses the connection.
+func (c *headConn) endUse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inUse = false
+}
+
+// inBody reports whether the body of a reply is being read.
+func (c *headConn) inBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inUse && !c.inHead
 }
 
 // Read reads bytes of a reply, and fails if its head is too large. It also fails at the end of a connection that was reset: net/http
 // takes that for the end of a body without a length.
 func (c *headConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.inBody() {
+		time.Sleep(forward.SettleTime)
+	}
 	if errors.Is(err, io.EOF) && (forward.EndOf(c.Conn) == forward.EndReset || c.writeFailed.Load()) {
 		err = &Error{Op: "read", Kind: ErrConnectionLost, Err: errors.New("the connection was reset")}
 	}
