--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -14,7 +15,10 @@
 
 const requestWait = 100 * time.Millisecond // for the rest of the request to be written after the response has ended
 
-var errRequestLeft = errors.New("the endpoint closed the connection before it had the whole request")
+var (
+	errRequestLeft = errors.New("the endpoint closed the connection before it had the whole request")
+	errNotKept     = errors.New("the endpoint resets new connections")
+)
 
 // ConfirmEnd returns an error of kind ErrUnconfirmed if the end of the connection does not show that an unframed body is complete. The
 // connections of a process that is killed end like those of one that has sent everything, so the endpoint must still accept
@@ -37,7 +41,9 @@
 	if !r.writeState.wait(requestWait) {
 		return errRequestLeft
 	}
-	if err := r.pool.dialer.CheckRunning(r.ctx, r.conn.address); err != nil {
+	settled := monotonicNow() + int64(SettleTime)
+	err := r.pool.dialer.CheckRunning(r.ctx, r.conn.address)
+	if err != nil && !(errors.Is(err, errNotKept) && r.pool.hasOpen(r.conn.address, settled)) {
 		return err
 	}
 	if EndOf(r.conn.Conn) == EndReset {
@@ -46,8 +52,18 @@
 	return nil
 }
 
-// CheckRunning returns an error unless an endpoint accepts connections some time after one to it has ended. An endpoint that resets them
-// at once runs, too, but has as many as it takes.
+// hasOpen reports whether a connection to an endpoint is open, or has brought bytes since a monotonic time.
+func (p *Pool) hasOpen(a netip.AddrPort, since int64) bool {
+	if p.activities.get(a).lastRead.Load() >= since {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle[a], (*conn).isReusable)
+}
+
+// CheckRunning returns an error unless an endpoint accepts and keeps a connection some time after one to it has ended. An endpoint that has
+// as many as it takes resets it.
 func (d Dialer) CheckRunning(ctx context.Context, a netip.AddrPort) error {
 	for range 2 {
 		if err := wait(ctx, SettleTime); err != nil {
@@ -68,7 +84,7 @@
 			return err
 		}
 	}
-	return nil
+	return errNotKept
 }
 
 // wait waits for a time, or returns the cause of the end of the context.
