Keep roll-outs and their final states when the store comes back from an older copy

ApplyPublished also leaves a roll-back that the store held as it is, whoever publishes something else; a decision of this instance that was not published may be replaced as before.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -66,7 +66,10 @@
 	substitute     string   // version that gets the requests of currentVersion while all endpoints of the latter are evacuated
 	endpoints      Versions // registered endpoints
 	order          *activeOrder
+	superseded     map[orderKey]time.Time // earlier orders and when a later one came
 	state          routing.RolloutState
+	statePublished bool                 // the store held the final state
+	refused        routing.RolloutState // final state that only the store's copy says
 	reason         string
 	evidence       *evidence
 	traffic        trafficStats       // since the order
@@ -102,9 +105,17 @@
 // ApplyOrder starts a roll-out and reports whether the order is new; a repeated order changes nothing. The argument
 // observed states whether the order has just been given.
 func (r *Rollout) ApplyOrder(now time.Time, o routing.RolloutOrder, observed bool) bool {
-	if r.order != nil && r.order.target == o.Target && r.order.duration == o.Duration {
+	if r.order != nil && r.order.key() == keyOf(o) {
 		return false
 	}
+	r.recordSuperseded(now)
+	r.start(now, o, observed)
+	return true
+}
+
+// start starts the roll-out of an order.
+func (r *Rollout) start(now time.Time, o routing.RolloutOrder, observed bool) {
+	delete(r.superseded, keyOf(o))
 	if r.state == routing.RolloutCompleted && r.order != nil {
 		r.currentVersion = r.order.target
 	}
@@ -113,10 +124,10 @@
 		r.order.startedAt = now.Add(-orderDelay)
 	}
 	r.state, r.reason, r.evidence = routing.RolloutRunning, "ordered", newEvidence()
+	r.statePublished, r.refused = false, ""
 	r.traffic, r.canaryShare, r.routeShares, r.shifted, r.completed = trafficStats{since: now}, 0, nil, false, completedVersion{}
 	r.rates = routeRates{}
 	r.updateCurrentVersion()
-	return true
 }
 
 // orderDelay is the approximate delay of an order on its way through the store and another instance to this one.
@@ -144,9 +155,18 @@
 	}
 }
 
-// ApplyPublished applies a state that was read from the store and reports whether it changed the roll-out.
+// ApplyPublished applies a state that was read from the store and reports whether it changed the roll-out. A roll-back that the
+// store held is final, also if another instance has published something else since the store returned from a copy without it.
 func (r *Rollout) ApplyPublished(s routing.RolloutStatus) bool {
-	if r.order == nil || s.Target != r.order.target || s.State == routing.RolloutRunning || s.State == r.state {
+	if !r.isFinal(s) || s.State == r.refused {
+		return false
+	}
+	r.refused = ""
+	if r.statePublished && r.state == routing.RolloutRolledBack {
+		return false
+	}
+	r.statePublished = true
+	if s.State == r.state {
 		return false
 	}
 	r.state, r.reason = s.State, "published"
