--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -2,23 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 )
 
 // Record is a keyed record of a topic; an empty value removes the key.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset int64
+	Key      string
+	Value    []byte
+	Position Position
 }
 
 // Batch is the result of a read.
 type Batch struct {
-	Records    []Record
-	NextOffset int64 // offset at which the next read starts
-	Trimmed    bool  // the store no longer keeps the records at the requested offset
-	Evidence   Evidence
+	Records  []Record
+	Next     Position // at which the next read starts
+	Trimmed  bool     // the store does not have the records at the requested position; a snapshot is to be read
+	Evidence Evidence
 }
 
 // Evidence says where records come from and how recent they are.
@@ -41,27 +42,30 @@
 	BasisConfirmed Basis = "confirmed" // a call of this instance to the one that sent the records
 )
 
-// AnyOffset is the offset that makes an append unconditional, whatever the end of the topic is.
-const AnyOffset = -1
-
 // Source reads the records of one topic.
 type Source interface {
-	// Snapshot returns the newest record of each key and the offset from which to read later changes.
+	// Snapshot returns the newest record of each key and the position from which to read later changes.
 	Snapshot(ctx context.Context) (Batch, error)
-	// Read returns the records from an offset on. If there are none, it waits for one until the wait is over.
-	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
+	// Read returns the records from a position on. If there are none, it waits for one until the wait is over.
+	Read(ctx context.Context, from Position, wait time.Duration) (Batch, error)
 }
 
 // Update is the result of one call to the store.
 type Update struct {
 	Records    []Record
 	IsSnapshot bool      // Records is a snapshot with the newest record of each existing key
-	NextOffset int64     // offset at which the next read starts
+	Next       Position  // at which the next read starts
+	Return     *Return   // set for the first snapshot after the store has come back from an older copy
 	CalledAt   time.Time // start of the call
 	Evidence   Evidence  // of the records
 	Err        error     // set if the call failed
 }
 
+// Return describes that the store has come back from an older copy.
+type Return struct {
+	From Position // at which the next read would have started
+}
+
 // Options sets the timing of a follower's calls to the store.
 type Options struct {
 	Wait    time.Duration // how long the store waits for a record before it returns an empty result
@@ -102,10 +106,10 @@
 
 // Run follows the topic until the context ends.
 func (f *Follower) Run(ctx context.Context) {
-	var next int64
-	loaded, failed, retry := false, false, f.options.RetryInterval
+	var next Position
+	known, loaded, failed, retry := false, false, false, f.options.RetryInterval
 	for ctx.Err() == nil {
-		u, cancelled := f.call(ctx, loaded, next, failed)
+		u, trimmed, cancelled := f.call(ctx, loaded, next, failed)
 		if ctx.Err() != nil {
 			return
 		}
@@ -113,6 +117,9 @@
 			continue
 		}
 		delay := time.Duration(0)
+		if u.Err == nil && !trimmed && known && u.Next.Era < next.Era {
+			u.Err = errOldEra
+		}
 		failed = u.Err != nil
 		switch {
 		case u.Err != nil:
@@ -120,20 +127,26 @@
 			// within the longer of the call's timeout and the retry time, not within their sum.
 			delay = time.Duration((1-retryJitter+2*retryJitter*rand.Float64())*float64(retry)) - time.Since(u.CalledAt)
 			retry = min(2*retry, max(f.options.RetryInterval, f.options.MaxRetryInterval))
-		case u.NextOffset < 0: // trimmed
-			loaded = false
+		case trimmed || loaded && u.Next.Era > next.Era:
+			loaded, trimmed = false, true
 		default:
-			loaded, next, retry = true, u.NextOffset, f.options.RetryInterval
+			if known && u.Next.Era > next.Era {
+				u.Return = &Return{From: next}
+			}
+			known, loaded, next, retry = true, true, u.Next, f.options.RetryInterval
 		}
-		if u.NextOffset >= 0 {
+		if !trimmed {
 			f.emit(u)
 		}
 		f.sleep(ctx, delay)
 	}
 }
 
-// call makes one call to the store and reports whether Restart cancelled it.
-func (f *Follower) call(ctx context.Context, loaded bool, next int64, failed bool) (Update, bool) {
+// errOldEra states that a source still has the records of before a return of the store.
+var errOldEra = errors.New("records of an earlier era")
+
+// call makes one call to the store. It reports whether a snapshot is to be read instead, and whether Restart cancelled the call.
+func (f *Follower) call(ctx context.Context, loaded bool, next Position, failed bool) (u Update, trimmed, cancelled bool) {
 	wait := time.Duration(0)
 	// After a failed call the store is read without a wait. A call that waits would be pending for longest just when
 	// the store returns.
@@ -146,7 +159,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	u := Update{CalledAt: time.Now(), IsSnapshot: !loaded}
+	u = Update{CalledAt: time.Now(), IsSnapshot: !loaded}
 	done := make(chan struct{})
 	var b Batch
 	go func() {
@@ -165,14 +178,11 @@
 		cancel()
 		<-done
 	}
-	u.Records, u.NextOffset, u.Evidence = b.Records, b.NextOffset, b.Evidence
+	u.Records, u.Next, u.Evidence = b.Records, b.Next, b.Evidence
 	if u.Evidence.Basis == "" { // the source is the store itself
 		u.Evidence = Evidence{Origin: OriginStore, Basis: BasisRead, AsOf: u.CalledAt}
 	}
-	if b.Trimmed {
-		u.NextOffset = -1
-	}
-	return u, restarted && u.Err != nil
+	return u, b.Trimmed, restarted && u.Err != nil
 }
 
 // sleep waits for a time, or until the context ends or Restart is called.
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -32,7 +32,7 @@
 
 func (s *scriptedSource) Snapshot(ctx context.Context) (Batch, error) { return s.next(ctx, "newest") }
 
-func (s *scriptedSource) Read(ctx context.Context, _ int64, wait time.Duration) (Batch, error) {
+func (s *scriptedSource) Read(ctx context.Context, _ Position, wait time.Duration) (Batch, error) {
 	if wait == 0 {
 		return s.next(ctx, "read at once")
 	}
@@ -42,7 +42,7 @@
 // respond returns a function that returns a batch with records of the keys.
 func respond(next int64, keys ...string) func(context.Context) (Batch, error) {
 	return func(context.Context) (Batch, error) {
-		b := Batch{NextOffset: next}
+		b := Batch{Next: Position{Offset: next}}
 		for _, k := range keys {
 			b.Records = append(b.Records, Record{Key: k})
 		}
@@ -94,8 +94,8 @@
 		next int64
 	}{{true, 3}, {false, 4}, {true, 9}, {false, 10}}
 	for i, w := range want {
-		if l[i].IsSnapshot != w.full || l[i].NextOffset != w.next {
-			t.Errorf("update %d: snapshot %v, next %d, want %v", i, l[i].IsSnapshot, l[i].NextOffset, w)
+		if l[i].IsSnapshot != w.full || l[i].Next.Offset != w.next {
+			t.Errorf("update %d: snapshot %v, next %d, want %v", i, l[i].IsSnapshot, l[i].Next.Offset, w)
 		}
 	}
 }
@@ -109,7 +109,7 @@
 		respond(4, "b"),
 	}}
 	l := collectUpdates(t, s, fastOptions, 4, nil)
-	if l[0].Err == nil || !l[1].IsSnapshot || l[2].Err == nil || l[3].IsSnapshot || l[3].NextOffset != 4 {
+	if l[0].Err == nil || !l[1].IsSnapshot || l[2].Err == nil || l[3].IsSnapshot || l[3].Next.Offset != 4 {
 		t.Errorf("updates %v", l)
 	}
 }
@@ -130,7 +130,7 @@
 		<-pending
 		f.Restart()
 	})
-	if l[1].Err != nil || l[1].NextOffset != 4 {
+	if l[1].Err != nil || l[1].Next.Offset != 4 {
 		t.Errorf("update %v", l[1])
 	}
 }
@@ -185,7 +185,7 @@
 		slow := func(ctx context.Context) (Batch, error) {
 			select {
 			case <-time.After(3 * time.Second):
-				return Batch{NextOffset: 1}, nil
+				return Batch{Next: Position{Offset: 1}}, nil
 			case <-ctx.Done():
 				return Batch{}, ctx.Err()
 			}
--- a/internal/command/ingress.go
+++ b/internal/command/ingress.go
@@ -169,9 +169,9 @@
 	store platform.TopicClient
 }
 
-// Append adds records to the topic if it still ends at the offset.
-func (t relayedTopic) Append(ctx context.Context, offset int64, records ...changefeed.Record) error {
-	return t.store.Append(ctx, offset, records...)
+// Append adds records to the topic if it still ends at the position.
+func (t relayedTopic) Append(ctx context.Context, at changefeed.Position, records ...changefeed.Record) error {
+	return t.store.Append(ctx, at, records...)
 }
 
 // ingressOptions converts settings to the options of an ingress instance.
--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -285,6 +285,19 @@
 	return r.settings.RepairDelay/4 + time.Duration(x%uint64(r.settings.RepairDelay))
 }
 
+// RepairMissing schedules the marks for which has returns false to be sent again, as their records were lost, and returns their number. One
+// instance sends each first, and the others see it.
+func (r *PartRegistry) RepairMissing(now time.Time, has func(PartHash) bool) int {
+	n := 0
+	for h := range r.marks {
+		if !has(h) {
+			r.repairAt[h] = now.Add(r.repairDelay(h))
+			n++
+		}
+	}
+	return n
+}
+
 // TakeChanged returns up to limit marks with evidence that other instances may lack, refused ones first. A mark that could
 // not be sent is to be returned by RequeueChanged.
 func (r *PartRegistry) TakeChanged(now time.Time, limit int) []PartMark {
--- a/internal/ingress/conditional_writes.go
+++ b/internal/ingress/conditional_writes.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 )
 
 // conditionalWrites schedules writes that several instances would make at the same time and of which only the first takes
@@ -14,8 +16,8 @@
 
 // failedWrite is a write that did not take effect.
 type failedWrite struct {
-	offset  int64     // offset at which the topic had to end
-	retryAt time.Time // when the write may be repeated although the topic is not known to have changed
+	position changefeed.Position // at which the topic had to end
+	retryAt  time.Time           // when the write may be repeated although the topic is not known to have changed
 }
 
 // minWriteRetryDelay is the shortest time until a failed write is repeated with the same condition.
@@ -25,12 +27,12 @@
 	return &conditionalWrites{dueAt: map[string]time.Time{}, failed: map[string]failedWrite{}}
 }
 
-// due reports whether a record is to be written now, if its topic is known to end at an offset. The first call for a key draws a
+// due reports whether a record is to be written now, if its topic is known to end at a position. The first call for a key draws a
 // delay of up to spread. After a failed write the topic has probably changed, so that the condition can't hold until this
 // instance has read it again.
-func (w *conditionalWrites) due(now time.Time, key string, offset int64, spread time.Duration) bool {
+func (w *conditionalWrites) due(now time.Time, key string, p changefeed.Position, spread time.Duration) bool {
 	if f, ok := w.failed[key]; ok {
-		if f.offset == offset && now.Before(f.retryAt) {
+		if f.position == p && now.Before(f.retryAt) {
 			return false
 		}
 		delete(w.failed, key)
@@ -46,8 +48,8 @@
 }
 
 // recordFailure records that a write did not take effect.
-func (w *conditionalWrites) recordFailure(now time.Time, key string, offset int64, spread time.Duration) {
-	w.failed[key] = failedWrite{offset, now.Add(max(2*spread, minWriteRetryDelay))}
+func (w *conditionalWrites) recordFailure(now time.Time, key string, p changefeed.Position, spread time.Duration) {
+	w.failed[key] = failedWrite{p, now.Add(max(2*spread, minWriteRetryDelay))}
 }
 
 // drop cancels the write of a record that another instance has written.
--- a/internal/ingress/conditional_writes_test.go
+++ b/internal/ingress/conditional_writes_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 )
 
 // TestConditionalWritesDuringCut guards against instances that are cut off from the reader of a topic and write to it again and again
@@ -18,9 +20,9 @@
 	for range instances {
 		w := newConditionalWrites()
 		for d := time.Duration(0); d < period; d += publishInterval {
-			if w.due(start.Add(d), "service", 7, spread) {
+			if w.due(start.Add(d), "service", changefeed.Position{Offset: 7}, spread) {
 				calls++
-				w.recordFailure(start.Add(d), "service", 7, spread)
+				w.recordFailure(start.Add(d), "service", changefeed.Position{Offset: 7}, spread)
 			}
 		}
 	}
@@ -33,21 +35,22 @@
 // repeated because the topic did not change.
 func TestConditionalWriteAfterRead(t *testing.T) {
 	for name, c := range map[string]struct {
-		after  time.Duration
-		offset int64
-		want   bool
+		after       time.Duration
+		era, offset int64
+		want        bool
 	}{
-		"same offset, soon":  {100 * time.Millisecond, 7, false},
-		"same offset, later": {minWriteRetryDelay, 7, true},
-		"new offset, soon":   {100 * time.Millisecond, 8, true},
+		"same offset, soon":  {100 * time.Millisecond, 0, 7, false},
+		"same offset, later": {minWriteRetryDelay, 0, 7, true},
+		"new offset, soon":   {100 * time.Millisecond, 0, 8, true},
+		"new era, soon":      {100 * time.Millisecond, 1, 7, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w, now := newConditionalWrites(), time.Unix(0, 0)
-			if !w.due(now, "service", 7, 0) {
+			if !w.due(now, "service", changefeed.Position{Offset: 7}, 0) {
 				t.Fatal("the first write is not due")
 			}
-			w.recordFailure(now, "service", 7, 0)
-			if got := w.due(now.Add(c.after), "service", c.offset, 0); got != c.want {
+			w.recordFailure(now, "service", changefeed.Position{Offset: 7}, 0)
+			if got := w.due(now.Add(c.after), "service", changefeed.Position{Era: c.era, Offset: c.offset}, 0); got != c.want {
 				t.Errorf("due: %v, want %v", got, c.want)
 			}
 		})
--- a/internal/ingress/controller.go
+++ b/internal/ingress/controller.go
@@ -37,6 +37,8 @@
 const (
 	topicOperators = "operators"
 	topicRegistry  = "registry"
+	topicStatus    = "status"
+	topicInstances = "instances"
 )
 
 // newController returns a controller without a configuration or endpoints.
@@ -83,6 +85,9 @@
 		}
 		return
 	}
+	if u.Return != nil {
+		noteReturn(c.options, u.topic, u.Update)
+	}
 	if u.topic == topicOperators {
 		c.applyOperatorRecords(now, u)
 	} else {
@@ -103,7 +108,7 @@
 	c.reachable[u.topic] = ok
 	if ok {
 		c.onStoreRecovered()
-		c.options.Logger.Info("store: Regained.", zap.String("topic", u.topic), zap.Int64("next", u.NextOffset))
+		c.options.Logger.Info("store: Regained.", zap.String("topic", u.topic), zap.Stringer("next", u.Next))
 	} else {
 		c.options.Logger.Warn("store: Lost; the last known state stays in use.", zap.String("topic", u.topic), zap.Error(u.Err))
 	}
@@ -116,11 +121,11 @@
 		change, err := c.options.Codec.DecodeOperatorRecord(r.Key, r.Value)
 		switch {
 		case err != nil:
-			c.options.Logger.Error("configuration: A record can't be read; the one in force stays.", zap.Int64("offset", r.Offset), zap.Error(err))
+			c.options.Logger.Error("configuration: A record can't be read; the one in force stays.", zap.Stringer("position", r.Position), zap.Error(err))
 		case change.Configuration != nil:
-			c.applyConfiguration(now, change.Configuration, r.Offset, u.Evidence)
+			c.applyConfiguration(now, change.Configuration, r.Position, u.Evidence)
 		case change.Order != nil:
-			c.applyRolloutOrder(now, *change.Order, r.Offset, !u.IsSnapshot)
+			c.applyRolloutOrder(now, *change.Order, r.Position, !u.IsSnapshot)
 		case change.Evacuation != nil:
 			evacuations = append(evacuations, *change.Evacuation)
 		}
@@ -130,20 +135,20 @@
 }
 
 // applyConfiguration activates a configuration unless one of the same or a newer version is active.
-func (c *controller) applyConfiguration(now time.Time, config *routing.Configuration, offset int64, e changefeed.Evidence) {
+func (c *controller) applyConfiguration(now time.Time, config *routing.Configuration, p changefeed.Position, e changefeed.Evidence) {
 	old := c.current.configuration
 	if old != nil && config.Version <= old.Version {
 		return
 	}
 	c.current.configuration = config
 	c.balancer.setServices(config.Services)
-	c.options.Logger.Info("configuration: In force.", append(originFields(now, e), zap.Int64("version", config.Version), zap.Int64("offset", offset),
+	c.options.Logger.Info("configuration: In force.", append(originFields(now, e), zap.Int64("version", config.Version), zap.Stringer("position", p),
 		zap.Int("routes", len(config.Routes)), zap.Int("organisations", len(config.Organisations)))...)
 }
 
 // applyRolloutOrder starts a roll-out. justGiven is false for an order that was read with the existing records of the
 // topic, whose exact time is unknown.
-func (c *controller) applyRolloutOrder(now time.Time, o routing.RolloutOrder, offset int64, justGiven bool) {
+func (c *controller) applyRolloutOrder(now time.Time, o routing.RolloutOrder, p changefeed.Position, justGiven bool) {
 	c.balancer.mu.Lock()
 	r := c.balancer.rolloutOf(o.Service)
 	started := r.ApplyOrder(now, o, justGiven)
@@ -151,7 +156,7 @@
 	c.balancer.mu.Unlock()
 	if started {
 		c.options.Logger.Info("roll-out: Received an order.", zap.String("service", o.Service), zap.String("version", o.Target),
-			zap.String("in-use", current), zap.Duration("within", o.Duration), zap.Int64("offset", offset), zap.Bool("just-given", justGiven))
+			zap.String("in-use", current), zap.Duration("within", o.Duration), zap.Stringer("position", p), zap.Bool("just-given", justGiven))
 	}
 }
 
@@ -163,7 +168,7 @@
 		change, err := c.options.Codec.DecodeRegistration(r.Key, r.Value)
 		if err != nil {
 			// The change of an unreadable entry holds no endpoint, so it removes the endpoint that the entry replaces.
-			c.options.Logger.Warn("registry: An entry can't be read.", zap.String("endpoint", r.Key), zap.Int64("offset", r.Offset), zap.Error(err))
+			c.options.Logger.Warn("registry: An entry can't be read.", zap.String("endpoint", r.Key), zap.Stringer("position", r.Position), zap.Error(err))
 		}
 		changes = append(changes, change)
 	}
--- a/internal/ingress/coordinator.go
+++ b/internal/ingress/coordinator.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -38,15 +39,16 @@
 
 	mu          sync.Mutex
 	loaded      bool // the topic has been read
-	nextOffset  int64
+	next        changefeed.Position
 	starts      map[string]rolloutStart
-	startWrites *conditionalWrites // by service
+	lostStarts  map[string]rolloutStart // that the store has lost by a return
+	startWrites *conditionalWrites      // by service
 }
 
 // newCoordinator returns a coordinator that has read no records.
 func newCoordinator(o Options, b *balancer) *coordinator {
 	return &coordinator{
-		options: o, balancer: b, prompts: newPromptGuard(o), starts: map[string]rolloutStart{}, startWrites: newConditionalWrites(),
+		options: o, balancer: b, prompts: newPromptGuard(o), starts: map[string]rolloutStart{}, lostStarts: map[string]rolloutStart{}, startWrites: newConditionalWrites(),
 	}
 }
 
@@ -57,12 +59,21 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loaded, c.nextOffset = true, u.NextOffset
+	c.loaded, c.next = true, u.Next
+	if u.Return != nil {
+		// Starts that are known here come back from lostStarts; the copy may hold those of earlier roll-outs.
+		c.lostStarts, c.starts = c.starts, map[string]rolloutStart{}
+		c.prompts.forgetStored()
+	}
 	for _, r := range u.Records {
 		if err := c.applyRecord(r, u.IsSnapshot); err != nil {
 			c.options.Logger.Warn("board: Failed to decode a record.", zap.String("key", r.Key), zap.Error(err))
 		}
 	}
+	if u.Return != nil {
+		n := c.prompts.repairMissing(time.Now())
+		noteReturn(c.options, topicInstances, u, zap.Int("marks-to-write", n), zap.Int("starts-to-write", len(c.lostStarts)))
+	}
 }
 
 // applyRecord decodes a record and applies it.
@@ -78,6 +89,9 @@
 		if err := json.Unmarshal(r.Value, &v); err != nil {
 			return fmt.Errorf("decode the start of a roll-out: %w", err)
 		}
+		if !isSnapshot || c.lostStarts[s].Version == v.Version {
+			delete(c.lostStarts, s) // the store has it, or another instance has written one since
+		}
 		c.starts[s] = v
 		return nil
 	}
@@ -93,10 +107,10 @@
 // exchangeRecords adopts the starts of roll-outs that other instances wrote, and writes the starts and marks of this
 // instance that are due.
 func (c *coordinator) exchangeRecords(ctx context.Context, now time.Time) {
-	for service, own := range c.unsettledStarts() {
+	for service, own := range c.startsToWrite() {
 		c.mu.Lock()
 		known, ok := c.starts[service]
-		loaded, next := c.loaded, c.nextOffset
+		loaded, next := c.loaded, c.next
 		c.mu.Unlock()
 		switch {
 		case ok && known.Version == own.Version:
@@ -122,7 +136,7 @@
 	for _, k := range expired {
 		records = append(records, pendingRecord{key: k})
 	}
-	if len(records) > 0 && !c.appendRecords(ctx, changefeed.AnyOffset, records...) {
+	if len(records) > 0 && !c.appendRecords(ctx, changefeed.AnyPosition, records...) {
 		c.prompts.requeue(now, marks)
 	}
 }
@@ -131,20 +145,28 @@
 // The condition on the topic's end lets only one instance win.
 func (c *coordinator) claimTrial(ctx context.Context, now time.Time, part suspect.PartHash) bool {
 	c.mu.Lock()
-	loaded, next := c.loaded, c.nextOffset
+	loaded, next := c.loaded, c.next
 	c.mu.Unlock()
 	record, ok := c.prompts.startTrial(now, part)
 	return ok && loaded && c.appendRecords(ctx, next, record)
 }
 
-// unsettledStarts returns the starts of roll-outs on which the instances have not agreed yet, by service.
-func (c *coordinator) unsettledStarts() map[string]rolloutStart {
+// startsToWrite returns the starts of roll-outs on which the instances have not agreed yet, and those that the store has lost, by service.
+func (c *coordinator) startsToWrite() map[string]rolloutStart {
+	c.mu.Lock()
+	lost := maps.Clone(c.lostStarts)
+	c.mu.Unlock()
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	out := map[string]rolloutStart{}
 	for service, r := range c.balancer.rollouts {
-		if v, _, _ := r.Status(); v != "" && !r.StartAgreed() {
+		v, _, _ := r.Status()
+		switch {
+		case v == "":
+		case !r.StartAgreed():
 			out[service] = rolloutStart{Version: v, Started: time.Now().Add(-time.Since(r.StartTime()))}
+		case lost[service].Version == v:
+			out[service] = lost[service]
 		}
 	}
 	return out
@@ -167,8 +189,8 @@
 	value any // nil removes the key
 }
 
-// appendRecords appends records to the topic if it ends at the given offset, and reports whether that succeeded.
-func (c *coordinator) appendRecords(ctx context.Context, at int64, records ...pendingRecord) bool {
+// appendRecords appends records to the topic if it ends at the given position, and reports whether that succeeded.
+func (c *coordinator) appendRecords(ctx context.Context, at changefeed.Position, records ...pendingRecord) bool {
 	callCtx, cancel := context.WithTimeout(ctx, c.options.Feeds.Operators.Timeout)
 	defer cancel()
 	out := make([]changefeed.Record, 0, len(records))
--- a/internal/ingress/coordinator_test.go
+++ b/internal/ingress/coordinator_test.go
@@ -21,19 +21,19 @@
 	calls        int
 	failuresLeft int // how many of the next calls fail
 	keys         map[string]bool
-	nextOffset   int64
+	next         changefeed.Position
 }
 
 func (t *recordingTopic) Snapshot(context.Context) (changefeed.Batch, error) {
 	return changefeed.Batch{}, nil
 }
 
-func (t *recordingTopic) Read(context.Context, int64, time.Duration) (changefeed.Batch, error) {
+func (t *recordingTopic) Read(context.Context, changefeed.Position, time.Duration) (changefeed.Batch, error) {
 	return changefeed.Batch{}, nil
 }
 
-// Append fails while failures are left or if the offset is wrong.
-func (t *recordingTopic) Append(_ context.Context, at int64, l ...changefeed.Record) error {
+// Append fails while failures are left or if the position is wrong.
+func (t *recordingTopic) Append(_ context.Context, at changefeed.Position, l ...changefeed.Record) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls++
@@ -41,12 +41,12 @@
 		t.failuresLeft--
 		return errors.New("unavailable")
 	}
-	if at != changefeed.AnyOffset && at != t.nextOffset {
+	if at != changefeed.AnyPosition && at != t.next {
 		return errors.New("conflict")
 	}
 	for _, r := range l {
 		t.keys[r.Key] = true
-		t.nextOffset++
+		t.next = t.next.Add(1)
 	}
 	return nil
 }
@@ -117,7 +117,7 @@
 	topic.failuresLeft = 1
 	c := newCoordinator(Options{Instance: "last", InstancesTopic: topic, Logger: zap.NewNop()}, nil)
 	c.options.Feeds.Operators.Timeout = time.Second
-	c.applyUpdate(changefeed.Update{IsSnapshot: true, NextOffset: topic.nextOffset})
+	c.applyUpdate(changefeed.Update{IsSnapshot: true, Next: topic.next})
 	if c.claimTrial(t.Context(), now, refuse(c)) {
 		t.Error("a trial is granted although the store refused the write")
 	}
--- a/internal/ingress/options.go
+++ b/internal/ingress/options.go
@@ -52,9 +52,9 @@
 // Topic is a topic of the store that instances read and write.
 type Topic interface {
 	changefeed.Source
-	// Append atomically appends records if the topic still ends at the offset; changefeed.AnyOffset appends them at any
-	// offset.
-	Append(ctx context.Context, at int64, l ...changefeed.Record) error
+	// Append atomically appends records if the topic still ends at the position; changefeed.AnyPosition appends them at any
+	// position.
+	Append(ctx context.Context, at changefeed.Position, l ...changefeed.Record) error
 }
 
 // Options holds the dependencies and settings of an instance.
--- a/internal/ingress/prompt_parts.go
+++ b/internal/ingress/prompt_parts.go
@@ -234,6 +234,20 @@
 	return nil
 }
 
+// forgetStored forgets which marks have a record in the topic, as the store has come back from an older copy.
+func (g *promptGuard) forgetStored() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.stored)
+}
+
+// repairMissing has the marks written again that have no record in the topic, and returns their number.
+func (g *promptGuard) repairMissing(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.registry.RepairMissing(now, func(h suspect.PartHash) bool { return g.stored[h] != storedMark{} })
+}
+
 // evaluate decides on new refusals.
 func (g *promptGuard) evaluate(now time.Time) {
 	g.mu.Lock()
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -20,11 +20,11 @@
 	balancer    *balancer
 	coordinator *coordinator
 
-	mu         sync.Mutex
-	loaded     bool // the topic has been read
-	nextOffset int64
-	published  map[string]routing.RolloutStatus
-	writes     *conditionalWrites // by service
+	mu        sync.Mutex
+	loaded    bool // the topic has been read
+	next      changefeed.Position
+	published map[string]routing.RolloutStatus
+	writes    *conditionalWrites // by service
 }
 
 // newPublisher returns a publisher that has read no states.
@@ -61,12 +61,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.loaded, p.nextOffset = true, u.NextOffset
+	p.loaded, p.next = true, u.Next
+	if u.Return != nil {
+		noteReturn(p.options, topicStatus, u, zap.Int("known", len(p.published)))
+		clear(p.published) // a state that the copy lacks is published again
+	}
 	for _, r := range u.Records {
 		s, err := p.options.Codec.DecodeRolloutStatus(r.Key, r.Value)
 		switch {
 		case err != nil:
-			p.options.Logger.Warn("roll-out: Failed to decode a published state.", zap.Int64("offset", r.Offset), zap.Error(err))
+			p.options.Logger.Warn("roll-out: Failed to decode a published state.", zap.Stringer("position", r.Position), zap.Error(err))
 		case s.Service != "":
 			p.applyStatus(s)
 		}
@@ -108,16 +112,16 @@
 	return out
 }
 
-// claimWrite reports whether a state is to be published now, and the offset at which the topic has to end for the write.
-func (p *publisher) claimWrite(now time.Time, s routing.RolloutStatus) (int64, bool) {
+// claimWrite reports whether a state is to be published now, and the position at which the topic has to end for the write.
+func (p *publisher) claimWrite(now time.Time, s routing.RolloutStatus) (changefeed.Position, bool) {
 	spread := p.publishSpread(s.Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	published := p.published[s.Service]
 	if published == s || published.Target == s.Target && published.State != routing.RolloutRunning {
-		return 0, false
+		return changefeed.Position{}, false
 	}
-	return p.nextOffset, p.writes.due(now, s.Service, p.nextOffset, spread)
+	return p.next, p.writes.due(now, s.Service, p.next, spread)
 }
 
 // publishSpread returns the time over which the instances spread their writes of the state of a service's roll-out.
@@ -127,9 +131,9 @@
 	return p.balancer.rolloutOf(service).PublishSpread()
 }
 
-// publishState publishes a state if the topic still ends at the offset; otherwise the decision is repeated after the
+// publishState publishes a state if the topic still ends at the position; otherwise the decision is repeated after the
 // next read.
-func (p *publisher) publishState(ctx context.Context, s routing.RolloutStatus, at int64) {
+func (p *publisher) publishState(ctx context.Context, s routing.RolloutStatus, at changefeed.Position) {
 	callCtx, cancel := context.WithTimeout(ctx, p.options.Feeds.Operators.Timeout)
 	defer cancel()
 	r, err := p.options.Codec.EncodeRolloutStatus(s)
@@ -145,5 +149,5 @@
 		return
 	}
 	p.options.Logger.Info("roll-out: Published a state.", append(p.balancer.describeRollout(time.Now(), s.Service), zap.String("service", s.Service),
-		zap.String("version", s.Target), zap.String("state", string(s.State)), zap.Int64("offset", at))...)
+		zap.String("version", s.Target), zap.String("state", string(s.State)), zap.Stringer("position", at))...)
 }
--- a/internal/ingress/registry_test.go
+++ b/internal/ingress/registry_test.go
@@ -36,9 +36,9 @@
 	apply := func(isSnapshot bool) time.Duration {
 		o := Options{Codec: registrationCodec{}, Logger: zap.NewNop(), Placement: placement.DefaultSettings("a")}
 		c := newController(o, newBalancer(o), &atomic.Pointer[snapshot]{})
-		u := changefeed.Update{NextOffset: number, IsSnapshot: isSnapshot}
+		u := changefeed.Update{Next: changefeed.Position{Offset: number}, IsSnapshot: isSnapshot}
 		for i := range number {
-			u.Records = append(u.Records, changefeed.Record{Key: fmt.Sprint("endpoint-", i), Value: []byte("v1"), Offset: int64(i)})
+			u.Records = append(u.Records, changefeed.Record{Key: fmt.Sprint("endpoint-", i), Value: []byte("v1"), Position: changefeed.Position{Offset: int64(i)}})
 		}
 		start := time.Now()
 		c.applyRegistryRecords(start, topicUpdate{topicRegistry, u})
@@ -83,7 +83,7 @@
 			u := changefeed.Update{}
 			for i, s := range c.changes {
 				id, version, _ := strings.Cut(s, "=")
-				u.Records = append(u.Records, changefeed.Record{Key: id, Value: []byte(version), Offset: int64(i)})
+				u.Records = append(u.Records, changefeed.Record{Key: id, Value: []byte(version), Position: changefeed.Position{Offset: int64(i)}})
 			}
 			controller.applyRegistryRecords(time.Now(), topicUpdate{topicRegistry, u})
 			got := map[string]string{}
--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -21,7 +21,7 @@
 
 // sentRecords tells what a follower has of a topic.
 type sentRecords struct {
-	next     int64 // offset after the last record, 0 before the snapshot is sent
+	next     changefeed.Position // after the last record, zero before the snapshot is sent
 	readAsOf instant
 	any      bool // a message was sent
 }
@@ -30,7 +30,8 @@
 func (h *Hub) newFollowRequest() *relaypb.FollowRequest {
 	r := &relaypb.FollowRequest{Instance: h.options.Instance, AcceptsCompressed: true}
 	for _, t := range h.topics {
-		r.Known = append(r.Known, t.knownOffset())
+		p := t.known()
+		r.Known, r.KnownEras = append(r.Known, p.Offset), append(r.KnownEras, p.Era)
 	}
 	return r
 }
@@ -41,7 +42,10 @@
 	sent := make([]sentRecords, len(h.topics))
 	for i, o := range r.GetKnown() {
 		if i < len(sent) {
-			sent[i].next = max(0, o)
+			sent[i].next.Offset = max(0, o)
+		}
+		if eras := r.GetKnownEras(); i < len(sent) && i < len(eras) {
+			sent[i].next.Era = eras[i]
 		}
 	}
 	for {
@@ -75,15 +79,23 @@
 		defer t.encodings.mu.Unlock()
 	}
 	t.mu.Lock()
-	if !t.loaded || sent.any && t.next <= sent.next && t.readAsOf <= sent.readAsOf {
+	if !t.loaded || sent.any && !sent.next.Before(t.next) && t.readAsOf <= sent.readAsOf {
 		t.mu.Unlock()
 		return nil, nil //nolint:nilnil // there is nothing to send
 	}
-	m := &relaypb.Batch{
-		From: sent.next, Next: max(sent.next, t.next), Full: sent.next == 0 || sent.next < t.firstRecent, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds(),
+	full := sent.next.Offset == 0 || !t.keepsFrom(sent.next)
+	if full && t.next.Era < sent.next.Era {
+		t.mu.Unlock()
+		return nil, nil //nolint:nilnil // the follower has a later era
+	}
+	from := sent.next
+	if full {
+		from.Era = t.next.Era
 	}
-	sent.next, sent.readAsOf, sent.any = m.GetNext(), t.readAsOf, true
-	key := recordRange{from: m.GetFrom(), next: m.GetNext(), full: m.GetFull()}
+	next := changefeed.Later(from, t.next)
+	m := &relaypb.Batch{From: from.Offset, Next: next.Offset, Era: next.Era, Full: full, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds()}
+	sent.next, sent.readAsOf, sent.any = next, t.readAsOf, true
+	key := recordRange{from: from, next: next, full: full}
 	var records []changefeed.Record
 	if compress {
 		m.CompressedRecords = t.encodings.find(key)
@@ -93,12 +105,12 @@
 	case m.GetFull():
 		records = t.snapshot().Records
 	default:
-		records = t.recordsFrom(m.GetFrom()).Records
+		records = t.recordsFrom(from).Records
 	}
 	t.mu.Unlock()
 	size := 0
 	for _, r := range records {
-		m.Records = append(m.Records, &relaypb.Record{Key: []byte(r.Key), Value: r.Value, Offset: r.Offset})
+		m.Records = append(m.Records, &relaypb.Record{Key: []byte(r.Key), Value: r.Value, Offset: r.Position.Offset})
 		size += len(r.Key) + len(r.Value)
 	}
 	if !compress || size < minCompressedBytes {
@@ -113,9 +125,9 @@
 	return m, nil
 }
 
-// recordRange identifies the records of a message. The records of a topic between two offsets never change.
+// recordRange identifies the records of a message. The records of a topic between two positions never change.
 type recordRange struct {
-	from, next int64
+	from, next changefeed.Position
 	full       bool
 }
 
@@ -184,14 +196,15 @@
 
 // mergeBatch adds the records of a message to their topic; it reports false if records before them are missing.
 func (h *Hub) mergeBatch(m *relaypb.Batch) bool {
-	b := changefeed.Batch{NextOffset: m.GetNext()}
+	era := m.GetEra()
+	b := changefeed.Batch{Next: changefeed.Position{Era: era, Offset: m.GetNext()}}
 	for _, r := range m.GetRecords() {
-		b.Records = append(b.Records, changefeed.Record{Key: string(r.GetKey()), Value: r.GetValue(), Offset: r.GetOffset()})
+		b.Records = append(b.Records, changefeed.Record{Key: string(r.GetKey()), Value: r.GetValue(), Position: changefeed.Position{Era: era, Offset: r.GetOffset()}})
 	}
 	t := h.topics[m.GetTopic()]
 	if m.GetFull() {
 		t.setSnapshot(b, unknown)
 		return true
 	}
-	return t.addBatch(m.GetFrom(), b, unknown)
+	return t.addBatch(changefeed.Position{Era: era, Offset: m.GetFrom()}, b, unknown)
 }
--- a/internal/relay/batch_test.go
+++ b/internal/relay/batch_test.go
@@ -54,7 +54,7 @@
 // endpointRecord returns a record as long and as varied as the registry entry of an endpoint.
 func endpointRecord(i int, offset int64) changefeed.Record {
 	id := xxhash.Sum64String(fmt.Sprint(i))
-	return changefeed.Record{Key: fmt.Sprintf("members/i-%010x", id%(1<<40)), Offset: offset, Value: fmt.Appendf(nil,
+	return changefeed.Record{Key: fmt.Sprintf("members/i-%010x", id%(1<<40)), Position: changefeed.Position{Offset: offset}, Value: fmt.Appendf(nil,
 		`{"location":"10.%d.%d.%d:8389","start":%d,"warm-up-milliseconds":0,"variants":[{"parts":[],"name":"daka510000","version":1}],"number":%d,"group":"dele69a","capacity":32,"kind":"combined","condition":"ready","release":"v1","site":"bilbao-a"}`,
 		id%4, id>>8%250, id>>16%250, 1767471980000+id%5000, id>>24%100)}
 }
@@ -72,7 +72,7 @@
 	a := netip.MustParseAddrPort(lis.Addr().String())
 	h := NewHub(Options{Instance: "seed", Address: a, Seeds: []netip.AddrPort{a}, Logger: zap.NewNop()})
 	h.AddTopic("registry", nil, ReadPolicy{})
-	b := changefeed.Batch{NextOffset: fleetEndpoints}
+	b := changefeed.Batch{Next: changefeed.Position{Offset: fleetEndpoints}}
 	for i := range fleetEndpoints {
 		b.Records = append(b.Records, endpointRecord(i, int64(i)))
 	}
@@ -115,9 +115,9 @@
 // haveRecent returns a condition that holds when all instances have a seed's confirmation that they know its records.
 func haveRecent(l []*Hub, seed *Hub) func() bool {
 	return func() bool {
-		next := seed.topics[0].knownOffset()
+		next := seed.topics[0].known()
 		for _, h := range l {
-			if h.seed.Load() == nil || !h.recordsRecent() || h.topics[0].knownOffset() < next {
+			if h.seed.Load() == nil || !h.recordsRecent() || h.topics[0].known().Before(next) {
 				return false
 			}
 		}
@@ -155,13 +155,13 @@
 			}
 			before := l.written.Load()
 			size := 0
-			b := changefeed.Batch{NextOffset: fleetEndpoints + changes}
+			b := changefeed.Batch{Next: changefeed.Position{Offset: fleetEndpoints + changes}}
 			for i := range changes {
 				r := endpointRecord(i, int64(fleetEndpoints+i))
 				size += len(r.Key) + len(r.Value)
 				b.Records = append(b.Records, r)
 			}
-			if !seed.topics[0].addBatch(fleetEndpoints, b, seed.now()) {
+			if !seed.topics[0].addBatch(changefeed.Position{Offset: fleetEndpoints}, b, seed.now()) {
 				t.Fatal("the seed has not taken the changes")
 			}
 			if again {
@@ -205,7 +205,7 @@
 		}
 		want := seed.topics[0].snapshot()
 		for k, r := range b.Records {
-			if w := want.Records[k]; r.Key != w.Key || !bytes.Equal(r.Value, w.Value) || r.Offset != w.Offset {
+			if w := want.Records[k]; r.Key != w.Key || !bytes.Equal(r.Value, w.Value) || r.Position != w.Position {
 				t.Fatalf("follower %d has %+v, want %+v", i, r, w)
 			}
 		}
@@ -216,8 +216,8 @@
 // not all that they lack.
 func TestFollowRequests(t *testing.T) {
 	seed, _ := startSeed(t)
-	newer := changefeed.Batch{NextOffset: fleetEndpoints + 2, Records: []changefeed.Record{endpointRecord(1, fleetEndpoints), {Key: endpointRecord(2, 0).Key, Offset: fleetEndpoints + 1}}}
-	if !seed.topics[0].addBatch(fleetEndpoints, newer, seed.now()) {
+	newer := changefeed.Batch{Next: changefeed.Position{Offset: fleetEndpoints + 2}, Records: []changefeed.Record{endpointRecord(1, fleetEndpoints), {Key: endpointRecord(2, 0).Key, Position: changefeed.Position{Offset: fleetEndpoints + 1}}}}
+	if !seed.topics[0].addBatch(changefeed.Position{Offset: fleetEndpoints}, newer, seed.now()) {
 		t.Fatal("the seed has not taken the changes")
 	}
 	const next = fleetEndpoints + 2
--- a/internal/relay/confirm.go
+++ b/internal/relay/confirm.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 	"github.com/cassiaspoke/cassiaspoke/internal/relay/relaypb"
 )
 
@@ -26,7 +27,7 @@
 		t.mu.Lock()
 		if t.loaded && t.readAsOf != unknown {
 			reply.Topics = append(reply.Topics, &relaypb.TopicAge{
-				Topic: uint32(i), Next: t.next, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds(),
+				Topic: uint32(i), Next: t.next.Offset, Era: t.next.Era, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds(),
 			})
 		}
 		t.mu.Unlock()
@@ -38,7 +39,7 @@
 func (h *Hub) applyConfirmation(calledAt instant, m *relaypb.ConfirmReply) {
 	for _, a := range m.GetTopics() {
 		if int(a.GetTopic()) < len(h.topics) && a.GetAgeMicroseconds() >= 0 && a.GetAgeMicroseconds() < maxConfirmedAge.Microseconds() {
-			h.topics[a.GetTopic()].confirm(a.GetNext(), calledAt.add(-time.Duration(a.GetAgeMicroseconds())*time.Microsecond))
+			h.topics[a.GetTopic()].confirm(changefeed.Position{Era: a.GetEra(), Offset: a.GetNext()}, calledAt.add(-time.Duration(a.GetAgeMicroseconds())*time.Microsecond))
 		}
 	}
 }
--- a/internal/relay/confirm_test.go
+++ b/internal/relay/confirm_test.go
@@ -126,7 +126,7 @@
 	return b, err
 }
 
-func (r slowReader) Read(ctx context.Context, from int64, wait time.Duration) (changefeed.Batch, error) {
+func (r slowReader) Read(ctx context.Context, from changefeed.Position, wait time.Duration) (changefeed.Batch, error) {
 	b, err := r.storeClient.Read(ctx, from, 0)
 	*r.now += wait + r.delay
 	return b, err
@@ -156,16 +156,16 @@
 		t.Fatal(err)
 	}
 	checkAge("snapshot", delay)
-	if _, err := s.Read(t.Context(), 1, wait); err != nil { // nothing new came within the wait
+	if _, err := s.Read(t.Context(), changefeed.Position{Offset: 1}, wait); err != nil { // nothing new came within the wait
 		t.Fatal(err)
 	}
 	checkAge("read in vain", delay)
 	store.add("second")
-	if _, err := s.Read(t.Context(), 1, wait); err != nil { // the record may have come at once
+	if _, err := s.Read(t.Context(), changefeed.Position{Offset: 1}, wait); err != nil { // the record may have come at once
 		t.Fatal(err)
 	}
 	checkAge("read", wait+delay)
-	if _, err := s.Read(t.Context(), 2, wait); err != nil { // the seed checks at once whether there is more
+	if _, err := s.Read(t.Context(), changefeed.Position{Offset: 2}, wait); err != nil { // the seed checks at once whether there is more
 		t.Fatal(err)
 	}
 	checkAge("read after a record", delay)
@@ -186,7 +186,7 @@
 			}
 			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 			defer cancel()
-			_, err := s.Read(ctx, 1, wait)
+			_, err := s.Read(ctx, changefeed.Position{Offset: 1}, wait)
 			if (err != nil) != hanging || ctx.Err() != nil {
 				t.Errorf("error %v", err)
 			}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,7 +28,7 @@
 func (s *fakeStore) add(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records = append(s.records, changefeed.Record{Key: key, Value: []byte("v"), Offset: int64(len(s.records))})
+	s.records = append(s.records, changefeed.Record{Key: key, Value: []byte("v"), Position: changefeed.Position{Offset: int64(len(s.records))}})
 	close(s.wake)
 	s.wake = make(chan struct{})
 }
@@ -73,14 +73,14 @@
 	for _, x := range c.store.records {
 		newest[x.Key] = x
 	}
-	b := changefeed.Batch{NextOffset: int64(len(c.store.records))}
+	b := changefeed.Batch{Next: changefeed.Position{Offset: int64(len(c.store.records))}}
 	for _, x := range newest {
 		b.Records = append(b.Records, x)
 	}
 	return b, nil
 }
 
-func (c *storeClient) Read(ctx context.Context, from int64, wait time.Duration) (changefeed.Batch, error) {
+func (c *storeClient) Read(ctx context.Context, from changefeed.Position, wait time.Duration) (changefeed.Batch, error) {
 	if c.countCall() {
 		<-ctx.Done()
 		return changefeed.Batch{}, ctx.Err()
@@ -88,15 +88,15 @@
 	end := time.After(wait)
 	for {
 		c.store.mu.Lock()
-		l, wake := c.store.records[from:], c.store.wake
+		l, wake := c.store.records[from.Offset:], c.store.wake
 		c.store.mu.Unlock()
 		if len(l) > 0 {
-			return changefeed.Batch{Records: l, NextOffset: from + int64(len(l))}, nil
+			return changefeed.Batch{Records: l, Next: from.Add(int64(len(l)))}, nil
 		}
 		select {
 		case <-wake:
 		case <-end:
-			return changefeed.Batch{NextOffset: from}, nil
+			return changefeed.Batch{Next: from}, nil
 		case <-ctx.Done():
 			return changefeed.Batch{}, ctx.Err()
 		}
@@ -254,19 +254,22 @@
 func TestOlderRecords(t *testing.T) {
 	h := NewHub(Options{Logger: zap.NewNop()})
 	s := h.AddTopic("test", &storeClient{store: newFakeStore()}, ReadPolicy{MaxAge: time.Minute})
-	record := func(o int64) changefeed.Record { return changefeed.Record{Key: "k", Value: []byte{byte(o)}, Offset: o} }
-	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(7)}, NextOffset: 8}, 1)
-	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(3)}, NextOffset: 4}, 2)
-	if !s.topic.addBatch(2, changefeed.Batch{Records: []changefeed.Record{record(2), record(3)}, NextOffset: 4}, 3) {
+	at := func(o int64) changefeed.Position { return changefeed.Position{Offset: o} }
+	record := func(o int64) changefeed.Record {
+		return changefeed.Record{Key: "k", Value: []byte{byte(o)}, Position: at(o)}
+	}
+	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(7)}, Next: at(8)}, 1)
+	s.topic.setSnapshot(changefeed.Batch{Records: []changefeed.Record{record(3)}, Next: at(4)}, 2)
+	if !s.topic.addBatch(at(2), changefeed.Batch{Records: []changefeed.Record{record(2), record(3)}, Next: at(4)}, 3) {
 		t.Error("an older batch was reported as a gap")
 	}
-	if s.topic.addBatch(9, changefeed.Batch{Records: []changefeed.Record{record(9)}, NextOffset: 10}, 4) {
+	if s.topic.addBatch(at(9), changefeed.Batch{Records: []changefeed.Record{record(9)}, Next: at(10)}, 4) {
 		t.Error("a gap was not reported")
 	}
-	if b := s.topic.snapshot(); b.NextOffset != 8 || b.Records[0].Offset != 7 {
-		t.Errorf("snapshot ends at %d and starts with offset %d, want 8 and 7", b.NextOffset, b.Records[0].Offset)
+	if b := s.topic.snapshot(); b.Next != at(8) || b.Records[0].Position != at(7) {
+		t.Errorf("snapshot ends at %d and starts with offset %d, want 8 and 7", b.Next.Offset, b.Records[0].Position.Offset)
 	}
-	if b := s.topic.recordsFrom(5); !b.Trimmed {
+	if b := s.topic.recordsFrom(at(5)); !b.Trimmed {
 		t.Error("records before the snapshot were not reported as trimmed")
 	}
 }
@@ -283,7 +286,7 @@
 	if _, err := s.Snapshot(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	next := int64(1)
+	next := changefeed.Position{Offset: 1}
 	start := time.Now()
 	for i := range 4 {
 		if i%2 == 0 {
@@ -295,7 +298,7 @@
 		if err != nil {
 			t.Fatalf("read %d: %v", i, err)
 		}
-		next = b.NextOffset
+		next = b.Next
 	}
 	if d := time.Since(start); d < 3*interval {
 		t.Errorf("four reads within %v", d)
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -83,7 +83,7 @@
 	return d, d > 0 && s.topic.confirmedAsOf != unknown
 }
 
-// Snapshot returns the newest record of each key and the offset from which to read later changes.
+// Snapshot returns the newest record of each key and the position from which to read later changes.
 func (s *Source) Snapshot(ctx context.Context) (changefeed.Batch, error) {
 	for {
 		changed := s.hub.notifier.nextChange()
@@ -111,8 +111,8 @@
 	return s.withReadEvidence(b, calledAt), nil
 }
 
-// Read returns the records from an offset on. If there are none, it waits for one until the wait is over.
-func (s *Source) Read(ctx context.Context, from int64, wait time.Duration) (changefeed.Batch, error) {
+// Read returns the records from a position on. If there are none, it waits for one until the wait is over.
+func (s *Source) Read(ctx context.Context, from changefeed.Position, wait time.Duration) (changefeed.Batch, error) {
 	for end := time.Now().Add(wait); ; {
 		now, changed := time.Now(), s.hub.notifier.nextChange()
 		s.topic.mu.Lock()
@@ -121,7 +121,7 @@
 			s.topic.mu.Unlock()
 			return s.readStore(ctx, from, max(0, end.Sub(now)))
 		}
-		if s.topic.next > from || !now.Before(end) {
+		if from.Before(s.topic.next) || !now.Before(end) {
 			defer s.topic.mu.Unlock()
 			return s.withRelayedEvidence(s.topic.recordsFrom(from)), nil
 		}
@@ -133,7 +133,7 @@
 }
 
 // readStore reads the store, at most once per MinInterval, and adds the records to the topic.
-func (s *Source) readStore(ctx context.Context, from int64, wait time.Duration) (changefeed.Batch, error) {
+func (s *Source) readStore(ctx context.Context, from changefeed.Position, wait time.Duration) (changefeed.Batch, error) {
 	if d := s.topic.policy.MinInterval - time.Since(s.lastRead); d > 0 && !s.lastRead.IsZero() {
 		if err := sleep(ctx, d, nil); err != nil {
 			return changefeed.Batch{}, err
--- a/internal/relay/topic.go
+++ b/internal/relay/topic.go
@@ -18,9 +18,9 @@
 	mu          sync.Mutex
 	loaded      bool                         // a snapshot has been set
 	newest      map[string]changefeed.Record // newest record of each key
-	recent      []changefeed.Record          // all records from the offset firstRecent on
+	recent      []changefeed.Record          // all records of the era from the offset firstRecent on
 	firstRecent int64
-	next        int64 // offset after the last known record
+	next        changefeed.Position // after the last known record
 	notifier    *notifier
 
 	readAsOf      instant      // the records include all that the store had then, by calls of this instance; unknown after a failed call
@@ -30,9 +30,9 @@
 	encodings encodings // of records for followers; its lock is taken before mu
 }
 
-// confirmation says that the records of a topic before an offset were all of them at a time.
+// confirmation says that the records of a topic before a position were all of them at a time.
 type confirmation struct {
-	next int64
+	next changefeed.Position
 	asOf instant
 }
 
@@ -69,11 +69,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.notifier.notifyAll()
+	if t.loaded && b.Next.Era < t.next.Era {
+		return
+	}
 	t.readAsOf = max(t.readAsOf, readAsOf)
-	if t.loaded && b.NextOffset < t.next {
+	if t.loaded && b.Next.Before(t.next) {
 		return
 	}
-	t.loaded, t.next, t.firstRecent, t.recent = true, b.NextOffset, b.NextOffset, nil
+	t.loaded, t.next, t.firstRecent, t.recent = true, b.Next, b.Next.Offset, nil
 	t.newest = make(map[string]changefeed.Record, len(b.Records))
 	for _, r := range b.Records {
 		t.newest[r.Key] = r
@@ -81,18 +84,22 @@
 	t.applyWaiting()
 }
 
-// addBatch adds the records from an offset on; it reports false if the records before that offset are not all known. The
-// batch ends with the last record that the store had at readAsOf; this is unknown if another instance sent the batch.
-func (t *topic) addBatch(from int64, b changefeed.Batch, readAsOf instant) bool {
+// addBatch adds the records from a position on; it reports false if the records before that position are not all known. Records of
+// an earlier era change nothing. The batch ends with the last record that the store had at readAsOf; this is unknown if another
+// instance sent the batch.
+func (t *topic) addBatch(from changefeed.Position, b changefeed.Batch, readAsOf instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.loaded || from > t.next {
+	if !t.loaded || t.next.Before(from) {
 		return false
 	}
+	if from.Era < t.next.Era {
+		return true
+	}
 	defer t.notifier.notifyAll()
 	t.readAsOf = max(t.readAsOf, readAsOf)
 	for _, r := range b.Records {
-		if r.Offset < t.next {
+		if r.Position.Before(t.next) {
 			continue
 		}
 		t.recent = append(t.recent, r)
@@ -100,24 +107,25 @@
 		if len(r.Value) == 0 {
 			delete(t.newest, r.Key)
 		}
-		t.next = r.Offset + 1
+		t.next = r.Position.Add(1)
 	}
-	t.next = max(t.next, b.NextOffset)
+	t.next = changefeed.Later(t.next, b.Next)
 	if n := len(t.recent) - maxRecent; n > 0 {
 		t.recent = slices.Clone(t.recent[n:])
-		t.firstRecent = t.recent[0].Offset
+		t.firstRecent = t.recent[0].Position.Offset
 	}
 	t.applyWaiting()
 	return true
 }
 
-// confirm records that the records before an offset were all of them at a time. If some of these are not known yet, the
+// confirm records that the records before a position were all of them at a time. If some of these are not known yet, the
 // confirmation counts when they arrive, unless an earlier one is still waiting.
-func (t *topic) confirm(next int64, asOf instant) {
+func (t *topic) confirm(next changefeed.Position, asOf instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.loaded && t.next >= next:
+	case t.loaded && next.Era < t.next.Era: // the seed has not noticed yet that the store has returned
+	case t.loaded && !t.next.Before(next):
 		t.setConfirmedAsOf(asOf)
 	case t.waiting == confirmation{}:
 		t.waiting = confirmation{next, asOf}
@@ -127,10 +135,13 @@
 // applyWaiting takes the confirmation that waits into account if all records that it covers are known. The caller must hold
 // the lock.
 func (t *topic) applyWaiting() {
-	if t.waiting != (confirmation{}) && t.next >= t.waiting.next {
+	if t.waiting == (confirmation{}) || t.next.Before(t.waiting.next) {
+		return
+	}
+	if t.next.Era == t.waiting.next.Era {
 		t.setConfirmedAsOf(t.waiting.asOf)
-		t.waiting = confirmation{}
 	}
+	t.waiting = confirmation{}
 }
 
 // dropWaiting forgets the confirmation of a seed that is not followed any more.
@@ -148,8 +159,8 @@
 	}
 }
 
-// knownOffset returns the offset after the last known record, 0 if none is known.
-func (t *topic) knownOffset() int64 {
+// known returns the position after the last known record, zero if none is known.
+func (t *topic) known() changefeed.Position {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.next
@@ -162,19 +173,24 @@
 	t.readAsOf = unknown
 }
 
-// recordsFrom returns the records from an offset on, or a batch marked as trimmed if not all of them are kept. The caller
+// recordsFrom returns the records from a position on, or a batch marked as trimmed if not all of them are kept. The caller
 // must hold the lock.
-func (t *topic) recordsFrom(from int64) changefeed.Batch {
-	if from < t.firstRecent {
+func (t *topic) recordsFrom(from changefeed.Position) changefeed.Batch {
+	if !t.keepsFrom(from) {
 		return changefeed.Batch{Trimmed: true}
 	}
-	i, _ := slices.BinarySearchFunc(t.recent, from, func(r changefeed.Record, o int64) int { return int(r.Offset - o) })
-	return changefeed.Batch{Records: slices.Clone(t.recent[i:]), NextOffset: max(from, t.next)}
+	i, _ := slices.BinarySearchFunc(t.recent, from, func(r changefeed.Record, p changefeed.Position) int { return r.Position.Compare(p) })
+	return changefeed.Batch{Records: slices.Clone(t.recent[i:]), Next: changefeed.Later(from, t.next)}
+}
+
+// keepsFrom reports whether all records from a position on are kept. The caller must hold the lock.
+func (t *topic) keepsFrom(from changefeed.Position) bool {
+	return from.Era == t.next.Era && from.Offset >= t.firstRecent
 }
 
 // snapshot returns the newest record of each key, ordered by key. The caller must hold the lock.
 func (t *topic) snapshot() changefeed.Batch {
-	b := changefeed.Batch{Records: slices.Collect(maps.Values(t.newest)), NextOffset: t.next}
+	b := changefeed.Batch{Records: slices.Collect(maps.Values(t.newest)), Next: t.next}
 	slices.SortFunc(b.Records, func(a, c changefeed.Record) int { return strings.Compare(a.Key, c.Key) })
 	return b
 }
