Let orders, evacuations, states and endpoints survive an older copy of the store

A final state that the store held and lost is published over another one. A state counts as held by the store once its append was acknowledged.

--- a/internal/ingress/controller.go
+++ b/internal/ingress/controller.go
@@ -24,6 +24,7 @@
 	reachable        map[string]bool // whether the last read of a topic succeeded, by topic
 	onStoreRecovered func()          // called when reads of a topic succeed again
 	current          snapshot
+	returnedAt       time.Time     // when the store was last seen to have come back from an older copy
 	ready            chan struct{} // closed when requests can be served
 }
 
@@ -62,6 +63,7 @@
 			c.applyUpdate(time.Now(), u)
 		case <-t.C:
 			c.applyRosterEvent(time.Now(), roster.Event{})
+			c.expireEvacuations(time.Now())
 		}
 	}
 }
@@ -86,6 +88,7 @@
 		return
 	}
 	if u.Return != nil {
+		c.returnedAt = now
 		noteReturn(c.options, u.topic, u.Update)
 	}
 	if u.topic == topicOperators {
@@ -125,7 +128,7 @@
 		case change.Configuration != nil:
 			c.applyConfiguration(now, change.Configuration, r.Position, u.Evidence)
 		case change.Order != nil:
-			c.applyRolloutOrder(now, *change.Order, r.Position, !u.IsSnapshot)
+			c.applyRolloutOrder(now, *change.Order, r.Position, u.IsSnapshot)
 		case change.Evacuation != nil:
 			evacuations = append(evacuations, *change.Evacuation)
 		}
@@ -146,17 +149,25 @@
 		zap.Int("routes", len(config.Routes)), zap.Int("organisations", len(config.Organisations)))...)
 }
 
-// applyRolloutOrder starts a roll-out. justGiven is false for an order that was read with the existing records of the
-// topic, whose exact time is unknown.
-func (c *controller) applyRolloutOrder(now time.Time, o routing.RolloutOrder, p changefeed.Position, justGiven bool) {
+// copyPeriod is the time after a return of the store in which its snapshots may lack what operators have yet to write again.
+const copyPeriod = time.Minute
+
+// applyRolloutOrder starts a roll-out. The exact time of an order in a snapshot is unknown, and after a return of the store it may be
+// older than the one in force.
+func (c *controller) applyRolloutOrder(now time.Time, o routing.RolloutOrder, p changefeed.Position, isSnapshot bool) {
 	c.balancer.mu.Lock()
 	r := c.balancer.rolloutOf(o.Service)
-	started := r.ApplyOrder(now, o, justGiven)
+	var started bool
+	if isSnapshot && now.Sub(c.returnedAt) < copyPeriod {
+		started = r.ApplyCopiedOrder(now, o)
+	} else {
+		started = r.ApplyOrder(now, o, !isSnapshot)
+	}
 	current := r.CurrentVersion()
 	c.balancer.mu.Unlock()
 	if started {
 		c.options.Logger.Info("roll-out: Received an order.", zap.String("service", o.Service), zap.String("version", o.Target),
-			zap.String("in-use", current), zap.Duration("within", o.Duration), zap.Stringer("position", p), zap.Bool("just-given", justGiven))
+			zap.String("in-use", current), zap.Duration("within", o.Duration), zap.Stringer("position", p), zap.Bool("just-given", !isSnapshot))
 	}
 }
 
@@ -175,7 +186,7 @@
 	c.current.registryRead, c.current.registryEvidence = true, u.Evidence
 	defer func() { c.balancer.recordRegistrations(now, changes) }()
 	if u.IsSnapshot {
-		c.applyRosterEvent(now, roster.Event{Snapshot: changes})
+		c.applyRosterEvent(now, roster.Event{Snapshot: changes, StoreReturned: u.Return != nil})
 		return
 	}
 	// The endpoints are set once for many changes, as this takes time for each endpoint. Changes of the same endpoint are set one
--- a/internal/ingress/evacuation.go
+++ b/internal/ingress/evacuation.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/changefeed"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/evacuation"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/placement"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/routing"
@@ -16,17 +17,45 @@
 
 // applyEvacuations applies the evacuations in an update of the operators' topic; a snapshot holds all that are in force.
 func (c *controller) applyEvacuations(now time.Time, l []routing.EvacuationChange, u topicUpdate) {
-	transitions := c.balancer.applyEvacuations(now, l, u.IsSnapshot)
+	apply := func(s *evacuation.Set) []evacuation.Transition { return applyEvacuationChanges(s, now, l) }
+	switch {
+	case u.Return != nil:
+		apply = func(s *evacuation.Set) []evacuation.Transition { return s.ApplyReturn(now, l) }
+	case u.IsSnapshot:
+		apply = func(s *evacuation.Set) []evacuation.Transition { return s.ApplySnapshot(now, l) }
+	}
+	c.logEvacuations(now, c.balancer.changeEvacuations(now, apply), u.IsSnapshot, u.Evidence)
+}
+
+// expireEvacuations ends the evacuations that have not been ordered again in time since a return of the store.
+func (c *controller) expireEvacuations(now time.Time) {
+	l := c.balancer.changeEvacuations(now, func(s *evacuation.Set) []evacuation.Transition { return s.Expire(now) })
+	c.logEvacuations(now, l, true, c.current.configurationEvidence)
+}
+
+// applyEvacuationChanges applies changes one after the other.
+func applyEvacuationChanges(s *evacuation.Set, now time.Time, l []routing.EvacuationChange) []evacuation.Transition {
+	var out []evacuation.Transition
+	for _, change := range l {
+		if t, ok := s.Apply(now, change); ok {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// logEvacuations logs and counts transitions.
+func (c *controller) logEvacuations(now time.Time, transitions []evacuation.Transition, isSnapshot bool, e changefeed.Evidence) {
 	for _, t := range transitions {
 		n := 0
 		for _, l := range c.roster.AvailableEndpoints() {
-			for _, e := range l {
-				if e.AvailabilityZone == t.AvailabilityZone {
+			for _, o := range l {
+				if o.AvailabilityZone == t.AvailabilityZone {
 					n++
 				}
 			}
 		}
-		fields := append(originFields(now, u.Evidence), zap.String("availability-zone", t.AvailabilityZone), zap.Int("endpoints", n), zap.Bool("snapshot", u.IsSnapshot))
+		fields := append(originFields(now, e), zap.String("availability-zone", t.AvailabilityZone), zap.Int("endpoints", n), zap.Bool("snapshot", isSnapshot))
 		event := "ended"
 		switch {
 		case !t.Active:
@@ -42,20 +71,11 @@
 	}
 }
 
-// applyEvacuations applies evacuations and returns what changed.
-func (b *balancer) applyEvacuations(now time.Time, l []routing.EvacuationChange, isSnapshot bool) []evacuation.Transition {
+// changeEvacuations changes the evacuations and returns what changed.
+func (b *balancer) changeEvacuations(now time.Time, apply func(*evacuation.Set) []evacuation.Transition) []evacuation.Transition {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []evacuation.Transition
-	if isSnapshot {
-		out = b.evacuations.ApplySnapshot(now, l)
-	} else {
-		for _, change := range l {
-			if t, ok := b.evacuations.Apply(now, change); ok {
-				out = append(out, t)
-			}
-		}
-	}
+	out := apply(b.evacuations)
 	if len(out) == 0 {
 		return nil
 	}
--- a/internal/ingress/publisher.go
+++ b/internal/ingress/publisher.go
@@ -72,20 +72,26 @@
 		case err != nil:
 			p.options.Logger.Warn("roll-out: Failed to decode a published state.", zap.Stringer("position", r.Position), zap.Error(err))
 		case s.Service != "":
-			p.applyStatus(s)
+			p.applyStatus(s, u.Return != nil)
 		}
 	}
 }
 
-// applyStatus applies a published state.
-func (p *publisher) applyStatus(s routing.RolloutStatus) {
+// applyStatus applies a published state. It may be older than the one that this instance knows if it is copied, as the store has come
+// back from an older copy.
+func (p *publisher) applyStatus(s routing.RolloutStatus, copied bool) {
 	if p.published[s.Service] == s {
 		return
 	}
 	p.published[s.Service] = s
 	p.writes.drop(s.Service)
 	p.balancer.mu.Lock()
-	applied := p.balancer.rolloutOf(s.Service).ApplyPublished(s)
+	r, applied := p.balancer.rolloutOf(s.Service), false
+	if copied {
+		applied = r.ApplyCopiedState(s)
+	} else {
+		applied = r.ApplyPublished(s)
+	}
 	p.balancer.mu.Unlock()
 	p.options.Logger.Info("roll-out: Read a published state.", zap.String("service", s.Service), zap.String("version", s.Target),
 		zap.String("state", string(s.State)), zap.Bool("changed", applied))
@@ -118,12 +124,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	published := p.published[s.Service]
-	if published == s || published.Target == s.Target && published.State != routing.RolloutRunning {
+	if published == s || published.Target == s.Target && published.State != routing.RolloutRunning && !p.overrules(published) {
 		return changefeed.Position{}, false
 	}
 	return p.next, p.writes.due(now, s.Service, p.next, spread)
 }
 
+// overrules reports whether this instance knows that the store has lost another final state than the one that is published.
+func (p *publisher) overrules(published routing.RolloutStatus) bool {
+	p.balancer.mu.Lock()
+	defer p.balancer.mu.Unlock()
+	return p.balancer.rolloutOf(published.Service).Overrules(published)
+}
+
 // publishSpread returns the time over which the instances spread their writes of the state of a service's roll-out.
 func (p *publisher) publishSpread(service string) time.Duration {
 	p.balancer.mu.Lock()
@@ -148,6 +161,9 @@
 		p.options.Logger.Warn("roll-out: Failed to publish a state.", zap.String("service", s.Service), zap.String("state", string(s.State)), zap.Error(err))
 		return
 	}
+	p.balancer.mu.Lock()
+	p.balancer.rolloutOf(s.Service).ApplyPublished(s) // the store may lose it before it is read
+	p.balancer.mu.Unlock()
 	p.options.Logger.Info("roll-out: Published a state.", append(p.balancer.describeRollout(time.Now(), s.Service), zap.String("service", s.Service),
 		zap.String("version", s.Target), zap.String("state", string(s.State)), zap.Stringer("position", at))...)
 }
