--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -43,7 +43,7 @@
 	}
 	settled := monotonicNow() + int64(SettleTime)
 	err := r.pool.dialer.CheckRunning(r.ctx, r.conn.address)
-	if err != nil && !(errors.Is(err, errNotKept) && r.pool.hasOpen(r.conn.address, settled)) {
+	if err != nil && (!errors.Is(err, errNotKept) || !r.pool.hasOpen(r.conn.address, settled)) {
 		return err
 	}
 	if EndOf(r.conn.Conn) == EndReset {
