Let peers tell a restarted instance how far a roll-out is

Instances that have seen the order tell their progress with the reports of load now, and the time of day counts only after two seconds without them.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -57,6 +57,10 @@
 	// to the new version, as it may have been rolled back.
 	stateRead bool
 	observed  bool // the order had just been given when this instance received it
+
+	receivedAt     time.Time // when this instance received the order
+	copiedStart    time.Time // start by the time of day that does not count yet; zero if there is none
+	startConfirmed bool      // peers have told the start
 }
 
 // Rollout is the roll-out state of one service. It is not safe for concurrent use.
@@ -119,7 +123,7 @@
 	if r.state == routing.RolloutCompleted && r.order != nil {
 		r.currentVersion = r.order.target
 	}
-	r.order = &activeOrder{service: o.Service, target: o.Target, duration: o.Duration, startedAt: now, observed: observed}
+	r.order = &activeOrder{service: o.Service, target: o.Target, duration: o.Duration, startedAt: now, observed: observed, receivedAt: now}
 	if observed {
 		r.order.startedAt = now.Add(-orderDelay)
 	}
@@ -133,21 +137,6 @@
 // orderDelay is the approximate delay of an order on its way through the store and another instance to this one.
 const orderDelay = 200 * time.Millisecond
 
-// AlignStart moves the start of the roll-out back to the time that another instance reports. An instance that observed the
-// order keeps its own start time, because the clocks of two instances may differ by seconds.
-func (r *Rollout) AlignStart(now time.Time, elapsed time.Duration) {
-	if r.order == nil {
-		return
-	}
-	r.order.startAgreed = true
-	if r.order.observed {
-		return
-	}
-	if t := now.Add(-min(elapsed, r.order.duration)); t.Before(r.order.startedAt) {
-		r.order.startedAt = t
-	}
-}
-
 // SetStateRead records that the published states have been read since the order was given.
 func (r *Rollout) SetStateRead() {
 	if r.order != nil {
@@ -390,6 +379,7 @@
 	if r.order == nil {
 		return "", false
 	}
+	r.settleStart(now)
 	if r.state == routing.RolloutRunning && r.order.stateRead && r.readyToComplete(now) {
 		return routing.RolloutCompleted, true
 	}
--- a/internal/core/canary/pool.go
+++ b/internal/core/canary/pool.go
@@ -94,6 +94,9 @@
 	if !r.Running() {
 		return out
 	}
+	if c := r.observedProgress(now); c.Answers > 0 {
+		out[r.progressKey()] = c
+	}
 	for m, d := range r.evidence.recent {
 		if s := d.value(now); s.Answers >= minReportedAnswers {
 			out[m.key(service, r.order.target)] = s
@@ -132,6 +135,7 @@
 		return false
 	}
 	r.peerCounts = others
+	r.alignToPeers(now, others)
 	if others[r.stopKey()].Answers > 0 {
 		return r.rollBack(stoppedElsewhere)
 	}
