Let the stand-in log return from an older copy and tell its era

The fault copy-age drops the records of the latest time from all streams; their offsets are given out again. Pages of the log tell an era, which rises with each return, and the log's time at which it began. A log that tells none has era 0, so the client works with it as before; there, only an end of the stream below a reader's position shows a return.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -22,9 +22,17 @@
 	Oldest  Offset    `json:"first"` // offset of the oldest record that the log keeps
 	End     Offset    `json:"next"`  // end of the stream: the offset that the next appended record gets
 	Now     time.Time `json:"now"`   // time of the read by the log's clock
+	// Era counts the returns of the log from an older copy of itself, in which records were lost and their offsets became free again. A
+	// log that tells none has era 0.
+	Era      uint64    `json:"era,omitempty"`
+	EraStart time.Time `json:"era-start,omitzero"` // time of the return by the log's clock; no lost record is later
 }
 
-// Log is the platform's append-only log. If Append returns an error, the record may have been appended nevertheless.
+// ReturnedSince reports whether the log has returned from an older copy since a reader that has read up to the offset next in an era.
+func (p Page) ReturnedSince(era uint64, next Offset) bool { return p.Era > era || p.End < next }
+
+// Log is the platform's append-only log. If Append returns an error, the record may have been appended nevertheless. A record may be
+// lost when the log returns from an older copy; Page tells its era.
 type Log interface {
 	Append(ctx context.Context, stream string, data []byte) (Offset, error)
 	Read(ctx context.Context, stream string, from Offset, limit int, wait time.Duration) (Page, error)
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -11,6 +11,8 @@
 	Down        bool          `json:"down,omitempty"`         // calls fail without effect
 	Delay       time.Duration `json:"delay,omitempty"`        // delay of a call before it takes effect
 	LoseReplies int           `json:"lose-replies,omitempty"` // number of calls whose reply is lost after they took effect
+	// CopyAge, if positive, makes the log return once from a copy of this age: later records are lost and their offsets are given out again.
+	CopyAge time.Duration `json:"copy-age,omitempty"`
 }
 
 // faultInjector applies Faults. Each platform service and the plain service embed it.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,13 +23,22 @@
 	lock    sync.Mutex
 	streams map[string]*stream
 	appends int64 // appends that took effect
+
+	era      uint64
+	eraStart time.Time
 }
 
 // stream holds the entries of one stream of the log.
 type stream struct {
 	firstOffset platform.Offset // offset of the first entry that is not trimmed
 	entries     []platform.Entry
-	appended    chan struct{} // closed and replaced by each append
+	appended    chan struct{} // closed and replaced by each append and each return from a copy
+}
+
+// wakeReaders ends the wait of readers; the caller holds the log's lock.
+func (s *stream) wakeReaders() {
+	close(s.appended)
+	s.appended = make(chan struct{})
 }
 
 // NewLog returns an empty log whose entries get their times from now.
@@ -36,6 +46,33 @@
 	return &Log{now: now, streams: map[string]*stream{}}
 }
 
+// SetFaults replaces the configured faults. With CopyAge set, the log returns from the copy at once.
+func (l *Log) SetFaults(f Faults) {
+	l.faultInjector.SetFaults(f)
+	if f.CopyAge > 0 {
+		l.returnFromCopy(f.CopyAge)
+	}
+}
+
+// returnFromCopy removes the records of the latest age and starts an era.
+func (l *Log) returnFromCopy(age time.Duration) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	now := l.now()
+	l.era++
+	l.eraStart = now
+	for _, s := range l.streams {
+		if n := len(s.entries); n > 0 && s.entries[n-1].Time.After(l.eraStart) {
+			l.eraStart = s.entries[n-1].Time
+		}
+		kept := slices.IndexFunc(s.entries, func(e platform.Entry) bool { return e.Time.After(now.Add(-age)) })
+		if kept >= 0 {
+			s.entries = s.entries[:kept:kept]
+		}
+		s.wakeReaders()
+	}
+}
+
 // Append appends a record to a stream and returns its offset.
 func (l *Log) Append(ctx context.Context, name string, data []byte) (platform.Offset, error) {
 	if !l.acceptCall(ctx) {
@@ -44,14 +81,16 @@
 	l.lock.Lock()
 	s := l.stream(name)
 	t := l.now()
+	if t.Before(l.eraStart) {
+		t = l.eraStart
+	}
 	if n := len(s.entries); n > 0 && t.Before(s.entries[n-1].Time) {
 		t = s.entries[n-1].Time
 	}
 	o := s.firstOffset + platform.Offset(len(s.entries))
 	s.entries = append(s.entries, platform.Entry{Offset: o, Time: t, Data: append([]byte(nil), data...)})
 	l.appends++
-	close(s.appended)
-	s.appended = make(chan struct{})
+	s.wakeReaders()
 	l.lock.Unlock()
 	if l.dropReply() {
 		return 0, &platform.Error{Op: "append", Kind: platform.ErrUnavailable, Err: errReplyLost}
@@ -110,7 +149,7 @@
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	s := l.stream(name)
-	p := platform.Page{Oldest: s.firstOffset, End: s.firstOffset + platform.Offset(len(s.entries)), Now: l.now()}
+	p := platform.Page{Oldest: s.firstOffset, End: s.firstOffset + platform.Offset(len(s.entries)), Now: l.now(), Era: l.era, EraStart: l.eraStart}
 	if from >= s.firstOffset && from < p.End {
 		e := s.entries[from-s.firstOffset:]
 		p.Entries = append(p.Entries, e[:min(limit, len(e))]...)
