Don't run an order twice when its claim is lost with a return of the log

When the log returned from an older copy, an instance that started later didn't know the lost claims and let an order run again; an instance that had read further than the copy waited at its old offset, missed the claims that got the lost offsets, and let orders of the new era run again, too. Readers of the ledger now start anew when the era of a page rises or the stream ends before their position. At a log that tells no era, only the instances that see the shorter stream do so.

--- a/internal/ledger/follower.go
+++ b/internal/ledger/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -26,8 +27,12 @@
 // streamReader derives a state from the records of a stream.
 type streamReader interface {
 	// initialise finds the offset to read from and resets the state. It is called again when the log has trimmed records
-	// that were not read yet.
+	// that were not read yet, and after logReturned.
 	initialise(ctx context.Context) error
+	// era returns the log's era at the start of the latest call of initialise.
+	era() uint64
+	// logReturned tells the reader that records of its state may be lost, none of which is later than a time of the log.
+	logReturned(at time.Time)
 	nextOffset() platform.Offset
 	applyPage(p platform.Page) error
 }
@@ -35,9 +40,9 @@
 // followStream passes the records of a stream to a reader until ctx is cancelled.
 func followStream(ctx context.Context, o Options, stream string, r streamReader) {
 	b := newBackoff()
-	started := false
+	f := streamFollower{options: o, stream: stream, reader: r}
 	for ctx.Err() == nil {
-		err := readOnce(ctx, o.Log, stream, r, &started)
+		err := f.readOnce(ctx)
 		if err == nil {
 			b.Reset()
 			continue
@@ -51,20 +56,49 @@
 	}
 }
 
+// streamFollower is the position of a reader in a stream.
+type streamFollower struct {
+	options Options
+	stream  string
+	reader  streamReader
+	started bool
+}
+
 // readOnce initialises the reader if needed and passes one page of records to it.
-func readOnce(ctx context.Context, log platform.Log, stream string, r streamReader, started *bool) error {
-	if !*started {
-		if err := r.initialise(ctx); err != nil {
+func (f *streamFollower) readOnce(ctx context.Context) error {
+	if !f.started {
+		if err := f.reader.initialise(ctx); err != nil {
 			return err
 		}
-		*started = true
+		f.started = true
 	}
-	p, err := readLog(ctx, log, stream, r.nextOffset(), maxReadRecords, pollWait)
-	if err != nil {
-		*started = !isTrimmed(err)
+	era, next := f.reader.era(), f.reader.nextOffset()
+	p, err := readLog(ctx, f.options.Log, f.stream, next, maxReadRecords, pollWait)
+	switch {
+	case err != nil && !isTrimmed(err):
 		return err
+	case p.Era < era:
+		return &Error{Op: "read", Kind: ErrLogUnavailable, Err: fmt.Errorf("page of era %d after %d", p.Era, era)}
+	case p.ReturnedSince(era, next):
+		f.started = false
+		f.options.Scope.Counter("log-returns").Inc(1)
+		f.options.Logger.Warn("ledger: The log has returned from an older copy.", zap.String("stream", f.stream),
+			zap.Uint64("era-before", era), zap.Uint64("era", p.Era), zap.Uint64("offset-before", uint64(next)), zap.Uint64("offset", uint64(p.End)))
+		f.reader.logReturned(returnTime(p, era))
+		return nil
+	case err != nil:
+		f.started = false
+		return err
+	}
+	return f.reader.applyPage(p)
+}
+
+// returnTime returns the log's time of the return that a reader of an era has noticed by a page.
+func returnTime(p platform.Page, era uint64) time.Time {
+	if p.Era > era {
+		return p.EraStart
 	}
-	return r.applyPage(p)
+	return p.Now
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
@@ -109,6 +143,8 @@
 	offset         platform.Offset
 	maxEarlierTime time.Time
 	logTime        time.Time // the log's time when the position was found
+	era            uint64    // of the log when the search for the position began
+	eraStart       time.Time
 }
 
 // findFirstSince returns the position of the first record that is not older than a time, by binary search over the
@@ -135,7 +171,7 @@
 			hi = mid
 		}
 	}
-	position := streamPosition{offset: lo, logTime: bounds.Now}
+	position := streamPosition{offset: lo, logTime: bounds.Now, era: bounds.Era, eraStart: bounds.EraStart}
 	switch {
 	case lo == 0:
 	case lo > first:
--- a/internal/ledger/partition.go
+++ b/internal/ledger/partition.go
@@ -28,6 +28,8 @@
 	mu          sync.Mutex
 	state       *claim.Projection              // nil until the partition is initialised
 	lastLogTime time.Time                      // latest log time that was read
+	logEra      uint64                         // era of the records in state
+	returnedAt  time.Time                      // log time of the latest return from an older copy that was noticed
 	waiting     map[string]chan claim.Decision // receives the decision on an attempt's claim
 	claims      []record.Claim                 // claims to append; dropped when the append fails
 	unconfirmed []record.Claim                 // voids and outcomes to append; kept until the append succeeds
@@ -50,11 +52,34 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state = claim.NewProjection(uint64(position.offset), position.maxEarlierTime)
-	p.lastLogTime = position.logTime
+	p.logReturnedLocked(position.eraStart)
+	skippedUntil := position.maxEarlierTime
+	if p.returnedAt.After(skippedUntil) {
+		skippedUntil = p.returnedAt // a lost claim may have won any key that was issued before
+	}
+	p.state = claim.NewProjection(uint64(position.offset), skippedUntil)
+	p.lastLogTime, p.logEra = position.logTime, position.era
 	return nil
 }
 
+func (p *partition) era() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.logEra
+}
+
+func (p *partition) logReturned(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.logReturnedLocked(at)
+}
+
+func (p *partition) logReturnedLocked(at time.Time) {
+	if at.After(p.returnedAt) {
+		p.returnedAt = at
+	}
+}
+
 func (p *partition) nextOffset() platform.Offset {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -59,6 +59,7 @@
 	holder           string // name under which grants are taken; unique per start and per reset of the state
 	state            *entitlement.Projection
 	returning        bool      // ReturnGrants was called, so no grants are taken any more
+	logEra           uint64    // era of the records in state
 	caughtUp         bool      // the state has reached the end of the stream
 	lastLogTime      time.Time // the log's time when it was last read
 	lastReadTime     time.Time // local time of that read; zero before the first one
@@ -245,10 +246,20 @@
 	defer w.mu.Unlock()
 	w.resetState(from, bounds.Oldest)
 	w.lastLogTime, w.lastReadTime = bounds.Now, w.options.Now()
+	w.logEra = bounds.Era
 	w.notifyWaiters()
 	return nil
 }
 
+func (w *Wallet) era() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.logEra
+}
+
+// logReturned does nothing: initialise drops all grants.
+func (w *Wallet) logReturned(time.Time) {}
+
 // hasUsableSnapshot reports whether the entries hold a snapshot that covers an offset which the stream still keeps.
 // After any other snapshot, records that the reader needs next have been removed.
 func hasUsableSnapshot(entries []platform.Entry, first platform.Offset) bool {
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -111,6 +111,9 @@
 	if err != nil {
 		return Page{}, err
 	}
+	if p.Era > 0 && p.EraStart.IsZero() {
+		p.EraStart = p.Now
+	}
 	if from < p.Oldest {
 		return p, &Error{Op: "read", Kind: ErrTrimmed, Err: fmt.Errorf("offset %d of %s, oldest is %d", from, stream, p.Oldest)}
 	}
