Don't give out a part of a limit twice when its grant is lost with a return of the log

Instances whose grants were lost with a return of the log went on to spend what they held, while others got the same parts again. Periods that began before the start of the log's era are closed now: no reader grants anything in them, as it can't know what was granted in the lost records. What instances hold stays theirs until the period ends; a grant that was not read back counts as spent. Once the held parts are used up, requests of the organisation are refused until the next period.

--- a/internal/core/entitlement/balance.go
+++ b/internal/core/entitlement/balance.go
@@ -241,6 +241,15 @@
 	return true
 }
 
+// KeepHeld keeps the amounts that the balance holds, and from now on takes grants under another holder. It is called when records of the
+// stream may be lost: the grant that is pending counts as spent, and nothing that was taken before is returned.
+func (b *Balance) KeepHeld(holder string) {
+	b.holder = holder
+	for _, lb := range b.balances {
+		lb.pending, lb.returnable, lb.remainingKnown = nil, 0, false
+	}
+}
+
 // Available returns the amount of a limit that is neither reserved nor used.
 func (b *Balance) Available(unit record.Unit, period record.Duration) int64 {
 	if lb := b.balanceFor(unit, period); lb != nil {
--- a/internal/core/entitlement/projection.go
+++ b/internal/core/entitlement/projection.go
@@ -72,6 +72,7 @@
 	hasState         bool      // the state is that of offset 0 or of a snapshot
 	replaceableBelow uint64    // a snapshot below this offset replaces the restored one
 	logTime          time.Time // the time of the latest record
+	closedBefore     time.Time // the time of ClosePeriodsBefore
 	snapshotEnd      uint64    // the offset after the latest snapshot
 	snapshotTime     time.Time // the log time of the latest snapshot
 	state            snapshotState
@@ -92,6 +93,17 @@
 // Ready reports whether the decisions are the same as those of a reader that started at offset 0.
 func (p *Projection) Ready() bool { return p.hasState && p.nextOffset >= p.replaceableBelow }
 
+// ClosePeriodsBefore closes the periods that began before a time: grants in them may be missing from the stream, so what is left of their
+// limits is unknown and nothing more is granted.
+func (p *Projection) ClosePeriodsBefore(t time.Time) {
+	if t.After(p.closedBefore) {
+		p.closedBefore = t
+	}
+	if p.closedBefore.After(p.state.ClosedBefore) {
+		p.state.ClosedBefore = p.closedBefore
+	}
+}
+
 // PeriodIndex returns the index of the period that contains t. Period 0 starts in 1970.
 func PeriodIndex(t time.Time, period record.Duration) int64 {
 	n := t.UnixNano()
@@ -174,6 +186,7 @@
 		}
 	}
 	p.state, p.hasState, p.nextOffset, p.replaceableBelow = restored, true, s.Covers, 0
+	p.ClosePeriodsBefore(p.closedBefore)
 	if !s.Since.IsZero() {
 		p.replaceableBelow = offset + 1
 	}
--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/entitlement"
 	"github.com/cassiaspoke/cassiaspoke/internal/standin"
+	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
 // Guards against an order that runs twice because the claim of its first attempt was lost when the log returned from an older copy, and
@@ -40,8 +42,7 @@
 					}
 				}
 				time.Sleep(time.Second)
-				log.SetFaults(standin.Faults{CopyAge: 5 * time.Second})
-				log.SetFaults(standin.Faults{})
+				returnLog(log)
 				for range tc.regrow {
 					if _, err := log.Append(ctx, second.partitionFor(k).stream, []byte("{}")); err != nil {
 						t.Fatal(err)
@@ -75,3 +76,76 @@
 		})
 	}
 }
+
+// returnLog lets the log return from a copy that is 5 s old.
+func returnLog(log *standin.Log) {
+	log.SetFaults(standin.Faults{CopyAge: 5 * time.Second})
+	log.SetFaults(standin.Faults{})
+}
+
+// Guards against a part of a limit that is given out twice because its grant was lost when the log returned from an older copy, against
+// parts that their holders lose, and against a limit that stays closed in later periods.
+func TestWalletReturnedLog(t *testing.T) {
+	for name, tc := range map[string]struct {
+		before int64 // requests of each instance before the copy is made
+		after  int64 // requests of each instance between the copy and the return
+		regrow int   // records after the return, so that the stream grows past the position of readers
+	}{
+		"all lost":      {after: 30},
+		"some lost":     {before: 5, after: 25},
+		"regrown":       {before: 5, after: 25, regrow: 50},
+		"few requests":  {after: 1},
+		"nothing after": {before: 30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() })) {
+				limited := organisationWithLimit(100)
+				wallets := []*Wallet{NewWallet(ctx, o, WalletSettings{}), NewWallet(ctx, o, WalletSettings{})}
+				wait(wallets[0])
+				wait(wallets[1])
+				var n int64
+				spend := func(times int64) {
+					for range times {
+						for _, w := range wallets {
+							if r, err := w.Reserve(ctx, limited, 1, entitlement.Amounts{Requests: 1}); err == nil {
+								r.Settle(entitlement.Amounts{Requests: 1})
+								n++
+							}
+						}
+					}
+				}
+				spend(tc.before)
+				time.Sleep(20 * time.Second)
+				spend(tc.after)
+				var held int64
+				for _, w := range wallets {
+					held += heldBy(w, limited.Limits[0])
+				}
+				returnLog(log)
+				for range tc.regrow {
+					if _, err := log.Append(ctx, grantStream, []byte("{}")); err != nil {
+						t.Fatal(err)
+					}
+				}
+				late := NewWallet(ctx, o, WalletSettings{})
+				wait(late)
+				spent := n
+				n += spendLimit(ctx, t, limited, append(wallets, late)...)
+				if n > 100 || n < spent+held {
+					t.Errorf("%d of 100 requests, of which %d before the return, when %d were held", n, spent, held)
+				}
+				time.Sleep(time.Hour)
+				if n := spendLimit(ctx, t, limited, append(wallets, late)...); n != 100 {
+					t.Errorf("%d of 100 requests in the next period", n)
+				}
+			})
+		})
+	}
+}
+
+// heldBy returns what a wallet holds of a limit.
+func heldBy(w *Wallet, l record.Limit) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.byOrganisation["lys"].Available(l.Unit, l.Period)
+}
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -60,6 +60,8 @@
 	state            *entitlement.Projection
 	returning        bool      // ReturnGrants was called, so no grants are taken any more
 	logEra           uint64    // era of the records in state
+	returnedAt       time.Time // log time of the latest return from an older copy that was noticed
+	keepHeld         bool      // the next initialisation follows a return, after which holders keep their parts
 	caughtUp         bool      // the state has reached the end of the stream
 	lastLogTime      time.Time // the log's time when it was last read
 	lastReadTime     time.Time // local time of that read; zero before the first one
@@ -244,7 +246,16 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	held := w.byOrganisation
 	w.resetState(from, bounds.Oldest)
+	if w.keepHeld {
+		w.byOrganisation, w.keepHeld = held, false
+		for _, balance := range held {
+			balance.KeepHeld(w.holder)
+		}
+	}
+	w.noteReturn(bounds.EraStart)
+	w.state.ClosePeriodsBefore(w.returnedAt)
 	w.lastLogTime, w.lastReadTime = bounds.Now, w.options.Now()
 	w.logEra = bounds.Era
 	w.notifyWaiters()
@@ -257,8 +268,18 @@
 	return w.logEra
 }
 
-// logReturned does nothing: initialise drops all grants.
-func (w *Wallet) logReturned(time.Time) {}
+func (w *Wallet) logReturned(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noteReturn(at)
+	w.keepHeld = true
+}
+
+func (w *Wallet) noteReturn(at time.Time) {
+	if at.After(w.returnedAt) {
+		w.returnedAt = at
+	}
+}
 
 // hasUsableSnapshot reports whether the entries hold a snapshot that covers an offset which the stream still keeps.
 // After any other snapshot, records that the reader needs next have been removed.
