Don't report an order as not run when the records of its key weren't all read

An attempt whose claim can't be decided, as the reader lacks earlier records of the key, ended as not run, though an earlier attempt may have run the order. A caller that believes it sends the order again under another key. It ends as of unknown outcome now. Such claims were rare before: they took an instance that started on a trimmed stream; with a return of the log from an older copy all keys of the time before are of that kind.

TestClaimerReturnedLog failed before in two of its four cases with the new check: 'the order ran, but its second attempt was told: ledger: claim: log-unavailable'.

--- a/internal/core/claim/attempt.go
+++ b/internal/core/claim/attempt.go
@@ -190,6 +190,10 @@
 		// ends as outcome-unknown. It never runs twice.
 		a.phase = PhaseClosed
 		return Output{Result: BadKey}
+	case Incomplete:
+		// A record that the reader doesn't have may have let an earlier attempt run the key.
+		a.phase = PhaseClosed
+		return Output{AppendUntilStored: a.newRecord(record.ClaimVoid), Result: OutcomeUnknown}
 	}
 	return a.closeUnsent()
 }
--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -10,8 +11,8 @@
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
 
-// Guards against an order that runs twice because the claim of its first attempt was lost when the log returned from an older copy, and
-// against instances that claim no key any more after that.
+// Guards against an order that runs twice, or is reported as not run, because the claim of its first attempt was lost when the log
+// returned from an older copy, and against instances that claim no key any more after that.
 func TestClaimerReturnedLog(t *testing.T) {
 	for name, tc := range map[string]struct {
 		following bool          // the second instance has read the lost claim
@@ -50,8 +51,13 @@
 				}
 				time.Sleep(tc.wait)
 				k.Deadline = time.Now().Add(30 * time.Second)
-				if again, err := second.ClaimKey(ctx, k); err == nil && again.BeginSend() == nil {
+				again, err := second.ClaimKey(ctx, k)
+				var e *Error
+				switch {
+				case err == nil && again.BeginSend() == nil:
 					t.Error("the order may be sent twice")
+				case errors.As(err, &e) && e.NotRun():
+					t.Errorf("the order ran, but its second attempt was told: %v", err)
 				}
 				time.Sleep(2 * time.Minute)
 				late := NewClaimer(ctx, o, ClaimSettings{})
