Append a bill again when its record is lost with a return of the log

A bill left the buffer of its holder, and its copy that of the witness, once the log had confirmed it. When the log then returned from an older copy without the record, nobody was charged for the answer. Both keep a confirmed bill for two minutes now. When the wallet, which always reads, notices a return, the holder appends its bills again and the witness holds its copies again, which it appends if the holder doesn't release them. Where the record was kept, readers discard the second one, as they did for repeated appends. A reply that arrives after the return confirms nothing.

TestBillerReturnedLog failed before in four of its five cases (with a method LogReturned that does nothing): 'exported map[]'. Its case of a late reply fails without the count of returns alone, too.

--- a/internal/core/bill/witness_buffer.go
+++ b/internal/core/bill/witness_buffer.go
@@ -37,11 +37,16 @@
 	return nil
 }
 
-// Remove removes the copies of bills that are in the log.
-func (w *WitnessBuffer) Remove(ids []record.BillID) {
+// Remove removes and returns the copies of bills that are in the log.
+func (w *WitnessBuffer) Remove(ids []record.BillID) []record.Bill {
+	var removed []record.Bill
 	for _, k := range ids {
-		delete(w.bills, k)
+		if b, ok := w.bills[k]; ok {
+			removed = append(removed, b.bill)
+			delete(w.bills, k)
+		}
 	}
+	return removed
 }
 
 // TakeUnreleased removes and returns the copies that their holders did not release in time. The caller appends them as
--- a/internal/instance/ledger.go
+++ b/internal/instance/ledger.go
@@ -46,12 +46,15 @@
 	opts := ledger.Options{
 		Log: batched, Instance: o.ID, Logger: o.Logger, Scope: o.Scope, Recorder: ledgerRecorder{o.EventWriter},
 	}
+	biller := ledger.NewBiller(ctx, opts, witnessAdapter{w}, o.Ledger.Bills)
+	walletOptions := opts
+	walletOptions.OnReturn = biller.LogReturned
 	return &ledgerAdapter{
 		log:    o.Log,
 		logger: o.Logger, flushTimeout: o.Ledger.FlushTimeout,
 		claimer:          ledger.NewClaimer(ctx, opts, o.Ledger.Claims),
-		biller:           ledger.NewBiller(ctx, opts, witnessAdapter{w}, o.Ledger.Bills),
-		wallet:           ledger.NewWallet(ctx, opts, o.Ledger.Wallets),
+		biller:           biller,
+		wallet:           ledger.NewWallet(ctx, walletOptions, o.Ledger.Wallets),
 		maxBufferedBills: o.Ledger.Bills.MaxHeldBills,
 	}
 }
--- a/internal/ledger/bill_check.go
+++ b/internal/ledger/bill_check.go
@@ -61,6 +61,11 @@
 			}
 			b.mu.Lock()
 			confirmed := b.ownBills.ConfirmRead(decisions)
+			found := make([]record.Bill, len(decisions))
+			for n, d := range decisions {
+				found[n] = d.Bill
+			}
+			b.keepConfirmed(confirmed, found)
 			b.mu.Unlock()
 			b.confirmBills(confirmed)
 		}
--- a/internal/ledger/biller.go
+++ b/internal/ledger/biller.go
@@ -38,6 +38,7 @@
 	RetryDelay       time.Duration // time after which an unconfirmed append is repeated
 	AdoptAfter       time.Duration // time after which a witness appends a copy that was not released
 	BatchSize        int           // maximum number of bills in one append
+	KeepConfirmed    time.Duration // time for which bills are kept after they were confirmed; see Biller.LogReturned
 }
 
 func (s BillSettings) withDefaults() BillSettings {
@@ -49,6 +50,7 @@
 	setDefault(&s.AppendInterval, 200*time.Millisecond)
 	setDefault(&s.RetryDelay, 2*time.Second)
 	setDefault(&s.AdoptAfter, 30*time.Second)
+	setDefault(&s.KeepConfirmed, 2*time.Minute)
 	if s.MaxHeldBills == 0 {
 		s.MaxHeldBills = 20_000
 	}
@@ -75,6 +77,9 @@
 	ownBills      *bill.Buffer
 	witnessCopies *bill.WitnessBuffer
 	confirmations map[record.BillID]chan struct{} // each channel is closed once its bill is in the log
+	confirmed     bill.ConfirmedBuffer            // own bills
+	released      bill.ConfirmedBuffer            // copies of other instances' bills
+	returns       int                             // calls of LogReturned
 }
 
 // NewBiller returns a Biller whose goroutines end when ctx is cancelled; witness may be nil.
@@ -86,6 +91,8 @@
 		witnessCopies: bill.NewWitnessBuffer(s.MaxWitnessCopies, s.AdoptAfter),
 		confirmations: map[record.BillID]chan struct{}{},
 		appendNow:     make(chan struct{}, 1),
+		confirmed:     bill.NewConfirmedBuffer(s.MaxHeldBills, s.KeepConfirmed),
+		released:      bill.NewConfirmedBuffer(s.MaxWitnessCopies, s.KeepConfirmed),
 	}
 	b.spawn = b.wg.Go
 	b.spawn(b.appendLoop)
@@ -170,10 +177,31 @@
 func (b *Biller) ReleaseBills(_ context.Context, ids []record.BillID) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.witnessCopies.Remove(ids)
+	b.released.Add(b.options.Now(), b.witnessCopies.Remove(ids))
 	return nil
 }
 
+// LogReturned tells the biller that the log has returned from an older copy, in which the bills that were confirmed last may be missing.
+// It appends them again, and holds their copies again in case that their holder doesn't; readers of the stream discard a second record
+// of a bill.
+func (b *Biller) LogReturned() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Now()
+	b.returns++
+	again := b.confirmed.TakeAll(now)
+	for _, l := range again {
+		b.ownBills.Add(now, l)
+	}
+	for _, l := range b.released.TakeAll(now) {
+		if err := b.witnessCopies.Add(now, l); err != nil {
+			b.ownBills.Add(now, l)
+		}
+	}
+	b.options.Scope.Counter("bills-again").Inc(int64(len(again)))
+	b.options.Logger.Warn("ledger: The log has returned from an older copy; the bills that were confirmed last are appended again.", zap.Int("bills", len(again)))
+}
+
 // FlushBills appends all bills and witness copies and waits until they are in the log; it is called on a planned stop.
 func (b *Biller) FlushBills(ctx context.Context) error {
 	b.mu.Lock()
@@ -262,6 +290,7 @@
 		b.ownBills.Add(now, l)
 	}
 	fresh, needCheck := b.ownBills.TakeDue(now, b.settings.BatchSize)
+	returns := b.returns
 	b.options.Scope.Gauge("bills-held").Update(float64(b.ownBills.Len()))
 	b.mu.Unlock()
 	if len(needCheck) > 0 {
@@ -275,13 +304,39 @@
 	if err := b.appendBatch(fresh, nil); err != nil {
 		return err
 	}
-	b.mu.Lock()
-	confirmed := b.ownBills.ConfirmAppended(b.options.Now(), fresh)
-	b.mu.Unlock()
-	b.confirmBills(confirmed)
+	b.confirmBills(b.confirmAppended(fresh, returns))
 	return nil
 }
 
+// confirmAppended confirms bills by the log's reply to their append, which began after a number of returns. If the log has returned since,
+// the bills may be lost.
+func (b *Biller) confirmAppended(appended []record.Bill, returns int) []record.BillID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.returns != returns {
+		return nil
+	}
+	ids := b.ownBills.ConfirmAppended(b.options.Now(), appended)
+	b.keepConfirmed(ids, appended)
+	return ids
+}
+
+// keepConfirmed keeps the bills of a list that were confirmed; the caller holds the lock.
+func (b *Biller) keepConfirmed(ids []record.BillID, bills []record.Bill) {
+	remaining := make(map[record.BillID]struct{}, len(ids))
+	for _, id := range ids {
+		remaining[id] = struct{}{}
+	}
+	kept := make([]record.Bill, 0, len(ids))
+	for _, l := range bills {
+		if _, ok := remaining[l.ID()]; ok {
+			delete(remaining, l.ID())
+			kept = append(kept, l)
+		}
+	}
+	b.confirmed.Add(b.options.Now(), kept)
+}
+
 func (b *Biller) appendBatch(bills []record.Bill, check *record.BillCheck) error {
 	data, err := record.BillBatch{ID: uuid.NewString(), Check: check, Bills: bills}.MarshalBinary()
 	if err != nil {
--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -22,6 +22,7 @@
 	Logger   *zap.Logger
 	Scope    tally.Scope
 	Recorder Recorder
+	OnReturn func() // called by a wallet when the log has returned from an older copy; may be nil
 }
 
 type noRecorder struct{}
--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cassiaspoke/cassiaspoke/internal/core/entitlement"
+	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/internal/standin"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
 )
@@ -155,3 +156,91 @@
 	defer w.mu.Unlock()
 	return w.byOrganisation["lys"].Available(l.Unit, l.Period)
 }
+
+// releasingWitness is a Witness and a WitnessReleaser.
+type releasingWitness struct{ *Biller }
+
+// returningLog returns from an older copy after an append, before its reply arrives.
+type returningLog struct {
+	*standin.Log
+	returnNow func(stream string) bool
+	noticed   func() // returns when the instance has noticed the return
+}
+
+// Append appends a record.
+func (l returningLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	o, err := l.Log.Append(ctx, stream, data)
+	if l.returnNow(stream) {
+		time.Sleep(time.Second)
+		returnLog(l.Log)
+		l.noticed()
+	}
+	return o, err
+}
+
+// Guards against a bill that is lost because the log lost its record with a return from an older copy, while its holder or its witness
+// lives, and against a bill that counts twice.
+func TestBillerReturnedLog(t *testing.T) {
+	for name, tc := range map[string]struct {
+		kill      bool          // the holder dies before the return
+		wait      time.Duration // between the confirmation and the return
+		regrow    int           // records after the return, so that the stream grows past the lost record
+		lateReply bool          // the reply to the append arrives after the return
+	}{
+		"holder lives":          {},
+		"holder lives, regrown": {regrow: 10},
+		"witness lives":         {kill: true},
+		"record kept":           {wait: 30 * time.Second},
+		"late reply":            {lateReply: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() })) {
+				follow := func(ctx context.Context, b *Biller) {
+					o := o
+					o.Log, o.OnReturn = log, b.LogReturned
+					w := NewWallet(ctx, o, WalletSettings{})
+					wait(b)
+					wait(w)
+				}
+				witness := NewBiller(ctx, o, nil, BillSettings{})
+				follow(ctx, witness)
+				late := tc.lateReply
+				o.Log = returningLog{log, func(stream string) bool {
+					r := late && stream == billStream
+					late = late && !r
+					return r
+				}, func() { time.Sleep(10 * time.Millisecond) }}
+				holderCtx, kill := context.WithCancel(ctx)
+				defer kill()
+				holder := NewBiller(holderCtx, o, releasingWitness{witness}, BillSettings{})
+				follow(holderCtx, holder)
+				l := record.Bill{Organisation: "lys", Key: newKey(t), Cost: 7}
+				if err := holder.RecordBill(ctx, l); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2*time.Second + tc.wait)
+				if n := holder.HeldBills(); n != 0 && !tc.lateReply {
+					t.Fatalf("%d bills are held after the confirmation", n)
+				}
+				if tc.kill {
+					kill()
+				}
+				if !tc.lateReply {
+					returnLog(log)
+				}
+				for range tc.regrow {
+					if _, err := log.Append(ctx, billStream, []byte("x")); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(time.Minute)
+				if n := exportCounts(t, log, 0); len(n) != 1 || n[l.ID()] != 1 {
+					t.Errorf("exported %v", n)
+				}
+				if n := witness.HeldBills(); n != 0 {
+					t.Errorf("the witness holds %d bills", n)
+				}
+			})
+		})
+	}
+}
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -270,9 +270,12 @@
 
 func (w *Wallet) logReturned(at time.Time) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.noteReturn(at)
 	w.keepHeld = true
+	w.mu.Unlock()
+	if w.options.OnReturn != nil {
+		w.options.OnReturn()
+	}
 }
 
 func (w *Wallet) noteReturn(at time.Time) {
