Agree on the configuration after a return of the log from an older copy

An instance that had read further than the copy waited at its old offset: it kept its configuration, but never saw the changes that got the lost offsets, its own included, and later ones were applied to a state that no other instance had. An instance that started later lacked the lost changes. Both counted as up to date. Instances now read the config stream anew when the log's era rises or the stream ends before their position. Those that have read lost changes of the last two minutes append them again, based on the revision that the object has now, so that the first copy counts and a newer change of an operator wins; the configuration in force is replaced only then. Entries tell their era, and revisions and the positions that peers compare rise with it; in era 0 they are the offsets, as before.

--- a/internal/catalog/error.go
+++ b/internal/catalog/error.go
@@ -14,6 +14,7 @@
 	ErrConflict       ErrorKind = "conflict"        // the change is based on an outdated revision of its object
 	ErrRefused        ErrorKind = "refused"         // the change is invalid or its object is in the wrong state
 	ErrOutcomeUnknown ErrorKind = "outcome-unknown" // the change may still be accepted
+	ErrLogUnavailable ErrorKind = "log-unavailable" // the log can't be read now
 	ErrNoSnapshot     ErrorKind = "no-snapshot"     // a snapshot is missing or invalid
 )
 
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -55,6 +55,8 @@
 
 	mu      sync.Mutex
 	pending map[string]chan publishResult // by ID of the change
+
+	recent []recentChange // oldest first; used by the goroutine of Run alone
 }
 
 // publishResult is the result of a published change once its record has been read back from the log.
@@ -112,19 +114,27 @@
 // poll reads one page of the stream, applies its records, and writes a snapshot if one is due.
 func (f *Follower) poll(ctx context.Context) error {
 	start := time.Now()
-	p, err := f.readPage(ctx, platform.Offset(f.Catalog().Next), f.settings.ReadWait)
-	var e *platform.Error
-	if errors.As(err, &e) && e.Kind == platform.ErrTrimmed {
-		return f.restoreSnapshot(ctx, p.Oldest)
-	}
-	if err != nil {
+	current := f.Catalog()
+	p, err := f.readPage(ctx, platform.Offset(current.Next), f.settings.ReadWait)
+	switch {
+	case err != nil && !isTrimmed(err):
+		return err
+	case p.Era < current.Era:
+		return errEarlierEra
+	case p.ReturnedSince(current.Era, platform.Offset(current.Next)):
+		return f.followReturn(ctx, current, p)
+	case err != nil:
+		c, err := f.restoreSnapshot(ctx, p)
+		if err == nil {
+			f.install(c)
+		}
 		return err
 	}
 	for _, entry := range p.Entries {
-		f.apply(entry)
+		f.apply(p.Now, entry)
 	}
 	if f.onRead != nil {
-		f.onRead(start, p.End)
+		f.onRead(start, platform.Offset(config.Position(p.Era, uint64(p.End))))
 	}
 	if f.Catalog().Next >= uint64(p.End) {
 		f.lastRead.Store(start.UnixNano())
@@ -142,38 +152,58 @@
 	return f.log.Read(ctx, ConfigStream, from, pageSize, wait)
 }
 
-// restoreSnapshot installs the first snapshot in the log that covers all records that were trimmed.
-func (f *Follower) restoreSnapshot(ctx context.Context, first platform.Offset) error {
-	for o := first; ; {
+// restoreSnapshot returns the first snapshot in the log that covers all records that were trimmed, as a page of the log tells.
+func (f *Follower) restoreSnapshot(ctx context.Context, trimmed platform.Page) (*config.Catalog, error) {
+	for o := trimmed.Oldest; ; {
 		p, err := f.readPage(ctx, o, 0)
-		if err != nil {
-			return err
+		switch {
+		case err != nil:
+			return nil, err
+		case p.Era != trimmed.Era:
+			return nil, errEarlierEra
 		}
 		for _, entry := range p.Entries {
 			var ch record.Change
 			if json.Unmarshal(entry.Data, &ch) != nil || ch.Kind != record.SnapshotWritten || ch.Covers < uint64(p.Oldest) {
 				continue
 			}
-			return f.RestoreSnapshot(ch)
+			c, err := config.RestoreCatalog(ch)
+			if err != nil {
+				return nil, &Error{Op: "restore", Kind: ErrNoSnapshot, Err: err}
+			}
+			if c.Era != entry.Era {
+				continue // its writer did not know yet that the log had returned
+			}
+			c.Era = p.Era
+			return c, nil
 		}
 		o += platform.Offset(len(p.Entries))
 		if len(p.Entries) == 0 {
-			return &Error{Op: "restore", Kind: ErrNoSnapshot, Err: errors.New("the log keeps no usable snapshot")}
+			return nil, &Error{Op: "restore", Kind: ErrNoSnapshot, Err: errors.New("the log keeps no usable snapshot")}
 		}
 	}
 }
 
-// apply applies the change in an entry to the catalog and reports the result to its publisher.
-func (f *Follower) apply(entry platform.Entry) {
+// apply applies the change in an entry to the catalog in force and reports the result to its publisher. The entry was read at a time of
+// the log.
+func (f *Follower) apply(now time.Time, entry platform.Entry) {
+	c, ch, err := f.applyTo(f.Catalog(), now, entry)
+	f.install(c)
+	f.resolve(c, ch, err)
+}
+
+// applyTo returns the catalog that the entry makes of another one, with the entry's change and the error of the catalog that rejected it.
+func (f *Follower) applyTo(c *config.Catalog, now time.Time, entry platform.Entry) (*config.Catalog, record.Change, error) {
 	var ch record.Change
 	if err := json.Unmarshal(entry.Data, &ch); err != nil {
 		f.logger.Warn("catalog: Skipped a record that can't be decoded.", zap.Uint64("offset", uint64(entry.Offset)), zap.Error(err))
-		f.install(f.Catalog().SkipOffset(uint64(entry.Offset)))
-		return
+		return c.SkipOffset(uint64(entry.Offset)), record.Change{}, nil
 	}
-	c, err := f.Catalog().Apply(uint64(entry.Offset), entry.Time, ch)
-	f.install(c)
-	f.resolve(ch, c.Next, err)
+	next, err := c.ApplyRecord(entry.Era, uint64(entry.Offset), entry.Time, ch)
+	if err == nil && next != c && ch.Kind != record.SnapshotWritten {
+		f.keepRecent(now, entry, ch)
+	}
+	return next, ch, err
 }
 
 // install replaces the catalog in force unless that one is newer: a peer's snapshot may arrive while the records of a
@@ -182,7 +212,7 @@
 	f.installMu.Lock()
 	defer f.installMu.Unlock()
 	current := f.catalog.Load()
-	if c == current || c.Next < current.Next {
+	if c == current || c.Position() < current.Position() {
 		return
 	}
 	f.catalog.Store(c)
@@ -193,25 +223,25 @@
 
 // resolve sends the result of a change to its publisher. If the record was appended twice, the result of the first copy
 // counts, because the second one is based on an outdated revision.
-func (f *Follower) resolve(ch record.Change, revision uint64, err error) {
+func (f *Follower) resolve(c *config.Catalog, ch record.Change, err error) {
 	f.mu.Lock()
 	result, ok := f.pending[ch.ID]
 	delete(f.pending, ch.ID)
 	f.mu.Unlock()
 	if ok {
-		result <- publishResult{revision, f.publishError(ch, err)}
+		result <- publishResult{c.LastRevision(), publishError(c, ch, err)}
 	}
 }
 
-// publishError returns the error of a change that the catalog rejected with err.
-func (f *Follower) publishError(ch record.Change, err error) error {
+// publishError returns the error of a change that a catalog rejected with err.
+func publishError(c *config.Catalog, ch record.Change, err error) error {
 	if err == nil {
 		return nil
 	}
 	var e *config.Error
 	if errors.As(err, &e) && e.Kind == config.ErrStaleBase {
 		conflict := &Error{Op: "publish", Kind: ErrConflict, Err: err}
-		if h := f.Catalog().History[config.ObjectKey(ch.Kind, ch.Name)]; len(h) > 0 {
+		if h := c.History[config.ObjectKey(ch.Kind, ch.Name)]; len(h) > 0 {
 			conflict.Winner = h[len(h)-1]
 		}
 		return conflict
--- a/internal/core/config/catalog.go
+++ b/internal/core/config/catalog.go
@@ -26,7 +26,7 @@
 	StateWithdrawn  State = "withdrawn"
 )
 
-// Revised holds the revision of an object, which is the offset of the record that last changed it plus one.
+// Revised holds the revision of an object, which is the position after the record that last changed it; see Position.
 type Revised struct {
 	Revision uint64 `json:"revision"`
 }
@@ -68,14 +68,16 @@
 // Catalog is the configuration after all records with offsets below Next. A published catalog is never modified.
 type Catalog struct {
 	Next              uint64                  `json:"next"`
-	NextAfterSnapshot uint64                  `json:"-"` // offset of the latest snapshot record, plus one
-	SnapshotTime      time.Time               `json:"-"` // log time of that record, or of the first record if there is no snapshot
+	Era               uint64                  `json:"era,omitempty"` // the log's era in which Next is a position
+	NextAfterSnapshot uint64                  `json:"-"`             // offset of the latest snapshot record, plus one
+	SnapshotTime      time.Time               `json:"-"`             // log time of that record, or of the first record if there is no snapshot
 	Organisations     map[string]Organisation `json:"organisations"`
 	Profiles          map[string]Profile      `json:"profiles"`
 	Versions          map[string]Version      `json:"versions"`
 	Zones             map[string]Zone         `json:"zones"` // availability zones that were ever evacuated
 	History           map[string][]Revision   `json:"history"`
 
+	recordEra         uint64            // the log's era at the append of the record that was applied last
 	organisationByKey map[string]string // by hash of the API key
 	modelsByProfile   map[string][]ModelVersions
 }
@@ -145,12 +147,39 @@
 		return &n, err
 	}
 	n.History = maps.Clone(c.History)
-	h := append(slices.Clone(n.History[object]), Revision{n.Next, ch.Kind, ch.Operator, ch.Reason, t, ch.ID})
+	h := append(slices.Clone(n.History[object]), Revision{n.LastRevision(), ch.Kind, ch.Operator, ch.Reason, t, ch.ID})
 	n.History[object] = h[max(0, len(h)-maxHistory):]
 	n.buildIndexes()
 	return &n, nil
 }
 
+// ApplyRecord works like Apply for a record that was appended in an era of the log.
+func (c *Catalog) ApplyRecord(era, offset uint64, t time.Time, ch record.Change) (*Catalog, error) {
+	if offset < c.Next {
+		return c, nil
+	}
+	n := *c
+	n.recordEra = era
+	return n.Apply(offset, t, ch)
+}
+
+// eraShift is the number of bits of a position that hold an offset.
+const eraShift = 40
+
+// Position returns an offset as a number that rises with the log's era, in which an offset may be given out again. In era 0 it is the offset.
+func Position(era, offset uint64) uint64 { return era<<eraShift | offset }
+
+// Position returns the position up to which the records are applied.
+func (c *Catalog) Position() uint64 { return Position(c.Era, c.Next) }
+
+// LastRevision returns the revision of the record that was applied last, whether or not it changed an object.
+func (c *Catalog) LastRevision() uint64 { return Position(c.recordEra, c.Next) }
+
+// HasChange reports whether a change is among the latest ones of its object.
+func (c *Catalog) HasChange(object, id string) bool {
+	return slices.ContainsFunc(c.History[object], func(r Revision) bool { return r.ID == id })
+}
+
 // SkipOffset returns a catalog that has moved past an offset whose record cannot be decoded.
 func (c *Catalog) SkipOffset(offset uint64) *Catalog {
 	if offset != c.Next {
@@ -170,7 +199,7 @@
 // applyChange validates a change, applies it to c and returns the key of the object. It copies a map before it changes it.
 func (c *Catalog) applyChange(ch record.Change) (string, error) {
 	object := ObjectKey(ch.Kind, ch.Name)
-	if r := c.currentRevision(ch); r != ch.Base {
+	if r := c.CurrentRevision(ch); r != ch.Base {
 		return object, newError(string(ch.Kind), ErrStaleBase, "%s is at revision %d, base is %d", object, r, ch.Base)
 	}
 	switch ch.Kind {
@@ -179,13 +208,13 @@
 			return object, err
 		}
 		c.Organisations = maps.Clone(c.Organisations)
-		c.Organisations[ch.Name] = Organisation{*ch.Organisation, Revised{c.Next}}
+		c.Organisations[ch.Name] = Organisation{*ch.Organisation, Revised{c.LastRevision()}}
 	case record.ProfilePublish:
 		if err := validateProfile(ch); err != nil {
 			return object, err
 		}
 		c.Profiles = maps.Clone(c.Profiles)
-		c.Profiles[ch.Name] = Profile{*ch.Profile, Revised{c.Next}}
+		c.Profiles[ch.Name] = Profile{*ch.Profile, Revised{c.LastRevision()}}
 	case record.ZoneEvacuate, record.ZoneRestore:
 		return object, c.changeZone(ch)
 	default:
@@ -194,8 +223,8 @@
 	return object, nil
 }
 
-// currentRevision returns the revision of the object that a change is for.
-func (c *Catalog) currentRevision(ch record.Change) uint64 {
+// CurrentRevision returns the revision of the object that a change is for.
+func (c *Catalog) CurrentRevision(ch record.Change) uint64 {
 	switch ch.Kind {
 	case record.OrganisationPublish:
 		return c.Organisations[ch.Name].Revision
--- a/internal/core/config/version.go
+++ b/internal/core/config/version.go
@@ -102,13 +102,13 @@
 
 // activate marks a version as active and ends its roll-out.
 func (c *Catalog) activate(v *Version) {
-	v.State, v.Activated = StateActive, c.Next
+	v.State, v.Activated = StateActive, c.LastRevision()
 	v.Stages, v.Stage = nil, 0
 }
 
 // setVersion stores a version with a new revision in a copy of the map.
 func (c *Catalog) setVersion(v Version) {
-	v.Revision = c.Next
+	v.Revision = c.LastRevision()
 	c.Versions = maps.Clone(c.Versions)
 	c.Versions[v.Name] = v
 }
--- a/internal/core/config/zone.go
+++ b/internal/core/config/zone.go
@@ -38,6 +38,6 @@
 		return newError(op, ErrWrongState, "availability zone %s is not evacuated", ch.Name)
 	}
 	c.Zones = maps.Clone(c.Zones)
-	c.Zones[ch.Name] = Zone{Revised: Revised{c.Next}, Evacuated: evacuate, Reason: ch.Reason}
+	c.Zones[ch.Name] = Zone{Revised: Revised{c.LastRevision()}, Evacuated: evacuate, Reason: ch.Reason}
 	return nil
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -229,7 +229,7 @@
 func (i *Instance) applyCatalog(c *config.Catalog) {
 	i.control.applyCatalog(c)
 	i.options.EventWriter.Write(timeline.Event{Component: "instance", Name: "configuration", Fields: map[string]string{"next": strconv.FormatUint(c.Next, 10)}})
-	i.peers.ReportApplied(platform.Offset(c.Next))
+	i.peers.ReportApplied(platform.Offset(c.Position()))
 }
 
 // recordLogRead tells the peer service that this instance has read the config stream.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,6 +14,7 @@
 	Offset Offset    `json:"offset"`
 	Time   time.Time `json:"time"` // of the append by the log's clock; never decreases within a stream
 	Data   []byte    `json:"data"`
+	Era    uint64    `json:"era,omitempty"` // the log's era at the append; see Page
 }
 
 // Page is the result of a read.
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -88,7 +88,7 @@
 		t = s.entries[n-1].Time
 	}
 	o := s.firstOffset + platform.Offset(len(s.entries))
-	s.entries = append(s.entries, platform.Entry{Offset: o, Time: t, Data: append([]byte(nil), data...)})
+	s.entries = append(s.entries, platform.Entry{Offset: o, Time: t, Data: append([]byte(nil), data...), Era: l.era})
 	l.appends++
 	s.wakeReaders()
 	l.lock.Unlock()
