Don't grant a lease twice when its record is lost with a return of the log

Two instances held a duty at a time after the log had returned from an older copy: the readers of the leases stream missed leases that got lost offsets, and an instance that started later knew none. The tokens of new leases were lower than those before, which endpoints refuse. Readers now start anew when the era rises or the stream ends before their position, with a state that grants nothing before lease.MaxTerm has passed since, as after trimming; holders go on to renew. Tokens rise with the era and are the offsets in era 0.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -22,7 +22,7 @@
 	Release Kind = "release"
 )
 
-// Record is one record of the leases stream. Renew and Release set Token to the offset of the granting record.
+// Record is one record of the leases stream. Renew and Release set Token to that of the granting record.
 type Record struct {
 	ID     string          `json:"id"`
 	Kind   Kind            `json:"kind"`
@@ -35,7 +35,7 @@
 // Lease is the latest lease of a duty; Token never decreases.
 type Lease struct {
 	Holder string
-	Token  uint64    // fencing token: the offset of the granting record
+	Token  uint64    // fencing token: the position of the granting record
 	Until  time.Time // end of the lease by the log's clock
 }
 
@@ -59,7 +59,8 @@
 // State holds the leases that result from the records of the stream up to an offset.
 type State struct {
 	next      uint64
-	partial   bool      // the state starts after offset 0
+	era       uint64    // of the log in which next is a position
+	partial   bool      // the state starts after offset 0, or the log has lost records
 	startTime time.Time // time of the log at the first record or clock reading
 	now       time.Time // latest time of the log seen
 	leases    map[string]Lease
@@ -71,6 +72,20 @@
 	return &State{next: from, partial: from > 0, leases: map[string]Lease{}, latestEnd: map[string]time.Time{}}
 }
 
+// NewStateAfterReturn returns a State for an era of the log that began at a time, when the log returned from an older copy and lost records.
+// The time is zero if the log never did.
+func NewStateAfterReturn(from, era uint64, eraStart time.Time) *State {
+	s := NewState(from)
+	s.era = era
+	if from == 0 && !eraStart.IsZero() {
+		s.partial, s.startTime = true, eraStart // no lost record is later
+	}
+	return s
+}
+
+// Era returns the log's era in which Next is a position.
+func (s *State) Era() uint64 { return s.era }
+
 // Next returns the offset of the next record to apply.
 func (s *State) Next() uint64 { return s.next }
 
@@ -98,10 +113,15 @@
 	return !s.partial || (!s.startTime.IsZero() && s.now.Sub(s.startTime) >= MaxTerm)
 }
 
-// Apply updates the state with the record at an offset and returns the result. A retried append may write a record
+// Apply works like ApplyRecord at a log that tells no era.
+func (s *State) Apply(offset uint64, at time.Time, data []byte) Result {
+	return s.ApplyRecord(offset, offset, at, data)
+}
+
+// ApplyRecord updates the state with the record at an offset and returns the result. A lease that it grants gets the token. A retried append may write a record
 // twice. The copy does no harm: an acquisition while the lease is in force changes nothing, and a renewal is
 // idempotent.
-func (s *State) Apply(offset uint64, at time.Time, data []byte) Result {
+func (s *State) ApplyRecord(token, offset uint64, at time.Time, data []byte) Result {
 	if offset < s.next {
 		return Repeated
 	}
@@ -121,7 +141,7 @@
 		if !available {
 			return Held
 		}
-		s.leases[r.Duty] = Lease{Holder: r.Holder, Token: offset, Until: at.Add(term())}
+		s.leases[r.Duty] = Lease{Holder: r.Holder, Token: token, Until: at.Add(term())}
 		return Granted
 	case Renew:
 		return s.renew(r, l, at)
--- a/internal/fleet/lease_keeper.go
+++ b/internal/fleet/lease_keeper.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/cassiaspoke/cassiaspoke/internal/core/config"
 	"github.com/cassiaspoke/cassiaspoke/internal/core/lease"
 	"github.com/cassiaspoke/cassiaspoke/internal/platform"
 	"github.com/cassiaspoke/cassiaspoke/pkg/record"
@@ -50,9 +51,9 @@
 	updated        chan struct{}                // closed and replaced after each read
 }
 
-// appendResult is the offset of an appended record and the result of applying it.
+// appendResult is the position of an appended record, which is the token of a lease that it grants, and the result of applying it.
 type appendResult struct {
-	offset uint64
+	token  uint64
 	result lease.Result
 }
 
@@ -76,20 +77,34 @@
 
 func (k *LeaseKeeper) readStream(ctx context.Context) error {
 	k.mu.Lock()
-	from := k.leases.Next()
+	from, era := k.leases.Next(), k.leases.Era()
 	k.mu.Unlock()
 	p, err := k.log.Read(ctx, leaseStream, platform.Offset(from), readLimit, k.settings.PollInterval)
 	var e *platform.Error
-	if errors.As(err, &e) && e.Kind == platform.ErrTrimmed {
+	trimmed := errors.As(err, &e) && e.Kind == platform.ErrTrimmed
+	switch {
+	case err != nil && !trimmed:
+		return &Error{Op: "read", Kind: ErrFailed, Err: err}
+	case p.Era < era:
+		return &Error{Op: "read", Kind: ErrFailed, Err: fmt.Errorf("page of era %d after %d", p.Era, era)}
+	case p.ReturnedSince(era, platform.Offset(from)):
+		start := p.EraStart
+		if p.Era == era {
+			start = p.Now
+		}
+		k.logger.Warn("fleet: The log has returned from an older copy.", zap.Uint64("era-before", era), zap.Uint64("era", p.Era),
+			zap.Uint64("offset-before", from), zap.Uint64("offset", uint64(p.End)))
+		k.mu.Lock()
+		k.leases = lease.NewStateAfterReturn(uint64(p.Oldest), p.Era, start)
+		k.mu.Unlock()
+		return nil
+	case trimmed:
 		k.logger.Warn("fleet: The leases stream was trimmed past the read position.", zap.Uint64("from", from), zap.Uint64("oldest", uint64(p.Oldest)))
 		k.mu.Lock()
-		k.leases = lease.NewState(uint64(p.Oldest))
+		k.leases = lease.NewStateAfterReturn(uint64(p.Oldest), p.Era, p.EraStart)
 		k.mu.Unlock()
 		return nil
 	}
-	if err != nil {
-		return &Error{Op: "read", Kind: ErrFailed, Err: err}
-	}
 	k.applyPage(p)
 	return nil
 }
@@ -99,14 +114,15 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, e := range p.Entries {
-		v := k.leases.Apply(uint64(e.Offset), e.Time, e.Data)
+		token := config.Position(e.Era, uint64(e.Offset))
+		v := k.leases.ApplyRecord(token, uint64(e.Offset), e.Time, e.Data)
 		var r lease.Record
 		if json.Unmarshal(e.Data, &r) != nil {
 			continue
 		}
 		// If a repeated append left several copies of a record, the first copy determines the result.
 		if result, ok := k.pendingAppends[r.ID]; ok {
-			result <- appendResult{uint64(e.Offset), v}
+			result <- appendResult{token, v}
 			delete(k.pendingAppends, r.ID)
 		}
 	}
@@ -185,7 +201,7 @@
 			sleep(ctx, k.settings.PollInterval)
 			continue
 		}
-		k.runWithLease(ctx, duty, a.offset, sent, work)
+		k.runWithLease(ctx, duty, a.token, sent, work)
 	}
 }
 
--- a/internal/fleet/lease_keeper_test.go
+++ b/internal/fleet/lease_keeper_test.go
@@ -40,9 +40,15 @@
 
 // startKeeper runs a keeper that acquires the duty d whenever it is available and then runs work.
 func (g *keeperGroup) startKeeper(t *testing.T, id string, work func(context.Context, *HeldLease) error) *runningKeeper {
+	t.Helper()
+	return g.startKeeperWithTerm(t, id, 400*time.Millisecond, work)
+}
+
+// startKeeperWithTerm works like startKeeper with a term of the leases.
+func (g *keeperGroup) startKeeperWithTerm(t *testing.T, id string, term time.Duration, work func(context.Context, *HeldLease) error) *runningKeeper {
 	t.Helper()
 	s := DefaultLeaseKeeperSettings(id)
-	s.Term, s.PollInterval = 400*time.Millisecond, 20*time.Millisecond
+	s.Term, s.PollInterval = term, 20*time.Millisecond
 	k := NewLeaseKeeper(s, g.log, zap.NewNop(), tally.NoopScope)
 	followCtx, stopFollowing := context.WithCancel(context.Background())
 	holdCtx, stop := context.WithCancel(context.Background())
