--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -244,3 +244,39 @@
 		})
 	}
 }
+
+// Guards against a part of a limit that is given out twice because an instance started from a snapshot that was written in the new era by one
+// that did not know yet that the log had returned from an older copy.
+func TestWalletSnapshotOfEarlierEra(t *testing.T) {
+	runInVirtualTime(t, func(ctx context.Context, o Options, log *standin.Log, wait func(interface{ Wait() })) {
+		limited := organisationWithLimit(100)
+		a := NewWallet(ctx, o, WalletSettings{MaxSnapshotAge: 100 * time.Hour})
+		wait(a)
+		if n := spendLimit(ctx, t, limited, a); n != 100 {
+			t.Fatalf("%d of 100 requests", n)
+		}
+		a.mu.Lock()
+		stale, err := a.state.Snapshot(a.logTime())
+		a.mu.Unlock()
+		if err != nil {
+			t.Fatal(err)
+		}
+		log.SetFaults(standin.Faults{CopyAge: time.Hour})
+		time.Sleep(time.Hour)
+		if n := spendLimit(ctx, t, limited, a); n != 100 {
+			t.Fatalf("%d of 100 requests in the next period", n)
+		}
+		for range stale.Covers {
+			if _, err := log.Append(ctx, grantStream, []byte("{}")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		a.appendBatch(record.GrantBatch{Snapshot: &stale})
+		log.Trim(grantStream, platform.Offset(stale.Covers))
+		late := NewWallet(ctx, o, WalletSettings{})
+		wait(late)
+		if n := spendLimit(ctx, t, limited, late); n != 0 {
+			t.Errorf("%d requests above the limit", n)
+		}
+	})
+}
--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -288,7 +288,7 @@
 // After any other snapshot, records that the reader needs next have been removed.
 func hasUsableSnapshot(entries []platform.Entry, first platform.Offset) bool {
 	for _, e := range entries {
-		if s := decodeGrantBatch(e.Data).Snapshot; s != nil && s.Covers >= uint64(first) {
+		if s := decodeGrantEntry(e).Snapshot; s != nil && s.Covers >= uint64(first) {
 			return true
 		}
 	}
@@ -307,7 +307,7 @@
 	defer w.notifyWaiters()
 	w.lastLogTime, w.lastReadTime = page.Now, w.options.Now()
 	for _, e := range page.Entries {
-		decisions, err := w.state.Apply(uint64(e.Offset), e.Time, decodeGrantBatch(e.Data))
+		decisions, err := w.state.Apply(uint64(e.Offset), e.Time, decodeGrantEntry(e))
 		var entitlementErr *entitlement.Error
 		if errors.As(err, &entitlementErr) && entitlementErr.Kind == entitlement.ErrGap {
 			return nil // the state was restored from a snapshot and moved back; the next read continues from there
@@ -337,6 +337,15 @@
 	}
 }
 
+// decodeGrantEntry decodes an entry, without a snapshot whose writer had not noticed yet that the log had returned from an older copy.
+func decodeGrantEntry(e platform.Entry) record.GrantBatch {
+	b := decodeGrantBatch(e.Data)
+	if b.Snapshot != nil && b.Snapshot.Era != e.Era {
+		b.Snapshot = nil
+	}
+	return b
+}
+
 // decodeGrantBatch returns an empty batch for a record that can't be decoded. All readers skip the same records, so their
 // states stay equal.
 func decodeGrantBatch(data []byte) record.GrantBatch {
@@ -389,6 +398,7 @@
 		w.options.Logger.Warn("ledger: A snapshot of grants could not be made.", zap.Error(err))
 		return nil
 	}
+	snapshot.Era = w.logEra
 	w.lastSnapshotTime = w.options.Now()
 	return &record.GrantBatch{Snapshot: &snapshot}
 }
--- a/pkg/record/grant.go
+++ b/pkg/record/grant.go
@@ -39,6 +39,7 @@
 type GrantSnapshot struct {
 	Covers uint64          `json:"covers"`
 	State  json.RawMessage `json:"state,omitempty"`
+	Era    uint64          `json:"era,omitempty"` // of the log that the state was read from; a record of another era doesn't count
 	// Since is set if the state before Covers is unknown; nothing is granted in periods that began before Since.
 	Since time.Time `json:"since,omitzero"`
 }
