--- a/internal/ledger/wallet.go
+++ b/internal/ledger/wallet.go
@@ -59,6 +59,9 @@
 	holder           string // name under which grants are taken; unique per start and per reset of the state
 	state            *entitlement.Projection
 	returning        bool      // ReturnGrants was called, so no grants are taken any more
+	logEra           uint64    // era of the records in state
+	returnedAt       time.Time // log time of the latest return from an older copy that was noticed
+	keepHeld         bool      // the next initialisation follows a return, after which holders keep their parts
 	caughtUp         bool      // the state has reached the end of the stream
 	lastLogTime      time.Time // the log's time when it was last read
 	lastReadTime     time.Time // local time of that read; zero before the first one
@@ -243,17 +246,49 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	held := w.byOrganisation
 	w.resetState(from, bounds.Oldest)
+	if w.keepHeld {
+		w.byOrganisation, w.keepHeld = held, false
+		for _, balance := range held {
+			balance.KeepHeld(w.holder)
+		}
+	}
+	w.noteReturn(bounds.EraStart)
+	w.state.ClosePeriodsBefore(w.returnedAt)
 	w.lastLogTime, w.lastReadTime = bounds.Now, w.options.Now()
+	w.logEra = bounds.Era
 	w.notifyWaiters()
 	return nil
 }
 
+func (w *Wallet) era() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.logEra
+}
+
+func (w *Wallet) logReturned(at time.Time) {
+	w.mu.Lock()
+	w.noteReturn(at)
+	w.keepHeld = true
+	w.mu.Unlock()
+	if w.options.OnReturn != nil {
+		w.options.OnReturn()
+	}
+}
+
+func (w *Wallet) noteReturn(at time.Time) {
+	if at.After(w.returnedAt) {
+		w.returnedAt = at
+	}
+}
+
 // hasUsableSnapshot reports whether the entries hold a snapshot that covers an offset which the stream still keeps.
 // After any other snapshot, records that the reader needs next have been removed.
 func hasUsableSnapshot(entries []platform.Entry, first platform.Offset) bool {
 	for _, e := range entries {
-		if s := decodeGrantBatch(e.Data).Snapshot; s != nil && s.Covers >= uint64(first) {
+		if s := decodeGrantEntry(e).Snapshot; s != nil && s.Covers >= uint64(first) {
 			return true
 		}
 	}
@@ -272,7 +307,7 @@
 	defer w.notifyWaiters()
 	w.lastLogTime, w.lastReadTime = page.Now, w.options.Now()
 	for _, e := range page.Entries {
-		decisions, err := w.state.Apply(uint64(e.Offset), e.Time, decodeGrantBatch(e.Data))
+		decisions, err := w.state.Apply(uint64(e.Offset), e.Time, decodeGrantEntry(e))
 		var entitlementErr *entitlement.Error
 		if errors.As(err, &entitlementErr) && entitlementErr.Kind == entitlement.ErrGap {
 			return nil // the state was restored from a snapshot and moved back; the next read continues from there
@@ -302,6 +337,15 @@
 	}
 }
 
+// decodeGrantEntry decodes an entry, without a snapshot whose writer had not noticed yet that the log had returned from an older copy.
+func decodeGrantEntry(e platform.Entry) record.GrantBatch {
+	b := decodeGrantBatch(e.Data)
+	if b.Snapshot != nil && b.Snapshot.Era != e.Era {
+		b.Snapshot = nil
+	}
+	return b
+}
+
 // decodeGrantBatch returns an empty batch for a record that can't be decoded. All readers skip the same records, so their
 // states stay equal.
 func decodeGrantBatch(data []byte) record.GrantBatch {
@@ -354,6 +398,7 @@
 		w.options.Logger.Warn("ledger: A snapshot of grants could not be made.", zap.Error(err))
 		return nil
 	}
+	snapshot.Era = w.logEra
 	w.lastSnapshotTime = w.options.Now()
 	return &record.GrantBatch{Snapshot: &snapshot}
 }
