Count no connection opened after the end of another one as evidence

A probe of another request had put a connection into the pool that the proxy was about to reset, and it counted as one that the endpoint keeps. Only connections that were opened before the end count (TestSurvivingConnection failed before).

--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -41,9 +41,9 @@
 	if !r.writeState.wait(requestWait) {
 		return errRequestLeft
 	}
-	settled := monotonicNow() + int64(SettleTime)
+	endedAt := monotonicNow()
 	err := r.pool.dialer.CheckRunning(r.ctx, r.conn.address)
-	if err != nil && (!errors.Is(err, errNotKept) || !r.pool.hasOpen(r.conn.address, settled)) {
+	if err != nil && (!errors.Is(err, errNotKept) || !r.pool.survives(r.conn.address, endedAt)) {
 		return err
 	}
 	if EndOf(r.conn.Conn) == EndReset {
@@ -52,14 +52,15 @@
 	return nil
 }
 
-// hasOpen reports whether a connection to an endpoint is open, or has brought bytes since a monotonic time.
-func (p *Pool) hasOpen(a netip.AddrPort, since int64) bool {
-	if p.activities.get(a).lastRead.Load() >= since {
+// survives reports whether an endpoint has sent bytes some time after one of its connections ended, at a monotonic time, or keeps one that
+// was opened before.
+func (p *Pool) survives(a netip.AddrPort, endedAt int64) bool {
+	if p.activities.get(a).lastRead.Load() >= endedAt+int64(SettleTime) {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.idle[a], (*conn).isReusable)
+	return slices.ContainsFunc(p.idle[a], func(c *conn) bool { return c.openedAt < endedAt && c.isReusable() })
 }
 
 // CheckRunning returns an error unless an endpoint accepts and keeps a connection some time after one to it has ended. An endpoint that has
