--- a/internal/relay/batch.go
+++ b/internal/relay/batch.go
@@ -89,8 +89,8 @@
 		return nil, nil //nolint:nilnil // the follower has a later era
 	}
 	from := sent.next
-	if full {
-		from.Era = t.next.Era
+	if from.Era != t.next.Era { // its offset may be behind the end of the topic
+		from = changefeed.Position{Era: t.next.Era}
 	}
 	next := changefeed.Later(from, t.next)
 	m := &relaypb.Batch{From: from.Offset, Next: next.Offset, Era: next.Era, Full: full, AgeMicroseconds: h.now().sub(t.readAsOf).Microseconds()}
--- a/internal/relay/return_test.go
+++ b/internal/relay/return_test.go
@@ -115,10 +115,13 @@
 		next    changefeed.Position
 		records int
 	}{
-		"an earlier era with a lower offset": {at(1, 9), true, true, at(2, 10), 10},
+		// The records of before stay in use, and those at offsets that were given out again are missed.
+		"an earlier era with a higher offset": {at(1, 20), true, true, at(2, 10), 10},
+		"an earlier era with a lower offset":  {at(1, 9), true, true, at(2, 10), 10},
 		// It has the release before, which sends no eras.
-		"no era with a lower offset": {at(0, 9), true, true, at(2, 10), 10},
-		"nothing known":              {at(0, 0), true, true, at(2, 10), 10},
+		"no era with a higher offset": {at(0, 20), true, true, at(2, 10), 10},
+		"no era with a lower offset":  {at(0, 9), true, true, at(2, 10), 10},
+		"nothing known":               {at(0, 0), true, true, at(2, 10), 10},
 		// It is sent what the store has lost.
 		"a later era with a lower offset":  {at(3, 5), false, false, at(0, 0), 0},
 		"a later era with a higher offset": {at(3, 20), false, false, at(0, 0), 0},
@@ -172,7 +175,7 @@
 		era, known int64
 		full       bool
 		records    int
-	}{"before the first return": {0, 9, false, 1}, "after a return": {2, 9, true, 10}} {
+	}{"before the first return": {0, 9, false, 1}, "after a return": {2, 9, true, 10}, "after a return, further than the seed": {2, 20, true, 10}} {
 		t.Run(name, func(t *testing.T) {
 			b := batchOf(c.era, 0, 10, "v")
 			h, s := newKnowing(changefeed.Batch{Next: changefeed.Position{Era: c.era}})
