Let the store come back from older copies in the soak

Checks: a return counts as a disturbance of the store, except for what an instance must have known before it: that stays in force. A change that was lost counts as given again when its operator has written it and the window after the return is over. By the log of each process the version of the configuration never falls.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -29,6 +29,7 @@
 	flagLimits     = "limits"
 	flagKills      = "endpoint-kills"
 	flagCrowds     = "crowds"
+	flagReturns    = "store-returns"
 	flagStopSeries = "stop-series"
 	flagExecutable = "executable"
 	flagLogs       = "logs"
@@ -51,6 +52,7 @@
 			&cli.BoolFlag{Name: flagLimits, Usage: "let endpoints name limits on their requests in their responses"},
 			&cli.BoolFlag{Name: flagKills, Usage: "also kill endpoints while they send responses without a length"},
 			&cli.BoolFlag{Name: flagCrowds, Usage: "also open crowds of clients that misbehave"},
+			&cli.BoolFlag{Name: flagReturns, Usage: "also let the store come back from older copies, with what it has lost written again late"},
 			&cli.BoolFlag{Name: flagStopSeries, Usage: "also restart instances in series, with clients that keep their connections, long streams and short deadlines"},
 			&cli.StringFlag{Name: flagExecutable, Usage: "`FILE` that runs as the instances, instead of this program"},
 			&cli.StringFlag{Name: flagLogs, Usage: "`DIRECTORY` in which the settings and the logs of failed seeds are kept"},
@@ -88,7 +90,7 @@
 		o := soak.Options{
 			Executable: executable, Dir: filepath.Join(dir, fmt.Sprint("seed-", first+i)), Seed: first + i, FaultDuration: c.Duration(flagLength),
 			Instances: c.Int(flagInstances), Engines: c.Int(flagEngines), PeerDelay: c.Duration(flagPeerDelay), SeedFaults: c.Bool(flagSeedFaults), Announcements: c.Bool(flagAnnounce),
-			Limits: c.Bool(flagLimits), EndpointKills: c.Bool(flagKills), Crowds: c.Bool(flagCrowds), StopSeries: c.Bool(flagStopSeries),
+			Limits: c.Bool(flagLimits), EndpointKills: c.Bool(flagKills), Crowds: c.Bool(flagCrowds), StoreReturns: c.Bool(flagReturns), StopSeries: c.Bool(flagStopSeries),
 		}
 		slots <- struct{}{}
 		wg.Go(func() {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,6 +69,7 @@
 		}
 	}
 	c.checkNoRollback()
+	c.checkVersions()
 	c.checkAnnouncements()
 	c.checkLimits()
 	if quiet == 0 || served*100 < quiet*minServedPercent {
@@ -105,7 +106,7 @@
 	case a.Deadline <= 0 || a.Deadline > q.Deadline:
 		c.addViolation(q, "reached %s with %v left", a.endpoint.ID, a.Deadline)
 	}
-	if t := a.endpoint.shutdownAnnounced; !t.IsZero() && a.ReceivedAt.After(t.Add(drainBound)) && c.fleet.undisturbed(q.instance, t, a.ReceivedAt) {
+	if t := a.endpoint.shutdownAnnounced; !t.IsZero() && a.ReceivedAt.After(t.Add(drainBound)) && c.fleet.knows(q.instance, t, drainBound, a.ReceivedAt) {
 		c.addViolation(q, "reached %s %v after it said that it leaves", a.endpoint.ID, a.ReceivedAt.Sub(t))
 	}
 }
@@ -164,24 +165,32 @@
 	}
 }
 
-// checkConfig checks that changes of the path prefix and the API key are in force within applyBound.
+// checkConfig checks that changes of the path prefix and the API key are in force within applyBound, also those that a return of the
+// store has lost and its operators have given again.
 func (c *checker) checkConfig(q *request) {
 	f := c.fleet
+	inForceSince := func(ch configChange) time.Time {
+		for _, t := range []time.Time{ch.publishedAt, ch.givenAgainAt} {
+			if !t.IsZero() && q.sent.After(t.Add(applyBound)) && f.knows(q.instance, t, applyBound, q.end) {
+				return t
+			}
+		}
+		return time.Time{}
+	}
 	check := func(changes []configChange, used, refusalStatus int) {
 		if used < 0 {
 			return
 		}
 		// The value was replaced: after applyBound, requests that use it must be refused.
 		if used+1 < len(changes) {
-			due := changes[used+1].publishedAt.Add(applyBound)
-			if q.sent.After(due) && f.undisturbed(q.instance, changes[used+1].publishedAt, q.end) && q.response.Status != refusalStatus && q.response.Status != 0 {
-				c.addViolation(q, "status %d for %q, replaced %v before", q.response.Status, changes[used].value, q.sent.Sub(changes[used+1].publishedAt))
+			if t := inForceSince(changes[used+1]); !t.IsZero() && q.response.Status != refusalStatus && q.response.Status != 0 {
+				c.addViolation(q, "status %d for %q, replaced %v before", q.response.Status, changes[used].value, q.sent.Sub(t))
 			}
 			return
 		}
 		// The value is the newest: after applyBound, requests that use it must not be refused.
-		if q.sent.After(changes[used].publishedAt.Add(applyBound)) && f.undisturbed(q.instance, changes[used].publishedAt, q.end) && q.response.Status == refusalStatus {
-			c.addViolation(q, "status %d for %q, valid for %v", q.response.Status, changes[used].value, q.sent.Sub(changes[used].publishedAt))
+		if t := inForceSince(changes[used]); !t.IsZero() && q.response.Status == refusalStatus {
+			c.addViolation(q, "status %d for %q, valid for %v", q.response.Status, changes[used].value, q.sent.Sub(t))
 		}
 	}
 	check(f.prefixes, q.prefixIndex, http.StatusNotFound)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -66,19 +66,24 @@
 	prefixes          []configChange // successive path prefixes of the idempotent route
 	apiKeys           []configChange // successive second API keys of the organisation
 	storeDisturbances []*disturbance
+	storeReturns      []*disturbance                // in order
+	lost              map[string]standin.LostRecord // records that their owners have not written again since a return, by key
 	requests          []*request
 	events            []string
 }
 
 // configChange is a published change of one value of the configuration.
 type configChange struct {
-	publishedAt time.Time // when the store acknowledged the change
-	value       string    // value from then on
+	publishedAt  time.Time // when the store acknowledged the change
+	value        string    // value from then on
+	lost         bool      // by a return, and not written again
+	givenAgainAt time.Time // after a return that lost it; zero otherwise
 }
 
 func newFleet(o Options) (*fleet, error) {
 	f := &fleet{
 		options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), store: standin.NewStore(), config: standin.NewConfiguration(1), version: 1,
+		lost: map[string]standin.LostRecord{},
 	}
 	f.changePrefix()
 	f.rotateKey()
@@ -112,6 +117,9 @@
 	return f, nil
 }
 
+// configKey is the key of the configuration in the store.
+const configKey = "config"
+
 // seedInstances is the number of seeds: instances that read the store on behalf of the others.
 const seedInstances = 2
 
@@ -213,6 +221,14 @@
 // undisturbed reports whether the instance and the store had no disturbance up to the time to, since one stability window
 // before the time from.
 func (f *fleet) undisturbed(n *instance, from, to time.Time) bool {
+	f.mu.Lock()
+	returned := anyOverlaps(f.storeReturns, from.Add(-stabilityWindow), to)
+	f.mu.Unlock()
+	return !returned && f.undisturbedButReturns(n, from, to)
+}
+
+// undisturbedButReturns is undisturbed except that the store may have returned from older copies.
+func (f *fleet) undisturbedButReturns(n *instance, from, to time.Time) bool {
 	n.mu.Lock()
 	disturbed := anyOverlaps(n.disturbances, from.Add(-stabilityWindow), to)
 	n.mu.Unlock()
@@ -266,6 +282,7 @@
 	defer f.mu.Unlock()
 	e.removedAt = time.Now()
 	f.store.RemoveEndpoint(e.Endpoint)
+	f.noteWritten(e.ID)
 	e.Close()
 	e.link.close()
 }
@@ -275,6 +292,7 @@
 	f.version += 2
 	f.config["version"] = f.version
 	f.store.PublishConfiguration(f.config)
+	f.noteWritten(configKey)
 	return time.Now()
 }
 
@@ -284,7 +302,7 @@
 	defer f.mu.Unlock()
 	p := fmt.Sprintf("/repeat-%d/", len(f.prefixes)+1)
 	f.config.SetPathPrefix("idempotent", p)
-	f.prefixes = append(f.prefixes, configChange{f.publishConfig(), p})
+	f.prefixes = append(f.prefixes, configChange{publishedAt: f.publishConfig(), value: p})
 }
 
 // rotateKey replaces the second API key of the organisation.
@@ -293,7 +311,7 @@
 	defer f.mu.Unlock()
 	k := fmt.Sprintf("rotated-%d", len(f.apiKeys)+1)
 	f.config.SetAPIKeys(standin.APIKey, k)
-	f.apiKeys = append(f.apiKeys, configChange{f.publishConfig(), k})
+	f.apiKeys = append(f.apiKeys, configChange{publishedAt: f.publishConfig(), value: k})
 }
 
 // addEvent appends a line to the events of the run.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -355,6 +355,7 @@
 	f.recordError(f.addEndpoint(service))
 	f.mu.Lock()
 	f.store.AnnounceShutdown(e.Endpoint)
+	f.noteWritten(e.ID)
 	e.shutdownAnnounced = time.Now()
 	f.mu.Unlock()
 	time.Sleep(drainBound + f.randomDuration(maxExtraServing))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,6 +25,7 @@
 	Limits        bool          // let endpoints name limits on their requests
 	Crowds        bool          // open crowds of clients that misbehave
 	EndpointKills bool          // kill endpoints while they send responses without a length
+	StoreReturns  bool          // let the store come back from older copies
 	StopSeries    bool          // restart instances in series, with clients that keep their connections, long streams and short deadlines
 }
 
@@ -77,6 +78,9 @@
 	if o.Crowds {
 		extra.Go(func() { f.openCrowds(ctx, time.Now().Add(o.FaultDuration)) })
 	}
+	if o.StoreReturns {
+		extra.Go(func() { f.returnStore(ctx, time.Now().Add(o.FaultDuration)) })
+	}
 	if o.StopSeries {
 		extra.Go(func() { f.stopInSeries(ctx, time.Now().Add(o.FaultDuration)) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,12 @@
 	runSeeds(t, map[string]Options{"endpoints are killed": {Seed: 6000, FaultDuration: 6 * time.Second, Instances: 3, Engines: 4, EndpointKills: true}})
 }
 
+// Guards against configurations that go back, endpoints that left and get requests, and requests that run twice or are cut when the
+// store comes back from older copies in series.
+func TestSoakStoreReturns(t *testing.T) {
+	runSeeds(t, map[string]Options{"store returns": {Seed: 7001, FaultDuration: 6 * time.Second, Instances: 4, Engines: 4, StoreReturns: true}})
+}
+
 // runSeeds builds the program and runs seeds at the same time.
 func runSeeds(t *testing.T, seeds map[string]Options) {
 	t.Helper()
