Spend the exposure limit on routes that have not shown enough

The shares of routes were planned once, at the start of the trial: a route whose answers were in doubt got no more than planned, and instances with few requests moved all of theirs early by their part of the slack, also on routes that had shown enough. The shares are now planned ten times a second from the answers and the requests of all instances (one count more in the reports of load), and nothing shifts early while a route of requests without a session lacks answers. Requests with sessions keep their share.

TestPlainVersionFailsOneKind plays three more fleets; its bounds are unchanged.

--- a/internal/core/canary/canary.go
+++ b/internal/core/canary/canary.go
@@ -71,7 +71,8 @@
 	evidence       *evidence
 	traffic        trafficStats       // since the order
 	canaryShare    float64            // share of requests for the new version until all shift; 0 before CanaryStart
-	routeShares    map[string]float64 // the same of routes that have a larger one
+	routeShares    map[string]float64 // the same of routes that lack answers of the new version
+	plannedAt      time.Time          // time of routeShares
 	instances      int                // instances that share ExposureSlack; 0 if not known
 	peerCounts     CountsByKey        // answers at all other instances
 	rates          routeRates         // of failures of the old version
@@ -221,7 +222,7 @@
 	if p < s.CanaryStart {
 		return 0
 	}
-	if r.canaryShare == 0 {
+	if r.canaryShare == 0 || p < s.SteadyShift && !r.shifted && now.Sub(r.plannedAt) >= planInterval {
 		r.planShares(now)
 	}
 	if r.updateShifted(p, now) {
@@ -234,10 +235,10 @@
 const maxCanaryShare = 0.6
 
 // updateShifted decides whether all requests go to the new version from now on. They shift as soon as the exposure limit
-// allows it at the current request rate, and in any case before the roll-out is completed.
+// allows it at the current request rate and no route needs what it leaves, and in any case before the roll-out is completed.
 func (r *Rollout) updateShifted(p float64, now time.Time) bool {
 	s := r.settings
-	if !r.shifted && p >= s.EarliestShift {
+	if !r.shifted && p >= s.EarliestShift && (p >= s.SteadyShift || len(r.routeShares) == 0) {
 		// Requests expected until the deadline, relative to those so far.
 		remaining := r.traffic.currentRate(now) / r.traffic.meanRate(now) * (1 - p) / p
 		if p < s.SteadyShift {
--- a/internal/core/canary/pool.go
+++ b/internal/core/canary/pool.go
@@ -104,6 +104,7 @@
 			out[k.key(service, r.order.target)] = c
 		}
 	}
+	out[r.picksKey()] = r.traffic.picks()
 	for route, t := range r.evidence.routes {
 		if t.Old.Answers > 0 {
 			out[routeKey(service, r.order.target, route, false)] = t.Old
--- a/internal/core/canary/routes.go
+++ b/internal/core/canary/routes.go
@@ -21,8 +21,11 @@
 
 	// extraFailures is the smallest share of further failures on a route that a trial is planned to show.
 	extraFailures = 0.2
-	// wantedEvidence is the expected log-likelihood ratio at which a route has enough answers.
-	wantedEvidence = 5.0
+	// wantedEvidence is the log-likelihood ratio of a good version over a bad one at which a route has shown enough.
+	wantedEvidence = 3.0
+	// haste is how much faster than evenly until all requests shift a route gets the answers that it lacks. The time left allows
+	// more of them if some are bad.
+	haste = 1.5
 	// closingThreshold is the log-likelihood ratio from which on a version isn't completed. The trial has to end with a
 	// decision then, and a missed fault can't be rolled back any more, so it takes less evidence than before.
 	closingThreshold = 0.5
@@ -150,14 +153,16 @@
 	return t.Target.likelihoodRatio(rate, increasedRate(rate))
 }
 
-// wantedAnswers returns how many answers of a new version are expected to show that it fails more often than at the rate.
-func wantedAnswers(rate float64) float64 {
+// missingAnswers returns how many more answers of a good version are expected to show that it doesn't fail more often than at
+// the rate.
+func (t Totals) missingAnswers(rate float64) float64 {
 	if rate > maxRouteRate {
 		return 0
 	}
 	rate = max(rate, minRouteRate)
 	bad := increasedRate(rate)
-	return wantedEvidence / (bad*math.Log(bad/rate) + (1-bad)*math.Log((1-bad)/(1-rate)))
+	perAnswer := rate*math.Log(rate/bad) + (1-rate)*math.Log((1-rate)/(1-bad))
+	return max(0, wantedEvidence+t.evidenceAgainst(rate)) / perAnswer
 }
 
 // closingReason returns why a version must not be completed, or "" if its answers on no route speak against it. Each route is
@@ -190,20 +195,29 @@
 // routeShare returns the share of a route's requests without a session that go to the new version until all shift.
 func (r *Rollout) routeShare(route string) float64 { return max(r.canaryShare, r.routeShares[route]) }
 
+// planInterval is how often the shares of routes are planned anew.
+const planInterval = 100 * time.Millisecond
+
 // planShares sets the shares of requests for the new version until all shift. What the exposure limit leaves beyond
-// CanaryShare goes to the routes that need it to show a failure, and the rest to all requests.
+// CanaryShare goes to the routes that have not shown enough yet, and at first the rest to all requests.
 func (r *Rollout) planShares(now time.Time) {
 	s := r.settings
+	routes := r.pooledRoutes()
+	missing, left, expected := r.missingByRoute(now, routes)
+	r.plannedAt, r.routeShares = now, map[string]float64{}
+	sum, scale := sumValues(missing), 0.0
+	if sum > 0 {
+		scale = min(1, left/sum)
+	}
+	for route, x := range missing {
+		r.routeShares[route] = min(maxCanaryShare, s.CanaryShare+scale*haste*x/r.remainingAnswers(now, routes[route]))
+	}
+	if r.canaryShare > 0 {
+		return // a session that has moved must not return
+	}
 	// A service with few requests needs a larger share of them to show a failure. The slack allows this.
 	extra := canarySlack * r.exposureSlack() / (r.traffic.meanRate(now) * (1 - s.CanaryStart) * r.order.duration.Seconds())
-	routes := r.pooledRoutes()
-	wanted, left, expected := r.wantedByRoute(now, routes)
-	r.routeShares = map[string]float64{}
-	if sum := sumValues(wanted); sum > 0 {
-		scale := min(1, left/sum)
-		for route, x := range wanted {
-			r.routeShares[route] = s.CanaryShare + scale*x/r.expectedAnswers(now, routes[route])
-		}
+	if sum > 0 {
 		extra = min(extra, (left-scale*sum)/expected)
 	}
 	r.canaryShare = min(maxCanaryShare, s.CanaryShare+extra)
@@ -217,32 +231,50 @@
 	return sum
 }
 
-// expectedAnswers returns the expected number of answers on a route, of all instances, while it has its own share.
-func (r *Rollout) expectedAnswers(now time.Time, t Totals) float64 {
-	n := t.Old.Answers + t.Target.Answers
-	if r.peerCounts == nil {
-		n *= float64(r.instances)
-	}
-	return n * (r.settings.SteadyShift - r.settings.CanaryStart) / r.progress(now)
+// remainingAnswers returns the expected number of answers on a route, of all instances, until all requests shift.
+func (r *Rollout) remainingAnswers(now time.Time, t Totals) float64 {
+	p := r.progress(now)
+	return (t.Old.Answers + t.Target.Answers) * r.unknownPeersFactor() * max(0, r.settings.SteadyShift-p) / p
 }
 
-// wantedByRoute returns how many answers of the new version routes need beyond those by CanaryShare, how many the exposure
+// missingByRoute returns how many answers of the new version routes lack beyond those by CanaryShare, how many the exposure
 // limit leaves, and the expected answers of both versions on all routes; all until the requests shift, at all instances.
-func (r *Rollout) wantedByRoute(now time.Time, routes map[string]Totals) (wanted map[string]float64, left, expected float64) {
+func (r *Rollout) missingByRoute(now time.Time, routes map[string]Totals) (missing map[string]float64, left, expected float64) {
 	s, service := r.settings, serviceRate(routes)
-	wanted = map[string]float64{}
+	missing = map[string]float64{}
 	for route, t := range routes {
-		n := r.expectedAnswers(now, t)
+		n := r.remainingAnswers(now, t)
 		expected += n
 		if !r.evidence.sessionless[route] {
 			continue
 		}
-		if x := min(maxCanaryShare*n, wantedAnswers(t.failureRate(service))) - s.CanaryShare*n; x > 0 {
-			wanted[route] = x
+		if x := min(maxCanaryShare*n, t.missingAnswers(t.failureRate(service))) - s.CanaryShare*n; x > 0 {
+			missing[route] = x
 		}
 	}
-	total := expected / (s.SteadyShift - s.CanaryStart) // answers of the whole roll-out
+	p, picks := r.progress(now), r.pooledPicks()
+	total := picks.Answers / p // requests of the whole roll-out
 	slack := r.exposureSlack() * float64(r.instances)
-	left = extraExposure*(s.MaxExposure*total+slack) - (1-s.SteadyShift)*total - s.CanaryShare*expected
-	return wanted, max(0, left), expected
+	left = extraExposure*(s.MaxExposure*total+slack) - picks.Bad - (1-s.SteadyShift+s.CanaryShare*max(0, s.SteadyShift-p))*total
+	return missing, max(0, left), expected
+}
+
+// picksKey returns the key of an instance's requests since the order in CountsByKey.
+func (r *Rollout) picksKey() uint64 {
+	return xxhash.Sum64String(r.order.service + "\x00" + r.order.target + "\x00picks")
+}
+
+// unknownPeersFactor returns the factor from this instance's requests to those of all instances; it is 1 if the counts of the
+// others are known, as they are added up then.
+func (r *Rollout) unknownPeersFactor() float64 {
+	if _, known := r.peerCounts[r.picksKey()]; known {
+		return 1
+	}
+	return float64(max(1, r.instances))
+}
+
+// pooledPicks returns the requests of all instances since the order; those to the new version count as bad.
+func (r *Rollout) pooledPicks() AnswerCounts {
+	own, others, x := r.traffic.picks(), r.peerCounts[r.picksKey()], r.unknownPeersFactor()
+	return AnswerCounts{own.Answers*x + others.Answers, own.Bad*x + others.Bad}
 }
--- a/internal/core/canary/routes_test.go
+++ b/internal/core/canary/routes_test.go
@@ -22,6 +22,22 @@
 	exposure  float64
 	duration  time.Duration
 	routes    []plainRoute
+	weights   []float64     // share of the requests that each instance gets; all the same if nil
+	exchange  time.Duration // interval of the reports of load; 100 ms if 0
+}
+
+// pickInstance returns an instance for a request.
+func (f plainFleet) pickInstance(g *rand.Rand) int {
+	if f.weights == nil {
+		return g.IntN(f.instances)
+	}
+	x := g.Float64()
+	for i, w := range f.weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return 0
 }
 
 // smallFleet has the rates of a small deployment: one kind of request fails often by itself, and there are requests that the old
@@ -31,10 +47,27 @@
 	routes: []plainRoute{{"order", 18.5, 0.004, false}, {"status", 7.4, 0.14, true}, {"added", 5, 0, true}, {"removed", 1.6, 1, false}},
 }
 
+// unevenFleet is smallFleet with instances that get different shares of the requests.
+func unevenFleet() plainFleet {
+	f := smallFleet
+	f.weights = []float64{0.4, 0.2, 0.15, 0.1, 0.05, 0.04, 0.03, 0.02, 0.01}
+	return f
+}
+
+// busyInstanceFleet is smallFleet with an instance that gets most of the requests.
+func busyInstanceFleet() plainFleet {
+	f := smallFleet
+	f.weights = []float64{0.76, 0.03, 0.03, 0.03, 0.03, 0.03, 0.03, 0.03, 0.03}
+	return f
+}
+
 // run plays a roll-out of a new version that fails a share of the requests of a route, or of all routes if it is empty, beside
 // those that the old one fails. The results are the state and the requests to the new version above the exposure limit.
 func (f plainFleet) run(seed uint64, route string, failures float64) (state routing.RolloutState, excess float64) {
-	const exchangeInterval = 100 * time.Millisecond
+	exchangeInterval := 100 * time.Millisecond
+	if f.exchange > 0 {
+		exchangeInterval = f.exchange
+	}
 	g := rand.New(rand.NewPCG(seed, 11))
 	var l []*Rollout
 	for range f.instances {
@@ -77,7 +110,7 @@
 				}
 			}
 		}
-		r, q := l[g.IntN(f.instances)], pick()
+		r, q := l[f.pickInstance(g)], pick()
 		v := r.PickVersionOnRoute(now, g.Float64(), q.name)
 		all++
 		own, failed := g.Float64() < q.failures, false
@@ -103,8 +136,13 @@
 // its answers were seen before, and against a good one that is rolled back because requests fail by themselves.
 func TestPlainVersionFailsOneKind(t *testing.T) {
 	const seeds, maxKept, maxFalse = 60, 3, 3
+	lateReports := unevenFleet()
+	lateReports.exchange = 500 * time.Millisecond
 	fleets := map[string]plainFleet{
-		"9 instances": smallFleet,
+		"9 instances":               smallFleet,
+		"9 uneven instances":        unevenFleet(),
+		"9 instances, late reports": lateReports,
+		"9 instances, a busy one":   busyInstanceFleet(),
 		"6 instances": {
 			instances: 6, exposure: 0.15, duration: 16 * time.Second,
 			routes: []plainRoute{{"order", 36.9, 0.004, false}, {"status", 14.8, 0.14, true}, {"added", 5, 0, true}, {"removed", 1.6, 1, false}},
@@ -140,3 +178,83 @@
 		}
 	}
 }
+
+// TestUnevenInstancesMissFault guards against a bad version that is completed because the exposure limit was spent on routes that
+// have shown enough, for one by instances with few requests.
+func TestUnevenInstancesMissFault(t *testing.T) {
+	t.Parallel()
+	const seeds, maxKept = 1000, 25
+	f := plainFleet{
+		instances: 6, exposure: 0.15, duration: 16 * time.Second, weights: []float64{0.5, 0.25, 0.12, 0.07, 0.04, 0.02},
+		routes: []plainRoute{{"order", 36.9, 0.004, false}, {"status", 14.8, 0.14, true}, {"added", 5, 0, true}, {"removed", 1.6, 1, false}},
+	}
+	kept := 0
+	for seed := range uint64(seeds) {
+		state, excess := f.run(seed, "status", 0.3)
+		if state != routing.RolloutRolledBack {
+			kept++
+		}
+		if excess > 0 {
+			t.Errorf("seed %d: %.0f requests above the exposure limit", seed, excess)
+		}
+	}
+	if kept > maxKept {
+		t.Errorf("%d of %d bad versions were not rolled back", kept, seeds)
+	}
+}
+
+// TestFewRequestsShiftEarly guards against an instance with few requests that moves all of them early, because its part of the
+// slack covers them, while a route still lacks answers.
+func TestFewRequestsShiftEarly(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers int // of the new version
+		want    bool
+	}{
+		"route lacks answers":    {0, false},
+		"route has shown enough": {20, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newOrderedRollout()
+			r.SetInstances(9)
+			now := start
+			for ; now.Before(start.Add(duration * 9 / 10)); now = now.Add(time.Second) {
+				r.RecordOutcome(now, r.PickVersionOnRoute(now, 0.99, "a"), "a", false)
+			}
+			for range c.answers {
+				r.RecordOutcome(now, "v2", "a", false)
+			}
+			if got := r.TargetShare(now) == 1; got != c.want {
+				t.Errorf("all requests shifted: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestClearedRouteKeepsLargerShare guards against an exposure limit that is spent on a route that has shown enough rather than on
+// one whose answers are still in doubt.
+func TestClearedRouteKeepsLargerShare(t *testing.T) {
+	for name, c := range map[string]struct {
+		bad  int // of the answers of the new version on the route
+		want bool
+	}{
+		"all answers good": {0, false},
+		"one answer bad":   {1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const answers = 18
+			r := newOrderedRollout()
+			now := start
+			for ; now.Before(start.Add(duration * 6 / 10)); now = now.Add(200 * time.Millisecond) {
+				r.RecordOutcome(now, r.PickVersionOnRoute(now, 0.99, "a"), "a", false)
+				r.RecordOutcome(now, r.PickVersionOnRoute(now, 0.99, "b"), "b", false)
+			}
+			for i := range answers {
+				r.RecordOutcome(now, "v2", "a", i < c.bad)
+			}
+			share := r.TargetShare(now.Add(time.Second))
+			if got := r.routeShare("a") > share; got != c.want {
+				t.Errorf("share %.3f of the route, %.3f of all; larger: %v, want %v", r.routeShare("a"), share, got, c.want)
+			}
+		})
+	}
+}
--- a/internal/core/canary/traffic.go
+++ b/internal/core/canary/traffic.go
@@ -38,6 +38,11 @@
 // targetShare returns the share of all requests that went to the new version.
 func (t *trafficStats) targetShare() float64 { return float64(t.toTarget) / float64(max(1, t.total)) }
 
+// picks returns the numbers of requests; those to the new version count as bad.
+func (t *trafficStats) picks() AnswerCounts {
+	return AnswerCounts{float64(t.total), float64(t.toTarget)}
+}
+
 // meanRate returns the mean number of requests per second since the roll-out began.
 func (t *trafficStats) meanRate(now time.Time) float64 {
 	return float64(max(1, t.total)) / max(now.Sub(t.since), time.Millisecond).Seconds()
