Check in the soak that processes keep to what they have learnt when the store returns

The check on leaving endpoints allowed requests after a return within seconds of the announcement, as the store was disturbed. By its log a process knows that an endpoint leaves; from then on nothing excuses sending to it but a disturbance of the process or the endpoint's link.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,7 +69,7 @@
 		}
 	}
 	c.checkNoRollback()
-	c.checkVersions()
+	c.checkKnown()
 	c.checkAnnouncements()
 	c.checkLimits()
 	if quiet == 0 || served*100 < quiet*minServedPercent {
--- a/internal/soak/returns.go
+++ b/internal/soak/returns.go
@@ -127,23 +127,47 @@
 	return !returned && f.undisturbedButReturns(n, publishedAt, to)
 }
 
-// checkVersions checks by its log that no process takes an older configuration into force.
-func (c *checker) checkVersions() {
+// checkKnown checks by its log that no process takes an older configuration into force, or uses an endpoint longer than drainBound after it
+// has learnt that this one leaves. A return of the store excuses nothing.
+func (c *checker) checkKnown() {
+	type leaver struct {
+		processKey
+
+		endpoint string
+	}
+	leavingAt := map[leaver]time.Time{}
 	for _, n := range c.fleet.instances {
 		for run, o := range n.logs {
 			newest := 0
 			for line := range bytes.Lines(o.tailBytes()) {
 				var m struct {
-					Message string `json:"msg"`
-					Version int    `json:"version"`
+					Message  string    `json:"msg"`
+					At       time.Time `json:"ts"`
+					Version  any       `json:"version"` // that of an endpoint is a text
+					Endpoint string    `json:"endpoint"`
+					Change   string    `json:"change"`
 				}
-				if json.Unmarshal(line, &m) != nil || m.Message != "configuration: In force." {
+				if json.Unmarshal(line, &m) != nil {
 					continue
 				}
-				if m.Version < newest {
-					c.addViolation(nil, "instance %d, run %d: configuration %d in force after %d", n.index, run+1, m.Version, newest)
+				switch {
+				case m.Message == "endpoint: Registration changed." && m.Change == "leaving":
+					leavingAt[leaver{processKey{n, run + 1}, m.Endpoint}] = m.At
+				case m.Message == "configuration: In force.":
+					v, _ := m.Version.(float64)
+					if int(v) < newest {
+						c.addViolation(nil, "instance %d, run %d: configuration %d in force after %d", n.index, run+1, int(v), newest)
+					}
+					newest = int(v)
 				}
-				newest = m.Version
+			}
+		}
+	}
+	for _, q := range c.fleet.requests {
+		for _, a := range c.arrivals[q.ID] {
+			t, ok := leavingAt[leaver{processKey{q.instance, q.processNumber}, a.endpoint.ID}]
+			if ok && q.sent.After(t.Add(drainBound)) && !c.excused(q.instance, a.endpoint, t, a.ReceivedAt) {
+				c.addViolation(q, "reached %s %v after its instance knew that it leaves", a.endpoint.ID, q.sent.Sub(t))
 			}
 		}
 	}
