--- /dev/null
+++ b/review/rig-3/cut_stream.go
@@ -0,0 +1,86 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { scenarios["cut-stream"] = playCutStream }
+
+// playCutStream takes an engine away 2 s after its notice, while it answers streams without a length. Without trouble it leaves after its
+// last answer.
+func playCutStream(r *rig) error {
+	const (
+		events  = 150
+		gap     = 40 * time.Millisecond // a stream takes 6 s
+		notice  = 2 * time.Second
+		clients = 32
+	)
+	service := "llm-pool"
+	var engines []*engineProcess
+	for k := range 8 { // one of them is a share of 0.125, below the 0.15 of scale_in
+		e, err := r.startEngine(fmt.Sprintf("i-%d", k+1), service, "-unframed", "-events", fmt.Sprint(events), "-gap", gap.String())
+		if err != nil {
+			return err
+		}
+		engines = append(engines, e)
+		r.register(e, "ready")
+	}
+	stopHeartbeat := r.keepRegistered(engines...)
+	r.configure(1, []map[string]any{{
+		"name": "depot-answer", "host": host, "pathPrefix": "/lohu930/", "kind": "streaming", "service": service, "timeoutMs": 25000, "targetLatencyMs": 800,
+		"targetGapMs": 600, "priority": 2, "attempts": 3, "public": false, "stickySessions": true,
+	}}, []map[string]any{{"name": service, "healthPath": "/health", "connectionLimit": 290}}, []map[string]any{{"name": tenant, "apiKeys": []string{key}}})
+	if err := r.startFronts(3); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var w sync.WaitGroup
+	for k := range clients {
+		w.Go(func() {
+			f := r.fronts[k%len(r.fronts)]
+			time.Sleep(time.Duration(k) * 100 * time.Millisecond)
+			for n := 1; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				q := request{
+					id: fmt.Sprintf("s-%d-%d", k, n), method: http.MethodPost, path: "/lohu930/2f", key: key, deadline: 25 * time.Second, body: "prompt",
+					header: map[string]string{
+						"Cassiaspoke-Model": "daka510000", "Cassiaspoke-Token-Counts": "715,450", "Cassiaspoke-Prompt-Prefix": fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
+					},
+				}
+				r.note("%s sends %s", f.name, q.id)
+				a := send(f.requests, q)
+				pieces := strings.Count(a.body, "\ndata: ")
+				r.note("%s gets status %d, seal %q, %d of %d events, complete by its framing: %v, error %v", q.id, a.status, a.seal, pieces, events, a.complete, a.err)
+				if a.status == http.StatusOK && a.complete && pieces < events {
+					r.breach("%s got %d of %d events of %s in a stream that looks complete", q.id, pieces, events, a.seal)
+				}
+			}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	gone := engines[0]
+	stopHeartbeat(gone)
+	r.register(gone, "draining")
+	time.Sleep(notice)
+	if r.trouble {
+		r.note("%s is gone: its process is killed", gone.id)
+		gone.kill()
+	} else {
+		gone.stop()
+	}
+	r.store.Put("keyed.servers", gone.id, nil)
+	time.Sleep(time.Second)
+	close(stop)
+	w.Wait()
+	return nil
+}
