review: drop the second-model case, complete the claims

Change: case 13 and its stand-in code are removed, case 14 becomes 13, the stand-ins choose all ports before they free them, case 11 takes away the engine with the most streams, the claims name what is known.

--- a/review/rig-3/cut_stream.go
+++ b/review/rig-3/cut_stream.go
@@ -12,8 +12,8 @@
 
 func init() { scenarios["cut-stream"] = playCutStream }
 
-// playCutStream takes an engine away 2 s after its notice, while it answers streams without a length. Without trouble it leaves after its
-// last answer.
+// playCutStream takes the engine with the most requests away 2 s after its notice, while it answers streams without a length. Without
+// trouble it leaves after its last answer.
 func playCutStream(r *rig) error {
 	const (
 		events  = 150
@@ -69,6 +69,11 @@
 	}
 	time.Sleep(4 * time.Second)
 	gone := engines[0]
+	for _, e := range engines {
+		if e.began() > gone.began() {
+			gone = e
+		}
+	}
 	stopHeartbeat(gone)
 	r.register(gone, "draining")
 	time.Sleep(notice)
--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -25,7 +25,6 @@
 	gap      time.Duration // before each event
 	work     time.Duration // before an answer that is not a stream
 	unframed bool          // streams have neither a length nor chunks and end with their connection
-	unsure   string        // model whose confidence in its answers is low
 	answers  sync.WaitGroup
 
 	mu sync.Mutex // of the output
@@ -40,7 +39,6 @@
 	f.DurationVar(&e.gap, "gap", 50*time.Millisecond, "time before each event")
 	f.DurationVar(&e.work, "work", 15*time.Millisecond, "time before other answers")
 	f.BoolVar(&e.unframed, "unframed", false, "streams end with their connection")
-	f.StringVar(&e.unsure, "unsure", "", "model whose confidence in its answers is low")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -114,11 +112,7 @@
 		e.print("answered %s", id)
 		return err == nil
 	}
-	confidence := 95
-	if model == e.unsure {
-		confidence = 5
-	}
-	head += fmt.Sprintf("Cassiaspoke-Confidence: %d\r\n", confidence)
+	head += "Cassiaspoke-Confidence: 95\r\n"
 	return e.stream(c, q, id, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\n")
 }
 
--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -124,15 +124,13 @@
 
 // startFronts starts instances and waits until they are ready.
 func (r *rig) startFronts(n int) error {
+	a, err := freeAddresses(4 * n)
+	if err != nil {
+		return err
+	}
 	var seeds []string
 	for k := range n {
-		f := &front{name: fmt.Sprintf("frontend-%d", k+1)}
-		for _, a := range []*netip.AddrPort{&f.requests, &f.checks, &f.metrics, &f.peers} {
-			var err error
-			if *a, err = freeAddress(); err != nil {
-				return err
-			}
-		}
+		f := &front{name: fmt.Sprintf("frontend-%d", k+1), requests: a[4*k], checks: a[4*k+1], metrics: a[4*k+2], peers: a[4*k+3]}
 		r.fronts = append(r.fronts, f)
 		if k < 3 {
 			seeds = append(seeds, f.peers.String())
@@ -160,7 +158,7 @@
 		}
 	}
 	for _, f := range r.fronts {
-		if err := f.awaitReady(10 * time.Second); err != nil {
+		if err := f.awaitReady(20 * time.Second); err != nil {
 			return err
 		}
 		r.note("%s is ready at %s", f.name, f.requests)
@@ -168,14 +166,22 @@
 	return nil
 }
 
-// freeAddress returns a loopback address with a port that is free.
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+// freeAddresses returns loopback addresses with free ports. It closes their listeners only after all are chosen.
+func freeAddresses(n int) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		a, err := netip.ParseAddrPort(l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, a)
 	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
+	return out, nil
 }
 
 // ready reports whether the instance says that it is ready.
@@ -282,6 +288,13 @@
 	_ = e.command.Wait()
 }
 
+// began returns how many requests the engine began to run.
+func (e *engineProcess) began() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.runs)
+}
+
 // ran returns how often the engine began to run a request.
 func (e *engineProcess) ran(id string) int {
 	e.mu.Lock()
