review: show case 11 on routes that may be resumed, by releases

Cause: a stream without a length or chunks ends as complete if its last attempt meets the exit of a leaving engine (ORDER). The case was shown on a route that may not be resumed, which the site doesn't have.

--- a/review/rig-3/cut_stream.go
+++ b/review/rig-3/cut_stream.go
@@ -24,7 +24,7 @@
 	service := "llm-pool"
 	var engines []*engineProcess
 	for k := range 8 { // one of them is a share of 0.125, below the 0.15 of scale_in
-		e, err := r.startEngine(fmt.Sprintf("i-%d", k+1), service, "-unframed", "-events", fmt.Sprint(events), "-gap", gap.String())
+		e, err := r.startEngine(fmt.Sprintf("i-%d", k+1), service, "-unframed", "-gap", gap.String())
 		if err != nil {
 			return err
 		}
@@ -54,7 +54,7 @@
 				q := request{
 					id: fmt.Sprintf("s-%d-%d", k, n), method: http.MethodPost, path: "/lohu930/2f", key: key, deadline: 25 * time.Second, body: "prompt",
 					header: map[string]string{
-						"Cassiaspoke-Model": "daka510000", "Cassiaspoke-Token-Counts": "715,450", "Cassiaspoke-Prompt-Prefix": fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
+						"Cassiaspoke-Model": "daka510000", "Cassiaspoke-Token-Counts": fmt.Sprintf("715,%d", events*tokensPerEvent), "Cassiaspoke-Prompt-Prefix": fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
 					},
 				}
 				r.note("%s sends %s", f.name, q.id)
--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -21,7 +22,6 @@
 // engine is the state of the process of an engine.
 type engine struct {
 	id       string
-	events   int           // of a stream
 	gap      time.Duration // before each event
 	work     time.Duration // before an answer that is not a stream
 	unframed bool          // streams have neither a length nor chunks and end with their connection
@@ -30,12 +30,11 @@
 	mu sync.Mutex // of the output
 }
 
-// runEngine runs an engine until SIGTERM, at which it ends the answers that it has begun.
+// runEngine runs an engine until SIGTERM, at which it serves on until it has no answers to write, and exits.
 func runEngine(args []string) error {
 	var e engine
 	f := flag.NewFlagSet("engine", flag.ContinueOnError)
 	f.StringVar(&e.id, "id", "", "identifier")
-	f.IntVar(&e.events, "events", 10, "events of a stream")
 	f.DurationVar(&e.gap, "gap", 50*time.Millisecond, "time before each event")
 	f.DurationVar(&e.work, "work", 15*time.Millisecond, "time before other answers")
 	f.BoolVar(&e.unframed, "unframed", false, "streams end with their connection")
@@ -52,12 +51,12 @@
 	go func() {
 		<-stop
 		e.print("exits after its answers")
+		e.answers.Wait()
 		_ = l.Close()
 	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
-			e.answers.Wait()
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
@@ -116,7 +115,9 @@
 	return e.stream(c, q, id, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\n")
 }
 
-// stream writes a stream.
+const tokensPerEvent = 3
+
+// stream writes a stream of as many events as the request allows.
 func (e *engine) stream(c net.Conn, q *http.Request, id, head string) bool {
 	framing := "Transfer-Encoding: chunked\r\n\r\n"
 	if e.unframed {
@@ -125,10 +126,13 @@
 	if _, err := io.WriteString(c, head+framing); err != nil {
 		return false
 	}
+	_, output, _ := strings.Cut(q.Header.Get("Cassiaspoke-Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(output)
+	events := tokens / tokensPerEvent
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-	for n := first + 1; n <= e.events; n++ {
+	for n := first + 1; n <= events; n++ {
 		time.Sleep(e.gap)
-		event := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n, n, e.events)
+		event := fmt.Sprintf("id: %d\ndata: piece %d of %d\n\n", n, n, events)
 		if !e.unframed {
 			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
 		}
@@ -140,6 +144,6 @@
 	if !e.unframed {
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
-	e.print("answered %s with all %d events", id, e.events)
+	e.print("answered %s with all %d events", id, events)
 	return !e.unframed
 }
